--- /dev/null
+++ b/Makefile
@@ -0,0 +1,72 @@
+# make          build everything
+# make run      first look: one call through two daemons
+# make check    run the tests
+# make bench    print figures
+# SANITIZE=address,undefined or SANITIZE=thread selects a checked build.
+TOP := .
+DIR := .
+include mk/common.mk
+
+DIRS := lib rpc http cornelpickd fakes cornelpick regress
+SOURCES := $(shell git ls-files '*.c' '*.h' | grep -v '^rpc/')
+LINT_SOURCES := $(filter %.c,$(SOURCES))
+
+all: $(DIRS)
+
+$(DIRS):
+	$(MAKE) -C $@ all
+
+rpc http: lib
+cornelpickd fakes: lib rpc http
+cornelpick: lib rpc http cornelpickd fakes
+regress: lib rpc http cornelpickd fakes cornelpick
+
+packages:
+	scripts/install-packages
+
+run: packages
+	$(MAKE) all
+	scripts/first-look $(BUILD)
+
+check: packages
+	$(MAKE) all
+	$(MAKE) -C regress check
+
+bench: packages
+	$(MAKE) all
+	$(MAKE) -C bench run
+
+format:
+	clang-format -i $(SOURCES)
+
+format-check:
+	clang-format --dry-run --Werror $(SOURCES)
+
+lint: lint-tidy lint-cppcheck lint-pages
+
+lint-tidy:
+	@printf '%s\n' $(LINT_SOURCES) | xargs -P 8 -n 4 sh -c \
+	    'clang-tidy --quiet "$$@" -- $(CPPFLAGS) -std=gnu11 2>/dev/null' tidy
+
+lint-cppcheck:
+	cppcheck --quiet --error-exitcode=1 --inline-suppr -j 8 \
+	    --enable=warning,performance,portability \
+	    --suppress=missingIncludeSystem -I. -D_GNU_SOURCE \
+	    $(LINT_SOURCES)
+
+lint-pages:
+	@for page in $$(git ls-files '*.[1-9]'); do \
+	    mandoc -Tlint -Wwarning "$$page" || exit 1; done
+
+install: all
+	$(MAKE) -C lib install
+	$(MAKE) -C cornelpickd install
+	$(MAKE) -C cornelpick install
+	install -d $(DESTDIR)$(datadir)/cornelpick/charts
+	install -m 644 charts/*.json $(DESTDIR)$(datadir)/cornelpick/charts
+
+clean:
+	rm -rf build build-*
+
+.PHONY: all $(DIRS) packages run check bench format format-check lint \
+	lint-tidy lint-cppcheck lint-pages install clean
--- /dev/null
+++ b/cornelpick/common.c
@@ -0,0 +1,64 @@
+#include <stdio.h>
+
+#include "cornelpick/cornelpick.h"
+
+#define ADMIN_TIMEOUT_US (5 * CP_US_PER_S)
+#define ADMIN_BYTES_MAX (64 * 1048576)
+
+bool
+parse_arguments (int *argc, char ***argv, const GOptionEntry *entries)
+{
+  GOptionContext *context = g_option_context_new (NULL);
+  GError *fault = NULL;
+  bool parsed;
+
+  g_option_context_add_main_entries (context, entries, NULL);
+  parsed = g_option_context_parse (context, argc, argv, &fault);
+  g_option_context_free (context);
+  if (!parsed)
+    fprintf (stderr, "cornelpick: %s\n", fault->message);
+  g_clear_error (&fault);
+  return parsed;
+}
+
+int
+report_error (const struct cp_error *error)
+{
+  char text[900];
+
+  cp_error_text (error, text, sizeof text);
+  fprintf (stderr, "cornelpick: %s\n", text);
+  return STATUS_FINDING;
+}
+
+int
+admin_get (const char *text, const char *path, GString *body,
+           struct cp_error *error)
+{
+  struct cp_address address;
+  struct upstream_pool pool;
+  int status;
+
+  if (!cp_address_parse (&address, text))
+    return cp_error_set (error, CP_ERROR_USAGE, text,
+                         "write the admin address as in the settings, for "
+                         "example 127.0.0.1:7401",
+                         "is no IP number with port");
+  if (upstream_pool_init (&pool, &cp_clock_boot, NULL) != 0)
+    return cp_error_set (error, CP_ERROR_LIMIT, text,
+                         "raise the limit of open files",
+                         "cannot be called: no descriptors left");
+  status = upstream_get (&pool, &address, path, ADMIN_BYTES_MAX,
+                         ADMIN_TIMEOUT_US, body);
+  upstream_pool_finish (&pool);
+  if (status == 200)
+    return 0;
+  if (status == 0)
+    return cp_error_set (error, CP_ERROR_NETWORK, text,
+                         "check that the daemon runs and that this is its "
+                         "admin address",
+                         "does not answer");
+  return cp_error_set (error, CP_ERROR_PROTOCOL, text,
+                       "check that this is the admin address of a daemon",
+                       "answered with status %d", status);
+}
--- /dev/null
+++ b/cornelpick/cornelpick.h
@@ -0,0 +1,44 @@
+/* Declarations of cornelpick, the operator's command.  */
+#ifndef CORNELPICK_H
+#define CORNELPICK_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdbool.h>
+
+#include "http/http.h"
+#include "lib/error.h"
+
+enum exit_status
+{
+  STATUS_HOLDS = 0,   /* the command did what was asked; nothing was found */
+  STATUS_FINDING = 1, /* a check failed or an answer can not be given */
+  STATUS_USAGE = 2
+};
+
+/* One subcommand: ARGV[0] is its name.  */
+struct command
+{
+  const char *name;
+  const char *arguments;
+  int (*run) (int argc, char **argv);
+};
+
+int command_check (int argc, char **argv);
+int command_state (int argc, char **argv);
+int command_run (int argc, char **argv);
+
+/* Prints the usage of all subcommands; returns STATUS_USAGE.  */
+int usage (void);
+
+/* Parses the options of a subcommand.  Returns false after a message.  */
+bool parse_arguments (int *argc, char ***argv, const GOptionEntry *entries);
+
+/* Prints ERROR; returns STATUS_FINDING.  */
+int report_error (const struct cp_error *error);
+
+/* Reads PATH from the admin address TEXT.  Returns 0, or -1 with ERROR set.  */
+int admin_get (const char *text, const char *path, GString *body,
+               struct cp_error *error);
+
+#endif
--- /dev/null
+++ b/cornelpick/run.c
@@ -0,0 +1,128 @@
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "cornelpick/cornelpick.h"
+#include "cornelpickd/cornelpickd.h"
+#include "fakes/fakes.h"
+#include "lib/cleanup.h"
+
+#define SEED_FIRST 1
+#define TARGETS_MAX 16
+
+/* All parts of a first look, in one process.  */
+struct first_look
+{
+  struct fake_platform platform;
+  struct fake_target targets[TARGETS_MAX];
+  unsigned n_targets;
+  struct daemon daemon;
+};
+
+static int
+start_targets (struct first_look *look, const struct cp_document *document,
+               struct cp_error *error)
+{
+  for (unsigned s = 0; s < document->n_services; s++)
+    for (unsigned t = 0; t < document->services[s].n_targets; t++)
+      {
+        const struct cp_target *target = &document->services[s].targets[t];
+
+        if (look->n_targets == TARGETS_MAX)
+          return cp_error_set (error, CP_ERROR_LIMIT, target->name,
+                               "name at most 16 targets",
+                               "is one target too many");
+        if (fake_target_start (&look->targets[look->n_targets], target->name,
+                               &target->address,
+                               SEED_FIRST + look->n_targets, error)
+            != 0)
+          return -1;
+        look->n_targets++;
+      }
+  return 0;
+}
+
+static int
+start_all (struct first_look *look, const struct cp_settings *settings,
+           const char *text, size_t length,
+           const struct cp_document *document, struct cp_error *error)
+{
+  if (fake_platform_start (&look->platform, &settings->configuration_service,
+                           error)
+      != 0)
+    return -1;
+  fake_platform_set_document (&look->platform, text, length);
+  if (start_targets (look, document, error) != 0)
+    return -1;
+  return daemon_start (&look->daemon, settings, error);
+}
+
+static void
+stop_all (struct first_look *look)
+{
+  daemon_drain (&look->daemon);
+  daemon_wait_idle (&look->daemon);
+  daemon_stop (&look->daemon);
+  for (unsigned i = 0; i < look->n_targets; i++)
+    fake_target_stop (&look->targets[i]);
+  fake_platform_stop (&look->platform);
+}
+
+static int
+run_first_look (const struct cp_settings *settings, const char *text,
+                size_t length, const struct cp_document *document)
+{
+  static struct first_look look;
+  struct cp_error error;
+  sigset_t signals;
+  int number;
+
+  sigemptyset (&signals);
+  sigaddset (&signals, SIGINT);
+  sigaddset (&signals, SIGTERM);
+  pthread_sigmask (SIG_BLOCK, &signals, NULL);
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  mg_init_library (0);
+  if (start_all (&look, settings, text, length, document, &error) != 0)
+    return report_error (&error);
+  printf ("calls at %s, admin at %s; end with ^C\n", settings->calls.text,
+          settings->admin.text);
+  fflush (stdout);
+  sigwait (&signals, &number);
+  stop_all (&look);
+  return STATUS_HOLDS;
+}
+
+int
+command_run (int argc, char **argv)
+{
+  char *document_file = NULL;
+  const GOptionEntry entries[]
+      = { { "document", 'd', 0, G_OPTION_ARG_FILENAME, &document_file,
+            "The document to serve", "FILE" },
+          G_OPTION_ENTRY_NULL };
+  CP_AUTO_FREE char *text = NULL;
+  gsize length;
+  struct cp_settings settings;
+  struct cp_error error;
+  struct cp_document *document;
+  int status;
+
+  if (!parse_arguments (&argc, &argv, entries) || argc != 2
+      || document_file == NULL)
+    return usage ();
+  if (cp_settings_load (&settings, argv[1], &error) != 0)
+    return report_error (&error);
+  if (!g_file_get_contents (document_file, &text, &length, NULL))
+    {
+      cp_error_set (&error, CP_ERROR_IO, document_file,
+                    "name a file that can be read", "can not be read");
+      return report_error (&error);
+    }
+  document = cp_document_compile (document_file, text, length, &error);
+  if (document == NULL)
+    return report_error (&error);
+  status = run_first_look (&settings, text, length, document);
+  cp_document_unref (document);
+  return status;
+}
--- /dev/null
+++ b/cornelpickd/cornelpickd.h
@@ -0,0 +1,288 @@
+/* Declarations of cornelpickd: one process beside each target, with an
+   outbound side that takes calls and an inbound side that guards the
+   target.  */
+#ifndef CORNELPICKD_H
+#define CORNELPICKD_H
+
+#include <jansson.h>
+#include <pthread.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <urcu/list.h>
+
+#include "http/http.h"
+#include "lib/admission.h"
+#include "lib/balancer.h"
+#include "lib/chart.h"
+#include "lib/clock.h"
+#include "lib/counter.h"
+#include "lib/document.h"
+#include "lib/id.h"
+#include "lib/life.h"
+#include "lib/log.h"
+#include "lib/register.h"
+#include "lib/report.h"
+#include "lib/settings.h"
+
+#define CORNELPICK_VERSION "0.1.0"
+
+/* Headers between daemons, to callers and to targets.  */
+#define HEADER_PREFIX "Cornelpick-"
+#define HEADER_REQUEST "Cornelpick-Request"
+#define HEADER_OUTCOME "Cornelpick-Outcome"
+#define HEADER_REMAINING "Cornelpick-Remaining-Ms"
+#define HEADER_RETRY "Cornelpick-Retry"
+#define HEADER_IDEMPOTENT "Cornelpick-Idempotent"
+#define HEADER_ATTEMPT "Cornelpick-Attempt"
+#define HEADER_INCARNATION "Cornelpick-Incarnation"
+#define HEADER_REMAINING_US "Cornelpick-Remaining-Us"
+#define HEADER_LOAD "Cornelpick-Load"
+#define HEADER_TARGET "Cornelpick-Target"
+#define HEADER_PRIORITY "Cornelpick-Priority"
+#define HEADER_FROM "Cornelpick-From"
+#define HEADER_PATH "Cornelpick-Path"
+
+struct daemon;
+
+/* Counters of a daemon; metrics.c names and describes them.  */
+enum daemon_counter
+{
+  COUNT_CALLS,
+  COUNT_FORWARDED,
+  COUNT_RAN,
+  COUNT_NOT_RUN,
+  COUNT_UNKNOWN,
+  COUNT_RETRIES,
+  COUNT_HEDGES,
+  COUNT_FENCES,
+  COUNT_BAD_REQUESTS,
+  COUNT_NO_ROUTE,
+  COUNT_CUT_ANSWERS,
+  COUNT_CALLERS_GONE,
+  COUNT_SILENT_CONNECTIONS,
+  COUNT_REFUSED_PEERS,
+  COUNT_REFUSED_LEAVING,
+  COUNT_REFUSED_INCARNATION,
+  COUNT_REFUSED_DUPLICATE,
+  COUNT_REFUSED_FULL,
+  COUNT_REFUSED_DEADLINE,
+  COUNT_RPC_CALLS,
+  COUNT_RPC_REFUSED,
+  COUNT_CONFIGURATION_READS,
+  COUNT_CONFIGURATION_ACCEPTED,
+  COUNT_CONFIGURATION_REFUSED,
+  COUNT_CONFIGURATION_OLDER,
+  COUNT_PAUSES,
+  COUNT_LATE_STARTS,
+  COUNT_END
+};
+
+/* forward.c: what both sides do to pass a call on.  */
+
+/* Returns the value of the answer's header NAME in VALUE, or false.  */
+bool head_value (const struct upstream_head *head, const char *name,
+                 char *value, size_t size);
+
+/* Copies the request's headers but for hop-by-hop ones and our own.  */
+struct curl_slist *forward_headers (const struct request *request);
+
+/* Appends "NAME: VALUE" to *HEADERS.  */
+void append_header (struct curl_slist **headers, const char *name,
+                    const char *format, ...)
+    __attribute__ ((format (printf, 3, 4)));
+
+/* An answer on its way to the caller.  */
+struct answer
+{
+  struct request *request;
+  bool head_sent;
+  bool chunked;
+  bool without_body;
+  int status;
+  int64_t length;
+  int64_t sent;
+};
+
+/* Sends the head of an answer; OWN holds further header lines.  Headers that
+   start with Cornelpick- are not passed on.  */
+bool answer_head (struct answer *answer, const struct upstream_head *head,
+                  const char *own);
+bool answer_body (struct answer *answer, const char *data, size_t size);
+
+/* Ends the answer: WHOLE tells whether it came whole.  An answer that was cut
+   short closes the connection without a proper end.  */
+void answer_end (struct answer *answer, bool whole);
+
+/* outbound.c */
+struct outbound
+{
+  struct daemon *daemon;
+  pthread_mutex_t lock;
+  struct cds_list_head balancers;
+  struct cp_histogram latency;
+  unsigned in_flight;
+};
+
+int outbound_init (struct outbound *outbound, struct daemon *daemon);
+void outbound_finish (struct outbound *outbound);
+void outbound_handle (void *context, struct request *request);
+
+/* Takes a new document.  */
+void outbound_update (struct outbound *outbound,
+                      const struct cp_document *document);
+json_t *outbound_dump (struct outbound *outbound);
+
+/* inbound.c */
+struct inbound
+{
+  struct daemon *daemon;
+  pthread_mutex_t lock;
+  struct cp_chart chart;
+  struct cp_register attempts;
+  struct cp_admission admission;
+  struct cp_histogram latency;
+  unsigned in_flight;
+};
+
+int inbound_init (struct inbound *inbound, struct daemon *daemon,
+                  struct cp_error *error);
+void inbound_finish (struct inbound *inbound);
+void inbound_handle (void *context, struct request *request);
+void inbound_update (struct inbound *inbound,
+                     const struct cp_document *document);
+void inbound_report (struct inbound *inbound, struct cp_report *report);
+json_t *inbound_dump (struct inbound *inbound);
+
+/* configuration.c: the document in force and how it is learnt.  */
+struct configuration
+{
+  struct daemon *daemon;
+  struct cp_document *current; /* through RCU */
+  pthread_t watcher;
+  bool watching;
+  bool stop;
+  pthread_mutex_t lock;
+  pthread_cond_t changed;
+  uint64_t accepted_us;
+  char refused[512]; /* why a newer document is not in force */
+};
+
+int configuration_start (struct configuration *configuration,
+                         struct daemon *daemon, struct cp_error *error);
+void configuration_stop (struct configuration *configuration);
+
+/* Returns the document in force with a reference that the caller owns, or
+   NULL before the first.  */
+struct cp_document *configuration_get (struct configuration *configuration);
+
+/* Puts a document in force when it is valid and newer.  */
+void configuration_offer (struct configuration *configuration,
+                          const char *source, const char *text, size_t length);
+json_t *configuration_dump (struct configuration *configuration);
+
+/* members.c: which VMs are known.  */
+struct members
+{
+  struct daemon *daemon;
+  pthread_t reader;
+  bool reading;
+  bool stop;
+  pthread_mutex_t lock;
+  pthread_cond_t changed;
+  struct cds_list_head vms;
+};
+
+int members_start (struct members *members, struct daemon *daemon,
+                   struct cp_error *error);
+void members_stop (struct members *members);
+
+/* Returns whether the IP number belongs to the document or the VM list.  */
+bool members_known (struct members *members, const char *ip);
+json_t *members_dump (struct members *members);
+
+/* rpc.c: ONC RPC between daemons.  */
+struct rpc_server
+{
+  struct daemon *daemon;
+  pthread_t udp_thread;
+  pthread_t tcp_thread;
+  int udp_fd;
+  int tcp_fd;
+  int stop_fd;
+  bool running;
+};
+
+int rpc_start (struct rpc_server *server, struct daemon *daemon,
+               struct cp_error *error);
+void rpc_stop (struct rpc_server *server);
+
+/* What a fence has shown.  */
+enum fence_result
+{
+  FENCE_FENCED,
+  FENCE_STARTED,
+  FENCE_ANSWERED,
+  FENCE_NO_PROOF
+};
+
+/* Asks the inbound side at ADDRESS to give up an attempt.  */
+enum fence_result rpc_fence (const struct cp_address *address,
+                             const struct cp_id *attempt, uint64_t incarnation,
+                             uint64_t remember_us, bool cancel,
+                             uint64_t timeout_us);
+
+/* Asks the inbound side at ADDRESS for its load.  */
+bool rpc_load (const struct cp_address *address, struct cp_report *report,
+               uint64_t timeout_us);
+
+/* admin.c and metrics.c */
+void admin_handle (void *context, struct request *request);
+char *metrics_text (struct daemon *daemon);
+
+/* daemon.c */
+struct daemon
+{
+  struct cp_settings settings;
+  const struct cp_clock *clock;
+  struct cp_counters counters;
+  struct cp_chart life_chart;
+  pthread_mutex_t life_lock;
+  int life;
+  uint64_t incarnation;
+  uint64_t started_us;
+  struct upstream_pool upstreams;
+  struct outbound outbound;
+  struct inbound inbound;
+  struct configuration configuration;
+  struct members members;
+  struct rpc_server rpc;
+  struct listener calls;
+  struct listener peers;
+  struct listener admin;
+};
+
+/* Starts all parts.  SETTINGS is copied.  */
+int daemon_start (struct daemon *daemon, const struct cp_settings *settings,
+                  struct cp_error *error);
+
+/* Refuses new work from now on; calls in flight go on.  */
+void daemon_drain (struct daemon *daemon);
+
+/* Waits until no call is in flight, at most the drain's limit.  Returns
+   whether all ended.  */
+bool daemon_wait_idle (struct daemon *daemon);
+
+/* Ends all parts.  */
+void daemon_stop (struct daemon *daemon);
+
+enum cp_life daemon_life (struct daemon *daemon);
+bool daemon_step (struct daemon *daemon, enum cp_life_event event);
+json_t *daemon_dump (struct daemon *daemon);
+
+static inline void
+daemon_count (struct daemon *daemon, enum daemon_counter counter)
+{
+  cp_counters_add (&daemon->counters, counter, 1);
+}
+
+#endif
--- /dev/null
+++ b/cornelpickd/daemon.c
@@ -0,0 +1,178 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "cornelpickd/cornelpickd.h"
+#include "lib/cleanup.h"
+
+#define ADMIN_THREADS 4
+#define IDLE_POLL_US 2000
+#define DRAIN_LIMIT_US (30 * CP_US_PER_S)
+
+static int
+load_life_chart (struct daemon *daemon, struct cp_error *error)
+{
+  static const struct cp_chart_names names
+      = { cp_life_names, CP_LIFE_COUNT, cp_life_event_names,
+          CP_LIFE_EVENT_COUNT };
+  char path[320];
+
+  snprintf (path, sizeof path, "%s/daemon.json", daemon->settings.charts);
+  if (cp_chart_load (&daemon->life_chart, path, &names, error) != 0)
+    return -1;
+  daemon->life = daemon->life_chart.initial;
+  return 0;
+}
+
+enum cp_life
+daemon_life (struct daemon *daemon)
+{
+  return (enum cp_life)__atomic_load_n (&daemon->life, __ATOMIC_ACQUIRE);
+}
+
+bool
+daemon_step (struct daemon *daemon, enum cp_life_event event)
+{
+  int life;
+
+  CP_LOCK_SCOPE (&daemon->life_lock);
+  life = daemon->life;
+  if (!cp_chart_step (&daemon->life_chart, &life, (int)event))
+    return false;
+  if (life != daemon->life)
+    cp_log (CP_LOG_INFO, CP_PART_DAEMON, "%s is %s.", daemon->settings.vm,
+            cp_life_names[life]);
+  __atomic_store_n (&daemon->life, life, __ATOMIC_RELEASE);
+  return true;
+}
+
+static int
+start_listener (struct daemon *daemon, struct listener *listener,
+                void (*handle) (void *, struct request *), void *context,
+                const struct cp_address *address, unsigned threads,
+                struct cp_error *error)
+{
+  listener->clock = daemon->clock;
+  listener->counters = &daemon->counters;
+  listener->bad_requests = COUNT_BAD_REQUESTS;
+  listener->handle = handle;
+  listener->context = context;
+  return listener_start (listener, address, threads, error);
+}
+
+static int
+start_parts (struct daemon *daemon, struct cp_error *error)
+{
+  const struct cp_settings *settings = &daemon->settings;
+
+  if (load_life_chart (daemon, error) != 0)
+    return -1;
+  if (inbound_init (&daemon->inbound, daemon, error) != 0)
+    return -1;
+  outbound_init (&daemon->outbound, daemon);
+  if (start_listener (daemon, &daemon->admin, admin_handle, daemon,
+                      &settings->admin, ADMIN_THREADS, error)
+          != 0
+      || start_listener (daemon, &daemon->peers, inbound_handle,
+                         &daemon->inbound, &settings->peers,
+                         settings->peer_threads, error)
+             != 0
+      || start_listener (daemon, &daemon->calls, outbound_handle,
+                         &daemon->outbound, &settings->calls,
+                         settings->call_threads, error)
+             != 0
+      || rpc_start (&daemon->rpc, daemon, error) != 0)
+    return -1;
+  daemon_step (daemon, CP_LIFE_LISTENING);
+  if (members_start (&daemon->members, daemon, error) != 0)
+    return -1;
+  return configuration_start (&daemon->configuration, daemon, error);
+}
+
+int
+daemon_start (struct daemon *daemon, const struct cp_settings *settings,
+              struct cp_error *error)
+{
+  memset (daemon, 0, sizeof *daemon);
+  daemon->settings = *settings;
+  daemon->clock = &cp_clock_boot;
+  daemon->started_us = cp_clock_now_us (daemon->clock);
+  daemon->incarnation
+      = cp_random_thread ()->next (cp_random_thread ()->context) | 1;
+  pthread_mutex_init (&daemon->life_lock, NULL);
+  pthread_mutex_init (&daemon->members.lock, NULL);
+  CDS_INIT_LIST_HEAD (&daemon->members.vms);
+  daemon->members.daemon = daemon;
+  if (cp_counters_init (&daemon->counters, COUNT_END) != 0)
+    return cp_error_set (error, CP_ERROR_MEMORY, settings->vm, "free memory",
+                         "no memory for counters");
+  if (upstream_pool_init (&daemon->upstreams, daemon->clock,
+                          &settings->peers)
+      != 0)
+    return cp_error_set (error, CP_ERROR_LIMIT, settings->vm,
+                         "raise the limit of open files",
+                         "no descriptors left");
+  return start_parts (daemon, error);
+}
+
+void
+daemon_drain (struct daemon *daemon)
+{
+  daemon_step (daemon, CP_LIFE_DRAIN);
+}
+
+bool
+daemon_wait_idle (struct daemon *daemon)
+{
+  uint64_t limit = cp_clock_now_us (daemon->clock) + DRAIN_LIMIT_US;
+
+  while (cp_clock_now_us (daemon->clock) < limit)
+    {
+      if (__atomic_load_n (&daemon->outbound.in_flight, __ATOMIC_ACQUIRE) == 0
+          && __atomic_load_n (&daemon->inbound.in_flight, __ATOMIC_ACQUIRE)
+                 == 0)
+        return true;
+      usleep (IDLE_POLL_US);
+    }
+  return false;
+}
+
+void
+daemon_stop (struct daemon *daemon)
+{
+  listener_stop (&daemon->calls);
+  listener_stop (&daemon->peers);
+  upstream_pool_stop (&daemon->upstreams);
+  configuration_stop (&daemon->configuration);
+  members_stop (&daemon->members);
+  rpc_stop (&daemon->rpc);
+  daemon_step (daemon, CP_LIFE_STOP);
+  listener_stop (&daemon->admin);
+  outbound_finish (&daemon->outbound);
+  inbound_finish (&daemon->inbound);
+  upstream_pool_finish (&daemon->upstreams);
+  cp_counters_finish (&daemon->counters);
+  pthread_mutex_destroy (&daemon->life_lock);
+}
+
+json_t *
+daemon_dump (struct daemon *daemon)
+{
+  char incarnation[20];
+  json_t *dump;
+
+  snprintf (incarnation, sizeof incarnation, "%016" PRIx64,
+            daemon->incarnation);
+  dump = json_pack ("{s:s, s:s, s:s, s:s, s:s}", "vm", daemon->settings.vm,
+                    "failure_domain", daemon->settings.failure_domain,
+                    "version", CORNELPICK_VERSION, "incarnation", incarnation,
+                    "life", cp_life_names[daemon_life (daemon)]);
+  json_object_set_new (dump, "configuration",
+                       configuration_dump (&daemon->configuration));
+  json_object_set_new (dump, "members", members_dump (&daemon->members));
+  json_object_set_new (dump, "outbound", outbound_dump (&daemon->outbound));
+  json_object_set_new (dump, "inbound", inbound_dump (&daemon->inbound));
+  json_object_set_new (dump, "connections",
+                       upstream_dump (&daemon->upstreams));
+  return dump;
+}
--- /dev/null
+++ b/cornelpickd/forward.c
@@ -0,0 +1,197 @@
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+
+#include "cornelpickd/cornelpickd.h"
+
+#define HEADER_LINE_BYTES 16384
+
+/* Headers that belong to one connection (RFC 9110, section 7.6.1).  */
+static const char *const hop_by_hop[]
+    = { "Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer",
+        "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
+        "Proxy-Authenticate", "Proxy-Authorization" };
+
+static bool
+is_hop_by_hop (const char *name, size_t length)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (hop_by_hop); i++)
+    if (strlen (hop_by_hop[i]) == length
+        && strncasecmp (hop_by_hop[i], name, length) == 0)
+      return true;
+  return false;
+}
+
+static bool
+is_own (const char *name)
+{
+  return strncasecmp (name, HEADER_PREFIX, strlen (HEADER_PREFIX)) == 0;
+}
+
+/* Returns whether the value of Connection, which may be NULL, names the
+   header.  */
+static bool
+named_by_connection (const char *connection, const char *name, size_t length)
+{
+  const char *at = connection;
+
+  while (at != NULL && *at != '\0')
+    {
+      size_t skip = strspn (at, ", \t");
+      size_t item;
+
+      at += skip;
+      item = strcspn (at, ", \t");
+      if (item == length && strncasecmp (at, name, length) == 0)
+        return true;
+      at += item;
+    }
+  return false;
+}
+
+bool
+head_value (const struct upstream_head *head, const char *name, char *value,
+            size_t size)
+{
+  size_t length = strlen (name);
+
+  for (const struct curl_slist *line = head->headers; line != NULL;
+       line = line->next)
+    if (strncasecmp (line->data, name, length) == 0
+        && line->data[length] == ':')
+      {
+        const char *start = line->data + length + 1;
+
+        snprintf (value, size, "%s", start + strspn (start, " \t"));
+        return true;
+      }
+  return false;
+}
+
+void
+append_header (struct curl_slist **headers, const char *name,
+               const char *format, ...)
+{
+  char line[HEADER_LINE_BYTES];
+  int length = snprintf (line, sizeof line, "%s: ", name);
+  va_list arguments;
+
+  va_start (arguments, format);
+  vsnprintf (line + length, sizeof line - (size_t)length, format, arguments);
+  va_end (arguments);
+  *headers = curl_slist_append (*headers, line);
+}
+
+struct curl_slist *
+forward_headers (const struct request *request)
+{
+  const struct mg_request_info *info = request->info;
+  const char *connection = request_header (request, "Connection");
+  /* libcurl adds these unless an empty one is given.  */
+  struct curl_slist *headers = curl_slist_append (NULL, "Expect:");
+
+  if (request_header (request, "Accept") == NULL)
+    headers = curl_slist_append (headers, "Accept:");
+  if (request_header (request, "Content-Type") == NULL)
+    headers = curl_slist_append (headers, "Content-Type:");
+  for (int i = 0; i < info->num_headers; i++)
+    {
+      const char *name = info->http_headers[i].name;
+      const char *value = info->http_headers[i].value;
+
+      if (is_hop_by_hop (name, strlen (name)) || is_own (name)
+          || named_by_connection (connection, name, strlen (name)))
+        continue;
+      if (*value != '\0')
+        append_header (&headers, name, "%s", value);
+    }
+  return headers;
+}
+
+static bool
+passes_on (const char *line, const char *connection)
+{
+  size_t length = strcspn (line, ":");
+
+  return !is_hop_by_hop (line, length) && !is_own (line)
+         && !named_by_connection (connection, line, length);
+}
+
+static bool
+status_without_body (int status)
+{
+  return status == 204 || status == 304 || (status >= 100 && status < 200);
+}
+
+/* Appends the status line and the headers that are passed on.  */
+static void
+compose_head (const struct answer *answer, const struct upstream_head *head,
+              GString *text)
+{
+  char named[256] = "";
+
+  head_value (head, "Connection", named, sizeof named);
+  g_string_append_printf (
+      text, "HTTP/1.1 %d %s\r\n", head->status,
+      mg_get_response_code_text (answer->request->connection, head->status));
+  for (const struct curl_slist *line = head->headers; line != NULL;
+       line = line->next)
+    if (passes_on (line->data, named))
+      g_string_append_printf (text, "%s\r\n", line->data);
+  if (answer->chunked)
+    g_string_append (text, "Transfer-Encoding: chunked\r\n");
+  else if (head->length >= 0 && head->status != 204)
+    g_string_append_printf (text, "Content-Length: %lld\r\n",
+                            (long long)head->length);
+}
+
+bool
+answer_head (struct answer *answer, const struct upstream_head *head,
+             const char *own)
+{
+  struct mg_connection *connection = answer->request->connection;
+  const char *method = answer->request->info->request_method;
+  const char *version = answer->request->info->http_version;
+  GString *text = g_string_sized_new (1024);
+  int written;
+
+  answer->status = head->status;
+  answer->head_sent = true;
+  answer->length = head->length;
+  answer->without_body = strcmp (method, "HEAD") == 0
+                         || status_without_body (head->status);
+  answer->chunked = head->length < 0 && !answer->without_body
+                    && strcmp (version, "1.1") == 0;
+  if (head->length < 0 && !answer->without_body && !answer->chunked)
+    mg_disable_connection_keep_alive (connection);
+  compose_head (answer, head, text);
+  g_string_append_printf (text, "%s\r\n", own);
+  written = mg_write (connection, text->str, text->len);
+  g_string_free (text, TRUE);
+  return written > 0;
+}
+
+bool
+answer_body (struct answer *answer, const char *data, size_t size)
+{
+  struct mg_connection *connection = answer->request->connection;
+
+  if (answer->without_body || size == 0)
+    return true;
+  answer->sent += (int64_t)size;
+  if (answer->chunked)
+    return mg_send_chunk (connection, data, (unsigned)size) > 0;
+  return mg_write (connection, data, size) == (int)size;
+}
+
+void
+answer_end (struct answer *answer, bool whole)
+{
+  struct mg_connection *connection = answer->request->connection;
+
+  if (!whole || !answer->request->body_ended)
+    mg_disable_connection_keep_alive (connection);
+  if (whole && answer->chunked)
+    mg_send_chunk (connection, "", 0);
+}
--- /dev/null
+++ b/cornelpickd/inbound.c
@@ -0,0 +1,405 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cornelpickd/cornelpickd.h"
+#include "lib/cleanup.h"
+
+#define REGISTER_CAPACITY 65536
+#define REGISTER_MARGIN_US (10 * CP_US_PER_S)
+#define REMAINING_US_MAX (600 * CP_US_PER_S)
+#define SLOTS_DEFAULT 12
+
+/* A forwarded call at the inbound side.  */
+struct visit
+{
+  struct inbound *inbound;
+  struct request *request;
+  struct cp_id attempt;
+  struct cp_target target;
+  char from[CP_NAME_BYTES];
+  uint64_t deadline_us;
+  uint64_t keep_until_us;
+  uint64_t sent_us;
+  bool idempotent;
+  enum cp_priority priority;
+  struct answer answer;
+  enum daemon_counter refused_as;
+};
+
+int
+inbound_init (struct inbound *inbound, struct daemon *daemon,
+              struct cp_error *error)
+{
+  char path[320];
+
+  memset (inbound, 0, sizeof *inbound);
+  inbound->daemon = daemon;
+  pthread_mutex_init (&inbound->lock, NULL);
+  snprintf (path, sizeof path, "%s/attempt.json", daemon->settings.charts);
+  if (cp_chart_load (&inbound->chart, path, &cp_attempt_names, error) != 0)
+    return -1;
+  cp_register_init (&inbound->attempts, daemon->clock, &inbound->chart,
+                    REGISTER_CAPACITY);
+  cp_admission_init (&inbound->admission, daemon->clock, SLOTS_DEFAULT);
+  return 0;
+}
+
+void
+inbound_finish (struct inbound *inbound)
+{
+  cp_register_finish (&inbound->attempts);
+  cp_admission_finish (&inbound->admission);
+  pthread_mutex_destroy (&inbound->lock);
+}
+
+/* Finds the target beside this daemon.  */
+static const struct cp_target *
+own_target (const struct daemon *daemon, const struct cp_document *document,
+            const struct cp_service **service)
+{
+  for (unsigned s = 0; s < document->n_services; s++)
+    for (unsigned t = 0; t < document->services[s].n_targets; t++)
+      {
+        const struct cp_target *target = &document->services[s].targets[t];
+
+        if (!target->has_daemon
+            || strcmp (target->daemon.text, daemon->settings.peers.text) != 0)
+          continue;
+        *service = &document->services[s];
+        return target;
+      }
+  return NULL;
+}
+
+void
+inbound_update (struct inbound *inbound, const struct cp_document *document)
+{
+  const struct cp_service *service;
+
+  if (own_target (inbound->daemon, document, &service) != NULL)
+    cp_admission_set_slots (&inbound->admission, service->slots);
+}
+
+void
+inbound_report (struct inbound *inbound, struct cp_report *report)
+{
+  memset (report, 0, sizeof *report);
+  report->incarnation = inbound->daemon->incarnation;
+  report->life = daemon_life (inbound->daemon);
+  report->latency_us = cp_histogram_quantile (&inbound->latency, 0.5);
+  cp_admission_report (&inbound->admission, report);
+}
+
+/* Composes the header lines that go with each answer to a daemon.  */
+static void
+own_headers (const struct visit *visit, const char *outcome, char *text,
+             size_t size)
+{
+  struct cp_report report;
+  char load[CP_REPORT_TEXT_BYTES];
+
+  inbound_report (visit->inbound, &report);
+  cp_report_text (&report, load);
+  snprintf (text, size,
+            HEADER_OUTCOME ": %s\r\n" HEADER_LOAD ": %s\r\n" HEADER_FROM
+                           ": %s\r\n",
+            outcome, load, visit->inbound->daemon->settings.vm);
+}
+
+static void
+refuse (struct visit *visit, int status, const char *outcome,
+        const char *reason)
+{
+  char headers[512];
+
+  own_headers (visit, outcome, headers, sizeof headers);
+  request_answer (visit->request, status, headers, "text/plain", reason);
+}
+
+/* Reads the headers that the outbound side added.  */
+static bool
+read_headers (struct visit *visit)
+{
+  const struct request *request = visit->request;
+  const char *remaining = request_header (request, HEADER_REMAINING_US);
+  const char *idempotent = request_header (request, HEADER_IDEMPOTENT);
+  const char *priority = request_header (request, HEADER_PRIORITY);
+  const char *from = request_header (request, HEADER_FROM);
+  uint64_t remaining_us;
+
+  if (!cp_id_parse (&visit->attempt,
+                    request_header (request, HEADER_ATTEMPT))
+      || remaining == NULL || from == NULL)
+    return false;
+  remaining_us = strtoull (remaining, NULL, 10);
+  if (remaining_us > REMAINING_US_MAX)
+    return false;
+  snprintf (visit->from, sizeof visit->from, "%s", from);
+  visit->deadline_us = request->arrived_us + remaining_us;
+  visit->keep_until_us = visit->deadline_us + REGISTER_MARGIN_US;
+  visit->idempotent = idempotent != NULL && strcmp (idempotent, "yes") == 0;
+  visit->priority = CP_PRIORITY_NORMAL;
+  if (priority != NULL && strcmp (priority, "high") == 0)
+    visit->priority = CP_PRIORITY_HIGH;
+  if (priority != NULL && strcmp (priority, "low") == 0)
+    visit->priority = CP_PRIORITY_LOW;
+  return true;
+}
+
+static bool
+right_incarnation (const struct visit *visit)
+{
+  const char *text = request_header (visit->request, HEADER_INCARNATION);
+  uint64_t addressed = text == NULL ? 0 : strtoull (text, NULL, 16);
+
+  if (addressed == 0)
+    return visit->idempotent;
+  return addressed == visit->inbound->daemon->incarnation;
+}
+
+static bool
+step (struct visit *visit, enum cp_attempt_event event)
+{
+  enum cp_attempt_state state;
+
+  return cp_register_step (&visit->inbound->attempts, &visit->attempt, event,
+                           visit->keep_until_us, &state)
+         == CP_REGISTER_DONE;
+}
+
+/* The last check, immediately before the target sees the call.  */
+static bool
+before_send (void *context)
+{
+  struct visit *visit = context;
+  uint64_t now = cp_clock_now_us (visit->inbound->daemon->clock);
+
+  if (now >= visit->deadline_us)
+    {
+      visit->refused_as = COUNT_REFUSED_DEADLINE;
+      return false;
+    }
+  visit->sent_us = now;
+  visit->refused_as = COUNT_REFUSED_DUPLICATE;
+  return step (visit, CP_ATTEMPT_START);
+}
+
+static ssize_t
+read_body (void *context, char *buffer, size_t size)
+{
+  struct visit *visit = context;
+
+  return request_read (visit->request, buffer, size);
+}
+
+static bool
+on_head (void *context, const struct upstream_head *head)
+{
+  struct visit *visit = context;
+  char headers[512];
+
+  own_headers (visit, "ran", headers, sizeof headers);
+  return answer_head (&visit->answer, head, headers);
+}
+
+static bool
+on_body (void *context, const char *data, size_t size)
+{
+  struct visit *visit = context;
+
+  return answer_body (&visit->answer, data, size);
+}
+
+static struct curl_slist *
+target_headers (const struct visit *visit)
+{
+  const struct request *request = visit->request;
+  struct curl_slist *headers = forward_headers (request);
+  const char *id = request_header (request, HEADER_REQUEST);
+  uint64_t now = cp_clock_now_us (visit->inbound->daemon->clock);
+  uint64_t left = visit->deadline_us > now ? visit->deadline_us - now : 0;
+
+  append_header (&headers, HEADER_REQUEST, "%s", id == NULL ? "" : id);
+  append_header (&headers, HEADER_REMAINING, "%" PRIu64, left / CP_US_PER_MS);
+  append_header (&headers, HEADER_RETRY, "none");
+  return headers;
+}
+
+static char *
+full_path (const struct request *request)
+{
+  const struct mg_request_info *info = request->info;
+
+  if (info->query_string == NULL)
+    return g_strdup (info->request_uri);
+  return g_strconcat (info->request_uri, "?", info->query_string, NULL);
+}
+
+static void
+finish_visit (struct visit *visit, enum upstream_result result)
+{
+  struct inbound *inbound = visit->inbound;
+  struct daemon *daemon = inbound->daemon;
+  uint64_t latency;
+
+  if (result == UPSTREAM_NOT_SENT)
+    {
+      step (visit, CP_ATTEMPT_REFUSE);
+      daemon_count (daemon, visit->refused_as);
+      refuse (visit, 503, "not-run", "the target was not reached\n");
+      return;
+    }
+  latency = cp_clock_now_us (daemon->clock) - visit->sent_us;
+  step (visit, result == UPSTREAM_COMPLETE ? CP_ATTEMPT_ANSWER
+                                           : CP_ATTEMPT_FAIL);
+  if (result == UPSTREAM_COMPLETE)
+    cp_histogram_add (&inbound->latency, latency);
+  else
+    daemon_count (daemon, COUNT_CUT_ANSWERS);
+  if (visit->answer.head_sent)
+    answer_end (&visit->answer, result == UPSTREAM_COMPLETE);
+  else
+    refuse (visit, result == UPSTREAM_DEADLINE ? 504 : 502, "unknown",
+            "the target gave no whole answer\n");
+}
+
+/* Calls the target; a slot is held.  */
+static void
+call_target (struct visit *visit)
+{
+  struct daemon *daemon = visit->inbound->daemon;
+  CP_AUTO_FREE char *path = full_path (visit->request);
+  struct curl_slist *headers = target_headers (visit);
+  struct upstream_call call
+      = { .address = &visit->target.address,
+          .method = visit->request->info->request_method,
+          .path = path,
+          .headers = headers,
+          .has_body = visit->request->body_size != 0,
+          .body_size = visit->request->body_size,
+          .deadline_us = visit->deadline_us,
+          .caller_fd = visit->request->caller_fd,
+          .context = visit,
+          .before_send = before_send,
+          .read_body = read_body,
+          .on_head = on_head,
+          .on_body = on_body };
+  enum upstream_result result;
+
+  visit->answer.request = visit->request;
+  visit->refused_as = COUNT_REFUSED_FULL;
+  result = upstream_perform (&daemon->upstreams, &call);
+  curl_slist_free_all (headers);
+  cp_admission_leave (&visit->inbound->admission, visit->from,
+                      cp_clock_now_us (daemon->clock) - visit->sent_us,
+                      result != UPSTREAM_COMPLETE);
+  finish_visit (visit, result);
+}
+
+static void
+admit (struct visit *visit)
+{
+  struct daemon *daemon = visit->inbound->daemon;
+  enum cp_admission_result result;
+
+  if (!step (visit, CP_ATTEMPT_ARRIVE))
+    {
+      daemon_count (daemon, COUNT_REFUSED_DUPLICATE);
+      refuse (visit, 409, "unknown", "the attempt was seen before\n");
+      return;
+    }
+  result = cp_admission_enter (&visit->inbound->admission, visit->priority,
+                               visit->from, visit->deadline_us);
+  if (result == CP_ADMITTED)
+    {
+      call_target (visit);
+      return;
+    }
+  step (visit, CP_ATTEMPT_REFUSE);
+  daemon_count (daemon, result == CP_ADMISSION_DEADLINE
+                            ? COUNT_REFUSED_DEADLINE
+                            : COUNT_REFUSED_FULL);
+  refuse (visit, 503, "not-run", "the target has no room\n");
+}
+
+static bool
+find_own_target (struct visit *visit)
+{
+  struct daemon *daemon = visit->inbound->daemon;
+  struct cp_document *document = configuration_get (&daemon->configuration);
+  const struct cp_service *service;
+  const struct cp_target *target = NULL;
+
+  if (document != NULL)
+    target = own_target (daemon, document, &service);
+  if (target != NULL)
+    visit->target = *target;
+  cp_document_unref (document);
+  return target != NULL;
+}
+
+static void
+serve (struct visit *visit)
+{
+  struct daemon *daemon = visit->inbound->daemon;
+
+  if (!members_known (&daemon->members, visit->request->info->remote_addr))
+    {
+      daemon_count (daemon, COUNT_REFUSED_PEERS);
+      refuse (visit, 403, "not-run", "this address is no peer\n");
+      return;
+    }
+  if (!read_headers (visit))
+    {
+      daemon_count (daemon, COUNT_BAD_REQUESTS);
+      refuse (visit, 400, "not-run", "a header of the attempt is missing\n");
+      return;
+    }
+  if (daemon_life (daemon) != CP_LIFE_SERVING)
+    {
+      daemon_count (daemon, COUNT_REFUSED_LEAVING);
+      refuse (visit, 503, "not-run", "this daemon is not serving\n");
+      return;
+    }
+  if (!right_incarnation (visit))
+    {
+      daemon_count (daemon, COUNT_REFUSED_INCARNATION);
+      refuse (visit, 503, "not-run", "another incarnation is meant\n");
+      return;
+    }
+  if (!find_own_target (visit))
+    {
+      refuse (visit, 503, "not-run", "no target is beside this daemon\n");
+      return;
+    }
+  admit (visit);
+}
+
+void
+inbound_handle (void *context, struct request *request)
+{
+  struct visit visit = { .inbound = context, .request = request };
+
+  __atomic_fetch_add (&visit.inbound->in_flight, 1, __ATOMIC_RELAXED);
+  serve (&visit);
+  __atomic_fetch_sub (&visit.inbound->in_flight, 1, __ATOMIC_RELAXED);
+}
+
+json_t *
+inbound_dump (struct inbound *inbound)
+{
+  struct cp_report report;
+  char text[CP_REPORT_TEXT_BYTES];
+
+  inbound_report (inbound, &report);
+  cp_report_text (&report, text);
+  return json_pack ("{s:i, s:o, s:i, s:s}", "in_flight",
+                    (int)__atomic_load_n (&inbound->in_flight,
+                                          __ATOMIC_RELAXED),
+                    "admission", cp_admission_dump (&inbound->admission),
+                    "register_entries",
+                    (int)cp_register_count (&inbound->attempts), "report",
+                    text);
+}
--- /dev/null
+++ b/fakes/target.c
@@ -0,0 +1,353 @@
+#include <inttypes.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fakes/fakes.h"
+#include "lib/cleanup.h"
+
+#define TARGET_THREADS 300
+#define JOURNAL_MAX 200000
+#define DRAIN_BYTES 65536
+
+static const char *const mode_names[FAKE_MODE_COUNT]
+    = { "normal", "fail", "shed", "silent", "cut" };
+
+/* One run of a call.  */
+struct run
+{
+  struct cds_list_head node;
+  char request[64];
+  char method[12];
+  uint64_t body_bytes;
+  uint64_t body_sum; /* sum of all body bytes */
+  bool ended;
+};
+
+static struct run *
+add_run (struct fake_target *target, const struct request *request)
+{
+  const char *id = request_header (request, "Cornelpick-Request");
+  struct run *run = calloc (1, sizeof *run);
+
+  if (run == NULL)
+    abort ();
+  g_strlcpy (run->request, id == NULL ? "" : id, sizeof run->request);
+  g_strlcpy (run->method, request->info->request_method, sizeof run->method);
+  CP_LOCK_SCOPE (&target->lock);
+  if (target->journal_count == JOURNAL_MAX)
+    {
+      struct run *oldest
+          = cds_list_first_entry (&target->journal, struct run, node);
+
+      cds_list_del (&oldest->node);
+      free (oldest);
+      target->journal_count--;
+    }
+  cds_list_add_tail (&run->node, &target->journal);
+  target->journal_count++;
+  return run;
+}
+
+/* Draws a service time.  */
+static uint64_t
+draw_service_us (struct fake_target *target)
+{
+  double unit;
+
+  CP_LOCK_SCOPE (&target->lock);
+  unit = cp_random_unit (&target->random.random);
+  return (uint64_t)((target->fixed_ms - log (1 - unit) * target->service_ms)
+                    * (double)CP_US_PER_MS);
+}
+
+static void
+take_slot (struct fake_target *target)
+{
+  CP_LOCK_SCOPE (&target->lock);
+  target->waiting++;
+  while (target->in_flight >= target->slots && !target->stopping)
+    fake_wait_until (&target->freed, &target->lock,
+                     cp_clock_now_us (&cp_clock_boot) + CP_US_PER_S);
+  target->waiting--;
+  target->in_flight++;
+}
+
+static void
+free_slot (struct fake_target *target)
+{
+  CP_LOCK_SCOPE (&target->lock);
+  target->in_flight--;
+  pthread_cond_signal (&target->freed);
+}
+
+/* Works for TIME_US; ends early when the target stops or the caller leaves.
+   Returns whether the work was done.  */
+static bool
+work (struct fake_target *target, struct request *request, uint64_t time_us)
+{
+  uint64_t until = cp_clock_now_us (&cp_clock_boot) + time_us;
+
+  while (cp_clock_now_us (&cp_clock_boot) < until)
+    {
+      uint64_t left = until - cp_clock_now_us (&cp_clock_boot);
+
+      if (request_caller_gone (request))
+        return false;
+      pthread_mutex_lock (&target->lock);
+      if (target->stopping)
+        {
+          pthread_mutex_unlock (&target->lock);
+          return false;
+        }
+      pthread_mutex_unlock (&target->lock);
+      usleep ((useconds_t)(left < 5000 ? left : 5000));
+    }
+  return true;
+}
+
+static void
+read_upload (struct request *request, struct run *run)
+{
+  char buffer[DRAIN_BYTES];
+  ssize_t count;
+
+  while ((count = request_read (request, buffer, sizeof buffer)) > 0)
+    {
+      run->body_bytes += (uint64_t)count;
+      for (ssize_t i = 0; i < count; i++)
+        run->body_sum += (unsigned char)buffer[i];
+    }
+}
+
+/* Answers with the request ID, the target's name and what was uploaded.  */
+static void
+answer_run (struct fake_target *target, struct request *request,
+            const struct run *run)
+{
+  char body[256];
+  char headers[128];
+
+  snprintf (body, sizeof body,
+            "{\"request\": \"%s\", \"target\": \"%s\", \"bytes\": %" PRIu64
+            ", \"sum\": %" PRIu64 "}\n",
+            run->request, target->name, run->body_bytes, run->body_sum);
+  snprintf (headers, sizeof headers, "Fake-Target: %s\r\n", target->name);
+  request_answer (request, 200, headers, "application/json", body);
+}
+
+/* Sends a body of a given size: bytes=N in the query.  */
+static void
+answer_bytes (struct request *request, uint64_t size, enum fake_mode mode)
+{
+  char buffer[4096];
+
+  memset (buffer, 'x', sizeof buffer);
+  mg_printf (request->connection,
+             "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+             "Content-Length: %" PRIu64 "\r\n\r\n",
+             size);
+  if (mode == FAKE_CUT)
+    {
+      size /= 2;
+      mg_disable_connection_keep_alive (request->connection);
+    }
+  while (size > 0)
+    {
+      size_t part = size < sizeof buffer ? (size_t)size : sizeof buffer;
+
+      if (mg_write (request->connection, buffer, part) <= 0)
+        return;
+      size -= part;
+    }
+}
+
+static void
+stay_silent (struct fake_target *target, struct request *request)
+{
+  while (work (target, request, 100 * CP_US_PER_MS))
+    continue;
+  mg_disable_connection_keep_alive (request->connection);
+}
+
+static void
+serve (struct fake_target *target, struct request *request)
+{
+  struct run *run = add_run (target, request);
+  const char *query = request->info->query_string;
+  enum fake_mode mode = target->mode;
+  bool done;
+
+  read_upload (request, run);
+  take_slot (target);
+  if (mode == FAKE_SILENT)
+    stay_silent (target, request);
+  done = mode != FAKE_SILENT
+         && work (target, request, draw_service_us (target));
+  free_slot (target);
+  if (!done)
+    {
+      mg_disable_connection_keep_alive (request->connection);
+      return;
+    }
+  __atomic_store_n (&run->ended, true, __ATOMIC_RELAXED);
+  if (mode == FAKE_CUT)
+    answer_bytes (request, 1000, mode);
+  else if (query != NULL && strncmp (query, "bytes=", 6) == 0)
+    answer_bytes (request, strtoull (query + 6, NULL, 10), mode);
+  else
+    answer_run (target, request, run);
+}
+
+static void
+answer_load (struct fake_target *target, struct request *request)
+{
+  char body[128];
+  unsigned in_flight;
+
+  pthread_mutex_lock (&target->lock);
+  target->probes++;
+  in_flight = target->lie_idle ? 0 : target->in_flight + target->waiting;
+  pthread_mutex_unlock (&target->lock);
+  snprintf (body, sizeof body, "{\"in_flight\": %u, \"draining\": %s}\n",
+            in_flight, target->draining ? "true" : "false");
+  request_answer (request, target->draining ? 503 : 200, NULL,
+                  "application/json", body);
+}
+
+static void
+answer_journal (struct fake_target *target, struct request *request)
+{
+  GString *text = g_string_new (NULL);
+  struct run *run;
+
+  pthread_mutex_lock (&target->lock);
+  cds_list_for_each_entry (run, &target->journal, node)
+      g_string_append_printf (
+          text, "%s %s %" PRIu64 " %s\n", run->request, run->method,
+          run->body_bytes,
+          __atomic_load_n (&run->ended, __ATOMIC_RELAXED) ? "ended"
+                                                          : "started");
+  pthread_mutex_unlock (&target->lock);
+  request_answer (request, 200, NULL, "text/plain", text->str);
+  g_string_free (text, TRUE);
+}
+
+static void
+answer_control (struct fake_target *target, struct request *request)
+{
+  GString *body = g_string_new (NULL);
+  bool done = fake_read_body (request, body)
+              && fake_target_control (target, body->str, body->len);
+
+  request_answer (request, done ? 200 : 400, NULL, "text/plain",
+                  done ? "done\n" : "unknown key or value\n");
+  g_string_free (body, TRUE);
+}
+
+static void
+handle (void *context, struct request *request)
+{
+  struct fake_target *target = context;
+  const char *path = request->info->request_uri;
+
+  if (strcmp (path, "/fake/journal") == 0)
+    answer_journal (target, request);
+  else if (strcmp (path, "/fake/control") == 0)
+    answer_control (target, request);
+  else if (strcmp (path, "/load") == 0 || strcmp (path, "/health") == 0)
+    answer_load (target, request);
+  else if (target->mode == FAKE_FAIL)
+    request_answer (request, 500, NULL, "text/plain", "failing\n");
+  else if (target->mode == FAKE_SHED || target->draining)
+    request_answer (request, 503, "Retry-After: 1\r\n", "text/plain",
+                    "shedding\n");
+  else
+    serve (target, request);
+}
+
+/* Sets one value; the lock is held.  */
+static bool
+set_value (struct fake_target *target, const char *key, json_t *value)
+{
+  const char *text = json_string_value (value);
+
+  if (strcmp (key, "service_ms") == 0)
+    target->service_ms = json_number_value (value);
+  else if (strcmp (key, "fixed_ms") == 0)
+    target->fixed_ms = json_number_value (value);
+  else if (strcmp (key, "slots") == 0)
+    target->slots = (unsigned)json_integer_value (value);
+  else if (strcmp (key, "draining") == 0)
+    target->draining = json_is_true (value);
+  else if (strcmp (key, "lie_idle") == 0)
+    target->lie_idle = json_is_true (value);
+  else if (strcmp (key, "mode") == 0 && text != NULL)
+    {
+      for (unsigned i = 0; i < FAKE_MODE_COUNT; i++)
+        if (strcmp (text, mode_names[i]) == 0)
+          {
+            target->mode = (enum fake_mode)i;
+            return true;
+          }
+      return false;
+    }
+  else
+    return false;
+  return true;
+}
+
+bool
+fake_target_control (struct fake_target *target, const char *text,
+                     size_t length)
+{
+  CP_AUTO_JSON json_t *root = json_loadb (text, length, 0, NULL);
+  const char *key;
+  json_t *value;
+
+  if (!json_is_object (root))
+    return false;
+  CP_LOCK_SCOPE (&target->lock);
+  json_object_foreach (root, key, value)
+  {
+    if (!set_value (target, key, value))
+      return false;
+  }
+  pthread_cond_broadcast (&target->freed);
+  return true;
+}
+
+int
+fake_target_start (struct fake_target *target, const char *name,
+                   const struct cp_address *address, uint64_t seed,
+                   struct cp_error *error)
+{
+  memset (target, 0, sizeof *target);
+  pthread_mutex_init (&target->lock, NULL);
+  fake_condition_init (&target->freed);
+  CDS_INIT_LIST_HEAD (&target->journal);
+  cp_seeded_random_init (&target->random, seed);
+  g_strlcpy (target->name, name, sizeof target->name);
+  target->slots = 12;
+  target->service_ms = 2;
+  target->listener.clock = &cp_clock_boot;
+  target->listener.handle = handle;
+  target->listener.context = target;
+  return listener_start (&target->listener, address, TARGET_THREADS, error);
+}
+
+void
+fake_target_stop (struct fake_target *target)
+{
+  struct run *run, *next;
+
+  pthread_mutex_lock (&target->lock);
+  target->stopping = true;
+  pthread_cond_broadcast (&target->freed);
+  pthread_mutex_unlock (&target->lock);
+  listener_stop (&target->listener);
+  cds_list_for_each_entry_safe (run, next, &target->journal, node)
+      free (run);
+  cp_seeded_random_finish (&target->random);
+}
--- /dev/null
+++ b/http/http.h
@@ -0,0 +1,139 @@
+/* HTTP between processes: listeners on CivetWeb, calls on libcurl.  */
+#ifndef HTTP_HTTP_H
+#define HTTP_HTTP_H
+
+#include <civetweb.h>
+#include <curl/curl.h>
+#include <glib.h>
+#include <jansson.h>
+#include <pthread.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <sys/types.h>
+#include <urcu/list.h>
+
+#include "lib/address.h"
+#include "lib/clock.h"
+#include "lib/counter.h"
+#include "lib/error.h"
+
+/* One HTTP request that a listener took.  */
+struct request
+{
+  struct mg_connection *connection;
+  const struct mg_request_info *info;
+  uint64_t arrived_us;
+  int caller_fd;     /* socket of the caller, or -1 when not found */
+  int64_t body_size; /* -1: chunked */
+  int64_t body_read;
+  bool body_ended;
+};
+
+/* listener.c: an HTTP port.  */
+struct listener
+{
+  struct mg_context *server;
+  const struct cp_clock *clock;
+  struct cp_counters *counters; /* NULL for none */
+  unsigned bad_requests;        /* counter of malformed requests */
+  void (*handle) (void *context, struct request *request);
+  void *context;
+};
+
+int listener_start (struct listener *listener,
+                    const struct cp_address *address, unsigned threads,
+                    struct cp_error *error);
+
+/* Takes no more connections, waits for those that are served.  */
+void listener_stop (struct listener *listener);
+
+/* Returns the value of a header, or NULL.  */
+const char *request_header (const struct request *request, const char *name);
+
+/* Reads from the body: the number of bytes, 0 at its end, -1 when it was cut
+   short.  Answers "Expect: 100-continue" before the first read.  */
+ssize_t request_read (struct request *request, char *buffer, size_t size);
+
+/* Sends a whole answer with a text body.  HEADERS holds further header lines,
+   each ended by CR LF, or is NULL.  */
+void request_answer (struct request *request, int status, const char *headers,
+                     const char *type, const char *body);
+
+/* Returns whether the caller has closed its connection.  */
+bool request_caller_gone (const struct request *request);
+
+/* upstream.c: calls to daemons and targets over kept connections.  */
+struct upstream_pool
+{
+  pthread_mutex_t lock;
+  const struct cp_clock *clock;
+  char local_ip[64]; /* IP number to call from; empty for any */
+  int stop_fd;       /* readable once the pool is stopping */
+  GHashTable *addresses;
+};
+
+struct upstream_head
+{
+  int status;
+  struct curl_slist *headers; /* "Name: value" */
+  int64_t length;             /* -1 when not given */
+};
+
+enum upstream_result
+{
+  UPSTREAM_COMPLETE,
+  UPSTREAM_NOT_SENT,    /* no byte of the request was written */
+  UPSTREAM_CUT,         /* the connection ended before the answer did */
+  UPSTREAM_DEADLINE,    /* the deadline passed */
+  UPSTREAM_SILENT,      /* no first byte within first_byte_us */
+  UPSTREAM_CALLER_GONE, /* the caller closed its connection */
+  UPSTREAM_STOPPED,     /* the pool is stopping */
+  UPSTREAM_ABORTED      /* a callback asked to stop */
+};
+
+struct upstream_call
+{
+  const struct cp_address *address;
+  const char *method;
+  const char *path; /* with the query */
+  struct curl_slist *headers;
+  bool has_body;
+  int64_t body_size;     /* -1: not known */
+  uint64_t deadline_us;  /* absolute */
+  uint64_t first_byte_us; /* absolute; 0 for none */
+  bool fresh;            /* do not use a connection that was idle */
+  int caller_fd;         /* watched for its end, or -1 */
+  bool background;       /* ends as soon as the pool is stopping */
+  void *context;
+  /* Called immediately before the first byte is written; false gives up.  */
+  bool (*before_send) (void *context);
+  /* Reads the request body: as request_read.  */
+  ssize_t (*read_body) (void *context, char *buffer, size_t size);
+  /* Called once, before the body of the answer; false gives up.  */
+  bool (*on_head) (void *context, const struct upstream_head *head);
+  bool (*on_body) (void *context, const char *data, size_t size);
+};
+
+/* Calls come from the IP number of LOCAL, which may be NULL.  Returns 0, or -1
+   when descriptors ran out.  */
+int upstream_pool_init (struct upstream_pool *pool,
+                        const struct cp_clock *clock,
+                        const struct cp_address *local);
+
+/* Ends all background calls, now and later.  */
+void upstream_pool_stop (struct upstream_pool *pool);
+void upstream_pool_finish (struct upstream_pool *pool);
+
+/* Makes the call and waits for its end.  */
+enum upstream_result upstream_perform (struct upstream_pool *pool,
+                                       const struct upstream_call *call);
+
+json_t *upstream_dump (struct upstream_pool *pool);
+
+/* Reads PATH at ADDRESS into BODY, at most SIZE_MAX bytes.  Returns the status
+   code, or 0 when there was no whole answer within TIMEOUT_US.  */
+int upstream_get (struct upstream_pool *pool, const struct cp_address *address,
+                  const char *path, size_t size_max, uint64_t timeout_us,
+                  GString *body);
+
+#endif
--- /dev/null
+++ b/http/upstream.c
@@ -0,0 +1,455 @@
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+
+#include "http/http.h"
+#include "lib/cleanup.h"
+
+#define IDLE_KEPT_MAX 64
+#define IDLE_US_MAX (20 * CP_US_PER_S)
+#define CONNECT_TIMEOUT_MS 1000
+#define WAIT_MS_MAX 1000
+#define UPLOAD_BUFFER_BYTES 65536
+
+/* One connection: an easy handle in a multi handle of its own, which keeps
+   the connection between calls.  */
+struct upstream
+{
+  struct cds_list_head node;
+  CURL *easy;
+  CURLM *multi;
+  uint64_t idle_since_us;
+};
+
+/* The idle connections to one address.  */
+struct upstream_address
+{
+  struct cds_list_head idle;
+  unsigned n_idle;
+  unsigned n_busy;
+};
+
+/* One call on one connection.  */
+struct transfer
+{
+  const struct upstream_call *call;
+  struct upstream_head head;
+  bool sent;
+  bool resent;
+  bool head_passed;
+  bool gave_up;
+};
+
+static void
+free_upstream (struct upstream *upstream)
+{
+  curl_multi_cleanup (upstream->multi);
+  curl_easy_cleanup (upstream->easy);
+  free (upstream);
+}
+
+static void
+free_address (void *value)
+{
+  struct upstream_address *address = value;
+  struct upstream *upstream, *next;
+
+  cds_list_for_each_entry_safe (upstream, next, &address->idle, node)
+      free_upstream (upstream);
+  free (address);
+}
+
+int
+upstream_pool_init (struct upstream_pool *pool, const struct cp_clock *clock,
+                    const struct cp_address *local)
+{
+  pthread_mutex_init (&pool->lock, NULL);
+  pool->clock = clock;
+  pool->local_ip[0] = '\0';
+  if (local != NULL)
+    cp_address_host (local, pool->local_ip, sizeof pool->local_ip);
+  pool->stop_fd = eventfd (0, EFD_CLOEXEC | EFD_NONBLOCK);
+  if (pool->stop_fd < 0)
+    return -1;
+  pool->addresses
+      = g_hash_table_new_full (g_str_hash, g_str_equal, free, free_address);
+  return 0;
+}
+
+void
+upstream_pool_stop (struct upstream_pool *pool)
+{
+  eventfd_write (pool->stop_fd, 1);
+}
+
+void
+upstream_pool_finish (struct upstream_pool *pool)
+{
+  close (pool->stop_fd);
+  g_hash_table_destroy (pool->addresses);
+  pthread_mutex_destroy (&pool->lock);
+}
+
+static struct upstream_address *
+get_address (struct upstream_pool *pool, const char *text)
+{
+  struct upstream_address *address
+      = g_hash_table_lookup (pool->addresses, text);
+
+  if (address != NULL)
+    return address;
+  address = calloc (1, sizeof *address);
+  if (address == NULL)
+    abort ();
+  CDS_INIT_LIST_HEAD (&address->idle);
+  g_hash_table_insert (pool->addresses, strdup (text), address);
+  return address;
+}
+
+static struct upstream *
+new_upstream (void)
+{
+  struct upstream *upstream = calloc (1, sizeof *upstream);
+
+  if (upstream == NULL)
+    abort ();
+  upstream->easy = curl_easy_init ();
+  upstream->multi = curl_multi_init ();
+  if (upstream->easy == NULL || upstream->multi == NULL)
+    abort ();
+  curl_multi_setopt (upstream->multi, CURLMOPT_MAXCONNECTS, 1L);
+  return upstream;
+}
+
+/* Takes the connection that was used last, unless it was idle for too long.  */
+static struct upstream *
+take_upstream (struct upstream_pool *pool, const struct upstream_call *call)
+{
+  struct upstream_address *address;
+  struct upstream *upstream = NULL;
+
+  pthread_mutex_lock (&pool->lock);
+  address = get_address (pool, call->address->text);
+  address->n_busy++;
+  if (!call->fresh && address->n_idle > 0)
+    {
+      upstream
+          = cds_list_first_entry (&address->idle, struct upstream, node);
+      cds_list_del (&upstream->node);
+      address->n_idle--;
+    }
+  pthread_mutex_unlock (&pool->lock);
+  if (upstream != NULL
+      && cp_clock_now_us (pool->clock) - upstream->idle_since_us
+             > IDLE_US_MAX)
+    {
+      free_upstream (upstream);
+      upstream = NULL;
+    }
+  return upstream == NULL ? new_upstream () : upstream;
+}
+
+static void
+return_upstream (struct upstream_pool *pool, const struct upstream_call *call,
+                 struct upstream *upstream, bool keep)
+{
+  struct upstream_address *address;
+
+  pthread_mutex_lock (&pool->lock);
+  address = get_address (pool, call->address->text);
+  address->n_busy--;
+  keep = keep && address->n_idle < IDLE_KEPT_MAX;
+  if (keep)
+    {
+      upstream->idle_since_us = cp_clock_now_us (pool->clock);
+      cds_list_add (&upstream->node, &address->idle);
+      address->n_idle++;
+    }
+  pthread_mutex_unlock (&pool->lock);
+  if (!keep)
+    free_upstream (upstream);
+}
+
+/* libcurl calls this when the connection is there and nothing is written yet.
+   It sends a request again by itself when a kept connection turns out to be
+   dead; the second call is refused, since the first may have been run.  */
+static int
+before_send (void *context, char *primary_ip, char *local_ip,
+             int primary_port, int local_port)
+{
+  struct transfer *transfer = context;
+
+  (void)primary_ip;
+  (void)local_ip;
+  (void)primary_port;
+  (void)local_port;
+  if (transfer->sent)
+    {
+      transfer->resent = true;
+      return CURL_PREREQFUNC_ABORT;
+    }
+  if (transfer->call->before_send != NULL
+      && !transfer->call->before_send (transfer->call->context))
+    {
+      transfer->gave_up = true;
+      return CURL_PREREQFUNC_ABORT;
+    }
+  transfer->sent = true;
+  return CURL_PREREQFUNC_OK;
+}
+
+static size_t
+read_body (char *buffer, size_t size, size_t count, void *context)
+{
+  struct transfer *transfer = context;
+  ssize_t length = transfer->call->read_body (transfer->call->context, buffer,
+                                              size * count);
+
+  if (length >= 0)
+    return (size_t)length;
+  transfer->gave_up = true;
+  return CURL_READFUNC_ABORT;
+}
+
+static size_t
+take_header (char *line, size_t size, size_t count, void *context)
+{
+  struct transfer *transfer = context;
+  size_t length = size * count;
+  CP_AUTO_FREE char *text = strndup (line, length);
+
+  if (text == NULL)
+    return 0;
+  if (strncmp (text, "HTTP/", 5) == 0)
+    {
+      curl_slist_free_all (transfer->head.headers);
+      transfer->head.headers = NULL;
+      transfer->head.length = -1;
+      transfer->head.status = atoi (text + strcspn (text, " "));
+      return length;
+    }
+  text[strcspn (text, "\r\n")] = '\0';
+  if (strncasecmp (text, "Content-Length:", 15) == 0)
+    transfer->head.length = strtoll (text + 15, NULL, 10);
+  if (*text != '\0')
+    transfer->head.headers = curl_slist_append (transfer->head.headers, text);
+  return length;
+}
+
+static bool
+pass_head (struct transfer *transfer)
+{
+  if (transfer->head_passed)
+    return true;
+  transfer->head_passed = true;
+  if (transfer->call->on_head (transfer->call->context, &transfer->head))
+    return true;
+  transfer->gave_up = true;
+  return false;
+}
+
+static size_t
+take_body (char *data, size_t size, size_t count, void *context)
+{
+  struct transfer *transfer = context;
+
+  if (!pass_head (transfer))
+    return 0;
+  if (transfer->call->on_body (transfer->call->context, data, size * count))
+    return size * count;
+  transfer->gave_up = true;
+  return 0;
+}
+
+static void
+set_body_options (CURL *easy, struct transfer *transfer)
+{
+  const struct upstream_call *call = transfer->call;
+
+  if (strcmp (call->method, "HEAD") == 0)
+    curl_easy_setopt (easy, CURLOPT_NOBODY, 1L);
+  else
+    curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, call->method);
+  if (!call->has_body)
+    return;
+  curl_easy_setopt (easy, CURLOPT_UPLOAD, 1L);
+  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, call->method);
+  curl_easy_setopt (easy, CURLOPT_UPLOAD_BUFFERSIZE,
+                    (long)UPLOAD_BUFFER_BYTES);
+  curl_easy_setopt (easy, CURLOPT_INFILESIZE_LARGE,
+                    (curl_off_t)call->body_size);
+  curl_easy_setopt (easy, CURLOPT_READFUNCTION, read_body);
+  curl_easy_setopt (easy, CURLOPT_READDATA, transfer);
+}
+
+static void
+set_options (const struct upstream_pool *pool, CURL *easy,
+             struct transfer *transfer)
+{
+  const struct upstream_call *call = transfer->call;
+  char url[CP_ADDRESS_TEXT_BYTES + 16];
+
+  snprintf (url, sizeof url, "http://%s/", call->address->text);
+  curl_easy_reset (easy);
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  curl_easy_setopt (easy, CURLOPT_REQUEST_TARGET, call->path);
+  if (pool->local_ip[0] != '\0')
+    curl_easy_setopt (easy, CURLOPT_INTERFACE, pool->local_ip);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
+                    (long)CONNECT_TIMEOUT_MS);
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->headers);
+  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, before_send);
+  curl_easy_setopt (easy, CURLOPT_PREREQDATA, transfer);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, take_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, transfer);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, take_body);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, transfer);
+  set_body_options (easy, transfer);
+}
+
+static bool
+fd_at_end (int fd)
+{
+  char byte;
+  ssize_t count = recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+  return count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR);
+}
+
+static int
+wait_ms (uint64_t now_us, uint64_t until_us)
+{
+  uint64_t left_ms;
+
+  if (until_us <= now_us)
+    return 0;
+  left_ms = (until_us - now_us + CP_US_PER_MS - 1) / CP_US_PER_MS;
+  return left_ms > WAIT_MS_MAX ? WAIT_MS_MAX : (int)left_ms;
+}
+
+/* What a transfer waits for besides its own connection.  */
+enum watched
+{
+  WATCH_STOP,
+  WATCH_CALLER,
+  WATCH_COUNT
+};
+
+/* Waits for the connection, the caller or the stop.  Returns
+   UPSTREAM_COMPLETE to go on.  */
+static enum upstream_result
+wait_for_progress (struct upstream_pool *pool, struct upstream *upstream,
+                   const struct transfer *transfer, bool *watch_caller)
+{
+  const struct upstream_call *call = transfer->call;
+  struct curl_waitfd fds[WATCH_COUNT]
+      = { [WATCH_STOP] = { pool->stop_fd, CURL_WAIT_POLLIN, 0 },
+          [WATCH_CALLER] = { call->caller_fd, CURL_WAIT_POLLIN, 0 } };
+  uint64_t now = cp_clock_now_us (pool->clock);
+  uint64_t until = call->deadline_us;
+  bool silent = call->first_byte_us != 0 && transfer->head.status == 0;
+  unsigned first = call->background ? WATCH_STOP : WATCH_CALLER;
+  unsigned end = *watch_caller ? WATCH_COUNT : WATCH_CALLER;
+
+  if (now >= call->deadline_us)
+    return UPSTREAM_DEADLINE;
+  if (silent && now >= call->first_byte_us)
+    return UPSTREAM_SILENT;
+  if (silent && call->first_byte_us < until)
+    until = call->first_byte_us;
+  curl_multi_poll (upstream->multi, &fds[first], end - first,
+                   wait_ms (now, until), NULL);
+  if (call->background && fds[WATCH_STOP].revents != 0)
+    return UPSTREAM_STOPPED;
+  if (!*watch_caller || fds[WATCH_CALLER].revents == 0)
+    return UPSTREAM_COMPLETE;
+  if (fd_at_end (call->caller_fd))
+    return UPSTREAM_CALLER_GONE;
+  /* The caller has sent more; its end can not be seen from here on.  */
+  *watch_caller = false;
+  return UPSTREAM_COMPLETE;
+}
+
+static enum upstream_result
+classify (struct transfer *transfer, CURLcode code)
+{
+  if (code == CURLE_OK)
+    return pass_head (transfer) ? UPSTREAM_COMPLETE : UPSTREAM_ABORTED;
+  if (!transfer->sent)
+    return UPSTREAM_NOT_SENT;
+  if (transfer->gave_up)
+    return UPSTREAM_ABORTED;
+  return UPSTREAM_CUT;
+}
+
+static enum upstream_result
+run_transfer (struct upstream_pool *pool, struct upstream *upstream,
+              struct transfer *transfer)
+{
+  bool watch_caller = transfer->call->caller_fd >= 0;
+
+  for (;;)
+    {
+      int running = 0;
+      int left;
+      CURLMsg *message;
+      enum upstream_result result;
+
+      curl_multi_perform (upstream->multi, &running);
+      message = curl_multi_info_read (upstream->multi, &left);
+      if (message != NULL && message->msg == CURLMSG_DONE)
+        return classify (transfer, message->data.result);
+      result = wait_for_progress (pool, upstream, transfer, &watch_caller);
+      if (result != UPSTREAM_COMPLETE)
+        return result;
+    }
+}
+
+enum upstream_result
+upstream_perform (struct upstream_pool *pool,
+                  const struct upstream_call *call)
+{
+  struct transfer transfer = { .call = call, .head.length = -1 };
+  struct upstream *upstream = take_upstream (pool, call);
+  enum upstream_result result;
+
+  set_options (pool, upstream->easy, &transfer);
+  curl_multi_add_handle (upstream->multi, upstream->easy);
+  result = run_transfer (pool, upstream, &transfer);
+  curl_multi_remove_handle (upstream->multi, upstream->easy);
+  if (result != UPSTREAM_COMPLETE && !transfer.sent)
+    result = UPSTREAM_NOT_SENT;
+  return_upstream (pool, call, upstream, result == UPSTREAM_COMPLETE);
+  curl_slist_free_all (transfer.head.headers);
+  return result;
+}
+
+json_t *
+upstream_dump (struct upstream_pool *pool)
+{
+  json_t *list = json_array ();
+  GHashTableIter iterator;
+  gpointer key;
+  gpointer value;
+
+  CP_LOCK_SCOPE (&pool->lock);
+  g_hash_table_iter_init (&iterator, pool->addresses);
+  while (g_hash_table_iter_next (&iterator, &key, &value))
+    {
+      const struct upstream_address *address = value;
+
+      json_array_append_new (
+          list, json_pack ("{s:s, s:i, s:i}", "address", (char *)key, "idle",
+                           (int)address->n_idle, "busy",
+                           (int)address->n_busy));
+    }
+  return list;
+}
--- /dev/null
+++ b/lib/settings.h
@@ -0,0 +1,46 @@
+/* Settings of one daemon, from a JSON file.
+
+   vm                     name of the VM, unique in the fleet
+   failure_domain         failure domain of the VM
+   calls                  address for calls of applications and callers
+   peers                  address for forwarded calls; the document's "daemon".
+                          ONC RPC, UDP and TCP, is at the next port
+   admin                  address for /healthz, /state and /metrics
+   configuration_service  address of the configuration service
+   configuration_key      path of the document there; default /document
+   vm_list                address of the VM list; default: the same service
+   charts                 folder with the state charts
+   call_threads           threads for calls; default 64
+   peer_threads           threads for forwarded calls; default 300
+   log_level, log_format  default info, text  */
+#ifndef CP_SETTINGS_H
+#define CP_SETTINGS_H
+
+#include "lib/address.h"
+#include "lib/document.h"
+#include "lib/error.h"
+#include "lib/log.h"
+
+struct cp_settings
+{
+  char file[256];
+  char vm[CP_NAME_BYTES];
+  char failure_domain[CP_NAME_BYTES];
+  struct cp_address calls;
+  struct cp_address peers;
+  struct cp_address admin;
+  struct cp_address configuration_service;
+  char configuration_key[128];
+  struct cp_address vm_list;
+  char charts[256];
+  unsigned call_threads;
+  unsigned peer_threads;
+  enum cp_log_level log_level;
+  enum cp_log_format log_format;
+};
+
+/* Returns 0, or -1 with ERROR naming the key, the fault and the remedy.  */
+int cp_settings_load (struct cp_settings *settings, const char *path,
+                      struct cp_error *error);
+
+#endif
--- /dev/null
+++ b/mk/common.mk
@@ -0,0 +1,35 @@
+# Settings shared by every directory.  Each directory sets TOP and its sources.
+SANITIZE ?=
+comma := ,
+VARIANT := $(if $(SANITIZE),-$(subst $(comma),-,$(SANITIZE)))
+BUILD := $(TOP)/build$(VARIANT)
+OUT := $(BUILD)/$(DIR)
+
+prefix ?= /usr/local
+bindir ?= $(prefix)/bin
+sbindir ?= $(prefix)/sbin
+libdir ?= $(prefix)/lib
+includedir ?= $(prefix)/include
+datadir ?= $(prefix)/share
+mandir ?= $(datadir)/man
+
+PACKAGES := jansson glib-2.0 liburcu-bp libxxhash libtirpc libcurl yajl
+CC := $(if $(SANITIZE),clang,gcc)
+SANITIZE_FLAGS := $(if $(SANITIZE),-fsanitize=$(SANITIZE) -fno-sanitize-recover=all)
+PKG_CFLAGS := $(shell pkg-config --cflags $(PACKAGES))
+PKG_LIBS := $(shell pkg-config --libs $(PACKAGES))
+CPPFLAGS += -D_GNU_SOURCE -D_LGPL_SOURCE -I$(TOP) $(PKG_CFLAGS)
+CFLAGS ?= -O2 -g
+CFLAGS += -std=gnu11 -Wall -Wextra -Wshadow -Wstrict-prototypes \
+	-Wmissing-prototypes -Wpointer-arith -Werror -fPIC $(SANITIZE_FLAGS)
+LDFLAGS += $(SANITIZE_FLAGS)
+LDLIBS += $(PKG_LIBS) -lcivetweb -lpthread -lm
+
+OBJS = $(patsubst %.c,$(OUT)/%.o,$(SRCS))
+
+$(OUT)/%.o: %.c
+	@mkdir -p $(dir $@)
+	@echo CC $(DIR)/$<
+	@$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
+
+-include $(OBJS:.o=.d)
--- /dev/null
+++ b/regress/lib/check_base.c
@@ -0,0 +1,231 @@
+/* Errors, clocks, counters, identifiers, addresses and charts.  */
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "lib/address.h"
+#include "lib/chart.h"
+#include "lib/counter.h"
+#include "lib/id.h"
+#include "lib/register.h"
+#include "lib/report.h"
+#include "regress/harness/suite.h"
+
+START_TEST (errors_name_place_and_remedy)
+{
+  struct cp_error error;
+  char text[900];
+
+  ck_assert_int_eq (cp_error_set (&error, CP_ERROR_IO, "file:3", "mend it",
+                                  "is %s", "broken"),
+                    -1);
+  cp_error_text (&error, text, sizeof text);
+  ck_assert_str_eq (text, "file:3: is broken; mend it");
+}
+END_TEST
+
+START_TEST (addresses_are_ip_numbers_with_port)
+{
+  static const char *const bad[]
+      = { "localhost:80", "10.1.1.1", "10.1.1.1:0", "10.1.1.1:65536",
+          "10.1.1.1:-1", "::1:80", "[::1]", "10.1.1.1:80x", "" };
+  struct cp_address address;
+
+  ck_assert (cp_address_parse (&address, "10.1.1.1:80"));
+  ck_assert_uint_eq (cp_address_port (&address), 80);
+  ck_assert (cp_address_parse (&address, "[2001:db8::1]:443"));
+  ck_assert_uint_eq (cp_address_port (&address), 443);
+  for (unsigned i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    ck_assert_msg (!cp_address_parse (&address, bad[i]), "%s", bad[i]);
+}
+END_TEST
+
+START_TEST (histogram_values_are_within_a_sixteenth)
+{
+  static struct cp_histogram histogram;
+
+  for (uint64_t value = 1; value <= 100000; value++)
+    cp_histogram_add (&histogram, value);
+  ck_assert_uint_eq (cp_histogram_count (&histogram), 100000);
+  for (double quantile = 0.01; quantile < 1; quantile += 0.01)
+    {
+      double exact = quantile * 100000;
+      double got = (double)cp_histogram_quantile (&histogram, quantile);
+
+      ck_assert_msg (got >= exact * 15 / 16 - 1 && got <= exact * 17 / 16 + 1,
+                     "%f: %f", exact, got);
+    }
+}
+END_TEST
+
+static void *
+count_thousand (void *context)
+{
+  for (unsigned i = 0; i < 1000; i++)
+    cp_counters_add (context, 1, 2);
+  return NULL;
+}
+
+START_TEST (counters_keep_what_ended_threads_added)
+{
+  struct cp_counters counters;
+  pthread_t threads[8];
+
+  ck_assert_int_eq (cp_counters_init (&counters, 3), 0);
+  for (unsigned i = 0; i < 8; i++)
+    pthread_create (&threads[i], NULL, count_thousand, &counters);
+  for (unsigned i = 0; i < 8; i++)
+    pthread_join (threads[i], NULL);
+  cp_counters_add (&counters, 1, 5);
+  ck_assert_uint_eq (cp_counters_read (&counters, 1), 16005);
+  ck_assert_uint_eq (cp_counters_read (&counters, 2), 0);
+  cp_counters_finish (&counters);
+}
+END_TEST
+
+START_TEST (identifiers_survive_text)
+{
+  struct cp_seeded_random random;
+  struct cp_id id;
+  struct cp_id back;
+  char text[CP_ID_TEXT_BYTES];
+
+  cp_seeded_random_init (&random, 1);
+  cp_id_create (&id, &random.random);
+  cp_id_text (&id, text);
+  ck_assert (cp_id_parse (&back, text));
+  ck_assert (cp_id_equal (&id, &back));
+  text[3] = 'x';
+  ck_assert (!cp_id_parse (&back, text));
+  ck_assert (!cp_id_parse (&back, NULL));
+  cp_seeded_random_finish (&random);
+}
+END_TEST
+
+START_TEST (reports_survive_text)
+{
+  struct cp_report report = { .incarnation = 0xfedcba9876543210,
+                              .life = CP_LIFE_DRAINING,
+                              .in_flight = 3,
+                              .queued = 4,
+                              .limit = 12,
+                              .latency_us = 5000,
+                              .errors_permille = 7,
+                              .age_us = 9 };
+  struct cp_report back;
+  char text[CP_REPORT_TEXT_BYTES];
+
+  cp_report_text (&report, text);
+  ck_assert (cp_report_parse (&back, text));
+  ck_assert_int_eq (memcmp (&report, &back, sizeof report), 0);
+  ck_assert (!cp_report_parse (&back, "inc=1 life=serving fl=-1"));
+  ck_assert (!cp_report_parse (&back, NULL));
+}
+END_TEST
+
+static int
+load_text (const char *text, struct cp_chart *chart, struct cp_error *error)
+{
+  char path[] = "/tmp/cornelpick-chart-XXXXXX";
+  int fd = mkstemp (path);
+  int status;
+
+  ck_assert_int_eq (write (fd, text, strlen (text)), (ssize_t)strlen (text));
+  close (fd);
+  status = cp_chart_load (chart, path, &cp_attempt_names, error);
+  unlink (path);
+  return status;
+}
+
+START_TEST (charts_are_checked)
+{
+  static const struct
+  {
+    const char *text;
+    const char *problem;
+  } cases[] = {
+    { "{", "line 1" },
+    { "{\"name\": \"x\", \"initial\": \"nowhere\", \"states\": {}}",
+      "\"initial\" is missing" },
+    { "{\"name\": \"x\", \"initial\": \"unknown\", \"states\": {}}",
+      "0 states" },
+    { "{\"name\": \"x\", \"initial\": \"unknown\", \"states\": "
+      "{\"unknown\": {\"on\": {\"jump\": \"queued\"}}, \"queued\": {}, "
+      "\"started\": {}, \"answered\": {}, \"failed\": {}, \"cancelled\": {}, "
+      "\"fenced\": {}}}",
+      "unknown event" },
+    { "{\"name\": \"x\", \"initial\": \"unknown\", \"states\": "
+      "{\"unknown\": {\"on\": {\"arrive\": \"there\"}}, \"queued\": {}, "
+      "\"started\": {}, \"answered\": {}, \"failed\": {}, \"cancelled\": {}, "
+      "\"fenced\": {}}}",
+      "unknown state" },
+    { "{\"name\": \"x\", \"initial\": \"unknown\", \"states\": "
+      "{\"unknown\": {\"on\": {\"arrive\": \"queued\"}}, \"queued\": {}, "
+      "\"started\": {}, \"answered\": {}, \"failed\": {}, \"cancelled\": {}, "
+      "\"fenced\": {}}, \"final\": [\"queued\"]}",
+      "can not be reached" },
+  };
+  struct cp_chart chart;
+  struct cp_error error;
+
+  for (unsigned i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      ck_assert_int_eq (load_text (cases[i].text, &chart, &error), -1);
+      ck_assert_msg (strstr (error.problem, cases[i].problem) != NULL,
+                     "%u: %s", i, error.problem);
+    }
+}
+END_TEST
+
+START_TEST (a_fence_is_remembered)
+{
+  struct cp_virtual_clock clock;
+  struct cp_register attempts;
+  struct cp_chart chart;
+  struct cp_error error;
+  struct cp_id id = { { 1, 2, 3 } };
+  enum cp_attempt_state state;
+  char path[256];
+
+  snprintf (path, sizeof path, "%s/charts/attempt.json", getenv ("TOP"));
+  ck_assert_int_eq (cp_chart_load (&chart, path, &cp_attempt_names, &error),
+                    0);
+  cp_virtual_clock_init (&clock, 1000);
+  cp_register_init (&attempts, &clock.clock, &chart, 1);
+  ck_assert_int_eq (
+      cp_register_step (&attempts, &id, CP_ATTEMPT_FENCE, 5000, &state),
+      CP_REGISTER_DONE);
+  ck_assert_int_eq (
+      cp_register_step (&attempts, &id, CP_ATTEMPT_ARRIVE, 5000, &state),
+      CP_REGISTER_NO_STEP);
+  ck_assert_int_eq (state, CP_ATTEMPT_FENCED);
+  id.bytes[0] = 9;
+  ck_assert_int_eq (
+      cp_register_step (&attempts, &id, CP_ATTEMPT_ARRIVE, 5000, &state),
+      CP_REGISTER_FULL);
+  clock.time_us += 10 * CP_US_PER_S;
+  ck_assert_int_eq (
+      cp_register_step (&attempts, &id, CP_ATTEMPT_ARRIVE, 5000, &state),
+      CP_REGISTER_DONE);
+  cp_register_finish (&attempts);
+}
+END_TEST
+
+static void
+add_tests (TCase *tests)
+{
+  tcase_add_test (tests, errors_name_place_and_remedy);
+  tcase_add_test (tests, addresses_are_ip_numbers_with_port);
+  tcase_add_test (tests, histogram_values_are_within_a_sixteenth);
+  tcase_add_test (tests, counters_keep_what_ended_threads_added);
+  tcase_add_test (tests, identifiers_survive_text);
+  tcase_add_test (tests, reports_survive_text);
+  tcase_add_test (tests, charts_are_checked);
+  tcase_add_test (tests, a_fence_is_remembered);
+}
+
+int
+main (void)
+{
+  return suite_run ("base", add_tests, 30);
+}
--- /dev/null
+++ b/rpc/cornelpick.x
@@ -0,0 +1,82 @@
+/*
+ * Calls between cornelpickd processes.  Durations are in microseconds.
+ * Every string and list is bounded here, so that no message from the network
+ * can make a process allocate more than a known amount.
+ */
+
+const CP_RPC_NAME_MAX = 128;
+const CP_RPC_DIGEST_MAX = 256;
+const CP_RPC_SECTION_MAX = 1048576;
+
+typedef opaque cp_rpc_id[16];
+typedef string cp_rpc_name<CP_RPC_NAME_MAX>;
+
+/* What an inbound side says of the target beside it. */
+struct cp_rpc_load {
+	unsigned hyper incarnation;
+	cp_rpc_name life;
+	unsigned int in_flight;
+	unsigned int queued;
+	unsigned int limit;
+	unsigned hyper latency_us;
+	unsigned int errors_permille;
+	unsigned hyper age_us;
+};
+
+/* A fence names the incarnation that the attempt was addressed to. */
+struct cp_rpc_fence_args {
+	cp_rpc_id attempt;
+	unsigned hyper incarnation;
+	unsigned hyper remember_us;
+	bool cancel;
+};
+
+enum cp_rpc_fence_status {
+	CP_RPC_FENCED = 0,
+	CP_RPC_STARTED = 1,
+	CP_RPC_ANSWERED = 2,
+	CP_RPC_OTHER_INCARNATION = 3,
+	CP_RPC_FENCE_FULL = 4
+};
+
+struct cp_rpc_fence_reply {
+	cp_rpc_fence_status status;
+	unsigned hyper incarnation;
+};
+
+struct cp_rpc_digest_entry {
+	cp_rpc_name section;
+	unsigned hyper section_version;
+	unsigned hyper hash;
+};
+
+/* The digest of all sections that a daemon holds, and who it is. */
+struct cp_rpc_digest {
+	cp_rpc_name sender;
+	unsigned hyper incarnation;
+	cp_rpc_name life;
+	unsigned hyper document_version;
+	unsigned hyper document_hash;
+	cp_rpc_digest_entry entries<CP_RPC_DIGEST_MAX>;
+};
+
+struct cp_rpc_section_args {
+	cp_rpc_name section;
+	unsigned hyper newer_than;
+};
+
+struct cp_rpc_section {
+	cp_rpc_name section;
+	unsigned hyper section_version;
+	unsigned hyper hash;
+	opaque text<CP_RPC_SECTION_MAX>;
+};
+
+program CP_RPC_PROGRAM {
+	version CP_RPC_V1 {
+		cp_rpc_load CP_RPC_LOAD(void) = 1;
+		cp_rpc_fence_reply CP_RPC_FENCE(cp_rpc_fence_args) = 2;
+		cp_rpc_digest CP_RPC_DIGEST(cp_rpc_digest) = 3;
+		cp_rpc_section CP_RPC_SECTION(cp_rpc_section_args) = 4;
+	} = 1;
+} = 0x20435031;
