Split the outbound side and add decision records

Cause: outbound.c held routing, retries and single attempts in one file, and nothing kept what was decided. Conclusion: retries, attempts and explanations can be worked on apart.

--- a/cornelpickd/cornelpickd.h
+++ b/cornelpickd/cornelpickd.h
@@ -16,6 +16,7 @@
 #include "lib/chart.h"
 #include "lib/clock.h"
 #include "lib/counter.h"
+#include "lib/decision.h"
 #include "lib/document.h"
 #include "lib/id.h"
 #include "lib/life.h"
@@ -132,6 +133,58 @@
                       const struct cp_document *document);
 json_t *outbound_dump (struct outbound *outbound);
 
+/* call.c: one call, with its retries and hedges.  */
+/* One call of a caller.  */
+struct call
+{
+  struct outbound *outbound;
+  struct request *request;
+  const struct cp_route *route;
+  struct cp_balancer *balancer;
+  struct cp_id id;
+  uint64_t deadline_us;
+  bool idempotent;
+  bool may_retry;
+  struct cp_tried tried;
+  GByteArray *body; /* what was read of the body, for another attempt */
+  size_t body_at;
+  bool body_lost; /* more was read than is kept */
+  struct answer answer;
+};
+
+/* attempt.c: one try of a call at one target.  */
+
+/* What an attempt has come to.  */
+enum attempt_outcome
+{
+  ATTEMPT_RAN,
+  ATTEMPT_NOT_RUN,
+  ATTEMPT_UNKNOWN
+};
+
+/* One try of a call at one target.  */
+struct attempt
+{
+  struct call *call;
+  struct cp_id id;
+  struct cp_target target;
+  uint64_t incarnation;
+  uint64_t started_us;
+  bool swallow; /* the answer is not for the caller */
+  enum attempt_outcome outcome;
+  char from[CP_NAME_BYTES];
+};
+
+/* Makes attempts until the call has its answer, and answers it.  */
+void call_run (struct call *call);
+
+/* A non-idempotent attempt must name the incarnation it is meant for; asks for
+   it when it is not known.  Returns false when it can not be had.  */
+bool attempt_learn_incarnation (struct attempt *attempt);
+
+/* Makes one attempt; sets its outcome.  */
+enum upstream_result attempt_make (struct attempt *attempt);
+
 /* inbound.c */
 struct inbound
 {
@@ -245,6 +298,7 @@
   struct cp_settings settings;
   const struct cp_clock *clock;
   struct cp_counters counters;
+  struct cp_decisions decisions;
   struct cp_chart life_chart;
   pthread_mutex_t life_lock;
   int life;
@@ -279,6 +333,9 @@
 bool daemon_step (struct daemon *daemon, enum cp_life_event event);
 json_t *daemon_dump (struct daemon *daemon);
 
+/* Adds a decision record, whose time is set here.  */
+void daemon_record (struct daemon *daemon, struct cp_decision *decision);
+
 static inline void
 daemon_count (struct daemon *daemon, enum daemon_counter counter)
 {
--- a/cornelpickd/daemon.c
+++ b/cornelpickd/daemon.c
@@ -103,9 +103,10 @@
   pthread_mutex_init (&daemon->members.lock, NULL);
   CDS_INIT_LIST_HEAD (&daemon->members.vms);
   daemon->members.daemon = daemon;
-  if (cp_counters_init (&daemon->counters, COUNT_END) != 0)
+  if (cp_counters_init (&daemon->counters, COUNT_END) != 0
+      || cp_decisions_init (&daemon->decisions) != 0)
     return cp_error_set (error, CP_ERROR_MEMORY, settings->vm, "free memory",
-                         "no memory for counters");
+                         "no memory for counters and decisions");
   if (upstream_pool_init (&daemon->upstreams, daemon->clock, &settings->peers)
       != 0)
     return cp_error_set (error, CP_ERROR_LIMIT, settings->vm,
@@ -151,9 +152,17 @@
   inbound_finish (&daemon->inbound);
   upstream_pool_finish (&daemon->upstreams);
   cp_counters_finish (&daemon->counters);
+  cp_decisions_finish (&daemon->decisions);
   pthread_mutex_destroy (&daemon->life_lock);
 }
 
+void
+daemon_record (struct daemon *daemon, struct cp_decision *decision)
+{
+  decision->time_us = cp_clock_now_us (daemon->clock);
+  cp_decisions_add (&daemon->decisions, decision);
+}
+
 json_t *
 daemon_dump (struct daemon *daemon)
 {
--- /dev/null
+++ b/lib/decision.h
@@ -0,0 +1,96 @@
+/* Decision records: what a daemon decided, typed, kept in a ring and written
+   as JSON lines.
+
+   Each record has a kind and the fields that this kind uses; the others are
+   zero.  The ring keeps the last CP_DECISIONS records; adding one takes a
+   mutex for the time of a copy.  */
+#ifndef CP_DECISION_H
+#define CP_DECISION_H
+
+#include <jansson.h>
+#include <pthread.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "lib/document.h"
+#include "lib/id.h"
+#include "lib/report.h"
+
+#define CP_DECISIONS 4096
+#define CP_CANDIDATES_MAX 6
+#define CP_REASON_BYTES 64
+
+enum cp_decision_kind
+{
+  CP_DECISION_NONE,
+  CP_DECISION_PICK,          /* outbound: a target was chosen */
+  CP_DECISION_SEND,          /* outbound: an attempt was sent */
+  CP_DECISION_ATTEMPT_END,   /* outbound: an attempt ended */
+  CP_DECISION_FENCE,         /* outbound: a fence was asked for */
+  CP_DECISION_OUTCOME,       /* outbound: the caller was answered */
+  CP_DECISION_ADMIT,         /* inbound: an attempt got a slot */
+  CP_DECISION_REFUSE,        /* inbound: an attempt was refused, not run */
+  CP_DECISION_START,         /* inbound: an attempt was sent to the target */
+  CP_DECISION_END,           /* inbound: the target's answer ended */
+  CP_DECISION_FENCED,        /* inbound: a fence was answered */
+  CP_DECISION_PROBE,         /* measuring: a page of the target was read */
+  CP_DECISION_BUDGET,        /* measuring: the budget refused */
+  CP_DECISION_REPORT,        /* outbound: a load report was taken */
+  CP_DECISION_HEALTH,        /* outbound: a target's health state changed */
+  CP_DECISION_CONFIGURATION, /* a section was accepted or refused */
+  CP_DECISION_PAUSE,         /* the process had been paused */
+  CP_DECISION_KIND_COUNT
+};
+
+extern const char *const cp_decision_names[CP_DECISION_KIND_COUNT];
+
+/* A target as it was seen when one was chosen.  */
+struct cp_candidate
+{
+  char target[CP_NAME_BYTES];
+  uint64_t report_age_us; /* UINT64_MAX: no report */
+  uint32_t in_flight;     /* as estimated */
+  uint64_t latency_us;    /* as estimated */
+  char health[16];
+};
+
+struct cp_decision
+{
+  enum cp_decision_kind kind;
+  uint64_t time_us;
+  struct cp_id request;
+  struct cp_id attempt;
+  char service[CP_NAME_BYTES];
+  char target[CP_NAME_BYTES];   /* or the section, for a configuration */
+  char reason[CP_REASON_BYTES]; /* why, or with what result */
+  int status;                   /* HTTP status, where there is one */
+  uint64_t duration_us;
+  uint64_t value; /* version, bytes or count, by kind */
+  unsigned n_candidates;
+  struct cp_candidate candidates[CP_CANDIDATES_MAX];
+};
+
+struct cp_decisions
+{
+  pthread_mutex_t lock;
+  struct cp_decision *ring;
+  uint64_t added;
+};
+
+/* Returns 0, or -1 when memory ran out.  */
+int cp_decisions_init (struct cp_decisions *decisions);
+void cp_decisions_finish (struct cp_decisions *decisions);
+void cp_decisions_add (struct cp_decisions *decisions,
+                       const struct cp_decision *decision);
+
+/* Returns an array of the records kept, oldest first; only those of REQUEST
+   when it is not NULL.  */
+json_t *cp_decisions_dump (struct cp_decisions *decisions,
+                           const struct cp_id *request);
+
+json_t *cp_decision_json (const struct cp_decision *decision);
+
+/* Returns false when VALUE is no decision record.  */
+bool cp_decision_parse (struct cp_decision *decision, json_t *value);
+
+#endif
