Bound each attempt by the clock of its inbound side

Cause: an attempt carried only a duration, counted from its arrival. One that waited in the socket of a stopped daemon started after its caller had given up, and a fence that came after the entry was forgotten was taken as proof that the attempt had not run.

Change: inbound sides tell their clock on answers; outbound sides name a time on that clock (lib/peer_clock) after which the attempt may not start and its fence proves nothing. The register is split into 16 shards with a timer wheel each; full, it refuses with not-run. An answer without a stated outcome counts as unknown. A quarter of the time left, at most 50 ms, is kept for the fence. The check of the register in check_base now expects that a late attempt is refused, and enters one with a time ahead.

--- a/cornelpickd/attempt.c
+++ b/cornelpickd/attempt.c
@@ -8,7 +8,7 @@
 
 #define FENCE_TIMEOUT_US (50 * CP_US_PER_MS)
 #define LOAD_TIMEOUT_US (50 * CP_US_PER_MS)
-#define REGISTER_MARGIN_US (10 * CP_US_PER_S)
+#define FENCE_SHARE 4 /* of the time left, at most, is kept for the fence */
 
 static const char *const priority_names[CP_PRIORITY_COUNT]
     = { "low", "normal", "high" };
@@ -77,27 +77,54 @@
                         &report);
 }
 
+/* Learns the clock of the inbound side from its answer.  */
+static void
+take_clock (const struct attempt *attempt, const struct upstream_head *head)
+{
+  struct cp_peer_clocks *peers = &attempt->call->outbound->peers;
+  const char *address = attempt->target.daemon.text;
+  char text[CP_PEER_CLOCK_TEXT_BYTES];
+  uint64_t incarnation;
+  uint64_t clock_us;
+
+  if (head_value (head, HEADER_CLOCK, text, sizeof text)
+      && cp_peer_clock_parse (text, &incarnation, &clock_us))
+    cp_peer_clocks_learn (peers, address, incarnation, clock_us);
+}
+
+/* Reads the outcome that the inbound side states.  An answer without one does
+   not come from the target but from the HTTP server in front of it.  */
+static enum attempt_outcome
+stated_outcome (const struct attempt *attempt,
+                const struct upstream_head *head)
+{
+  char outcome[16];
+
+  if (!attempt->target.has_daemon)
+    return ATTEMPT_RAN;
+  if (!head_value (head, HEADER_OUTCOME, outcome, sizeof outcome))
+    return ATTEMPT_UNKNOWN;
+  if (strcmp (outcome, "ran") == 0)
+    return ATTEMPT_RAN;
+  return strcmp (outcome, "not-run") == 0 ? ATTEMPT_NOT_RUN : ATTEMPT_UNKNOWN;
+}
+
 static bool
 on_head (void *context, const struct upstream_head *head)
 {
   struct attempt *attempt = context;
   struct call *call = attempt->call;
   const struct daemon *daemon = call->outbound->daemon;
-  char outcome[16] = "ran";
   char id[CP_ID_TEXT_BYTES];
   char own[512];
 
   take_report (attempt, head);
+  take_clock (attempt, head);
   head_value (head, HEADER_FROM, attempt->from, sizeof attempt->from);
-  head_value (head, HEADER_OUTCOME, outcome, sizeof outcome);
-  if (strcmp (outcome, "ran") != 0)
-    {
-      attempt->swallow = true;
-      attempt->outcome = strcmp (outcome, "not-run") == 0 ? ATTEMPT_NOT_RUN
-                                                          : ATTEMPT_UNKNOWN;
-      return true;
-    }
-  attempt->outcome = ATTEMPT_RAN;
+  attempt->outcome = stated_outcome (attempt, head);
+  attempt->swallow = attempt->outcome != ATTEMPT_RAN;
+  if (attempt->swallow)
+    return true;
   cp_id_text (&call->id, id);
   snprintf (own, sizeof own,
             HEADER_REQUEST ": %s\r\n" HEADER_OUTCOME ": ran\r\n" HEADER_PATH
@@ -132,7 +159,10 @@
   append_header (&headers, HEADER_INCARNATION, "%016" PRIx64,
                  attempt->incarnation);
   append_header (&headers, HEADER_REMAINING_US, "%" PRIu64,
-                 call->deadline_us > now ? call->deadline_us - now : 0);
+                 attempt->deadline_us > now ? attempt->deadline_us - now : 0);
+  if (attempt->start_by_us != 0)
+    append_header (&headers, HEADER_START_BY, "%" PRIu64,
+                   attempt->start_by_us);
   append_header (&headers, HEADER_IDEMPOTENT, "%s",
                  call->idempotent ? "yes" : "no");
   append_header (&headers, HEADER_PRIORITY, "%s",
@@ -165,7 +195,7 @@
           .headers = headers,
           .has_body = call->request->body_size != 0,
           .body_size = call->request->body_size,
-          .deadline_us = call->deadline_us,
+          .deadline_us = attempt->deadline_us,
           .caller_fd = call->request->caller_fd,
           .context = attempt,
           .read_body = read_body,
@@ -183,13 +213,14 @@
 static enum attempt_outcome
 fence (struct attempt *attempt)
 {
-  struct call *call = attempt->call;
+  const struct call *call = attempt->call;
+  struct daemon *daemon = call->outbound->daemon;
 
-  if (!attempt->target.has_daemon || attempt->incarnation == 0)
+  if (!attempt->target.has_daemon || attempt->start_by_us == 0)
     return ATTEMPT_UNKNOWN;
-  daemon_count (call->outbound->daemon, COUNT_FENCES);
+  daemon_count (daemon, COUNT_FENCES);
   if (rpc_fence (&attempt->target.daemon, &attempt->id, attempt->incarnation,
-                 REGISTER_MARGIN_US, true, FENCE_TIMEOUT_US)
+                 attempt->start_by_us, true, FENCE_TIMEOUT_US)
       == FENCE_FENCED)
     return ATTEMPT_NOT_RUN;
   return ATTEMPT_UNKNOWN;
@@ -207,6 +238,31 @@
   return CP_CALL_ANSWERED;
 }
 
+/* Sets when the attempt ends: the call's deadline less the time of a fence.
+   The start-by time is the same moment on the clock of the inbound side.  */
+static void
+set_deadline (struct attempt *attempt, uint64_t now)
+{
+  const struct call *call = attempt->call;
+  uint64_t left_us = call->deadline_us > now ? call->deadline_us - now : 0;
+  uint64_t kept_us = left_us / FENCE_SHARE;
+  struct cp_peer_clock known;
+  uint64_t bound_us;
+
+  if (kept_us > FENCE_TIMEOUT_US)
+    kept_us = FENCE_TIMEOUT_US;
+  attempt->deadline_us = call->deadline_us - kept_us;
+  if (!attempt->target.has_daemon
+      || !cp_peer_clocks_get (&call->outbound->peers,
+                              attempt->target.daemon.text, &known, &bound_us))
+    {
+      attempt->incarnation = 0;
+      return;
+    }
+  attempt->incarnation = known.incarnation;
+  attempt->start_by_us = bound_us + left_us - kept_us;
+}
+
 enum upstream_result
 attempt_make (struct attempt *attempt)
 {
@@ -216,13 +272,15 @@
 
   attempt->started_us = cp_clock_now_us (daemon->clock);
   attempt->outcome = ATTEMPT_UNKNOWN;
+  set_deadline (attempt, attempt->started_us);
   daemon_count (daemon, COUNT_FORWARDED);
   attempt_record (attempt, CP_DECISION_SEND, "sent", 0);
   result = send_attempt (attempt);
   if (result == UPSTREAM_NOT_SENT)
     attempt->outcome = ATTEMPT_NOT_RUN;
-  else if (result != UPSTREAM_COMPLETE && !call->answer.head_sent)
+  else if (attempt->outcome == ATTEMPT_UNKNOWN)
     attempt->outcome = fence (attempt);
+  call->late = call->late || result == UPSTREAM_DEADLINE;
   attempt_record (attempt, CP_DECISION_ATTEMPT_END,
                   outcome_names[attempt->outcome], call->answer.status);
   cp_balancer_done (call->balancer, attempt->target.name,
@@ -234,14 +292,17 @@
 bool
 attempt_learn_incarnation (struct attempt *attempt)
 {
+  struct cp_peer_clock known;
+  uint64_t bound_us;
   struct cp_report report;
 
-  if (attempt->incarnation != 0 || attempt->call->idempotent
-      || !attempt->target.has_daemon)
+  if (attempt->call->idempotent || !attempt->target.has_daemon)
+    return true;
+  if (cp_peer_clocks_get (&attempt->call->outbound->peers,
+                          attempt->target.daemon.text, &known, &bound_us))
     return true;
   if (!rpc_load (&attempt->target.daemon, &report, LOAD_TIMEOUT_US))
     return false;
   cp_balancer_report (attempt->call->balancer, attempt->target.name, &report);
-  attempt->incarnation = report.incarnation;
   return true;
 }
--- a/cornelpickd/call.c
+++ b/cornelpickd/call.c
@@ -16,7 +16,8 @@
 answer_outcome (struct call *call, enum attempt_outcome outcome)
 {
   struct daemon *daemon = call->outbound->daemon;
-  bool late = cp_clock_now_us (daemon->clock) >= call->deadline_us;
+  bool late
+      = call->late || cp_clock_now_us (daemon->clock) >= call->deadline_us;
   char id[CP_ID_TEXT_BYTES];
   char headers[256];
 
--- a/cornelpickd/cornelpickd.h
+++ b/cornelpickd/cornelpickd.h
@@ -21,6 +21,7 @@
 #include "lib/id.h"
 #include "lib/life.h"
 #include "lib/log.h"
+#include "lib/peer_clock.h"
 #include "lib/register.h"
 #include "lib/report.h"
 #include "lib/settings.h"
@@ -37,6 +38,8 @@
 #define HEADER_ATTEMPT "Cornelpick-Attempt"
 #define HEADER_INCARNATION "Cornelpick-Incarnation"
 #define HEADER_REMAINING_US "Cornelpick-Remaining-Us"
+#define HEADER_START_BY "Cornelpick-Start-By-Us"
+#define HEADER_CLOCK "Cornelpick-Clock"
 #define HEADER_LOAD "Cornelpick-Load"
 #define HEADER_TARGET "Cornelpick-Target"
 #define HEADER_PRIORITY "Cornelpick-Priority"
@@ -121,6 +124,7 @@
   pthread_mutex_t lock;
   struct cds_list_head balancers;
   struct cp_histogram latency;
+  struct cp_peer_clocks peers;
   unsigned in_flight;
 };
 
@@ -149,6 +153,7 @@
   GByteArray *body; /* what was read of the body, for another attempt */
   size_t body_at;
   bool body_lost; /* more was read than is kept */
+  bool late;      /* an attempt ran into its deadline */
   struct answer answer;
 };
 
@@ -170,7 +175,9 @@
   struct cp_target target;
   uint64_t incarnation;
   uint64_t started_us;
-  bool swallow; /* the answer is not for the caller */
+  uint64_t deadline_us; /* earlier than the call's, to leave time to fence */
+  uint64_t start_by_us; /* on the clock of the inbound side; 0: not known */
+  bool swallow;         /* the answer is not for the caller */
   enum attempt_outcome outcome;
   char from[CP_NAME_BYTES];
 };
@@ -178,8 +185,9 @@
 /* Makes attempts until the call has its answer, and answers it.  */
 void call_run (struct call *call);
 
-/* A non-idempotent attempt must name the incarnation it is meant for; asks for
-   it when it is not known.  Returns false when it can not be had.  */
+/* A non-idempotent attempt must name the incarnation it is meant for and the
+   time after which it may not start; asks for the clock of the inbound side
+   when it is not known.  Returns false when it can not be had.  */
 bool attempt_learn_incarnation (struct attempt *attempt);
 
 /* Makes one attempt; sets its outcome.  */
@@ -278,10 +286,12 @@
   FENCE_NO_PROOF
 };
 
-/* Asks the inbound side at ADDRESS to give up an attempt.  */
+/* Asks the inbound side at ADDRESS to give up an attempt that may not start
+   after START_BY_US on its clock.  Without CANCEL, an attempt that has arrived
+   there is left alone.  */
 enum fence_result rpc_fence (const struct cp_address *address,
                              const struct cp_id *attempt, uint64_t incarnation,
-                             uint64_t remember_us, bool cancel,
+                             uint64_t start_by_us, bool cancel,
                              uint64_t timeout_us);
 
 /* Asks the inbound side at ADDRESS for its load.  */
--- a/cornelpickd/daemon.c
+++ b/cornelpickd/daemon.c
@@ -137,11 +137,31 @@
   return false;
 }
 
-void
-daemon_stop (struct daemon *daemon)
+static void *
+stop_listener (void *listener)
+{
+  listener_stop (listener);
+  return NULL;
+}
+
+/* Stops both listeners at once, since each takes up to two seconds.  */
+static void
+stop_listeners (struct daemon *daemon)
 {
+  pthread_t thread;
+  bool started
+      = pthread_create (&thread, NULL, stop_listener, &daemon->peers) == 0;
+
   listener_stop (&daemon->calls);
+  if (started)
+    pthread_join (thread, NULL);
   listener_stop (&daemon->peers);
+}
+
+void
+daemon_stop (struct daemon *daemon)
+{
+  stop_listeners (daemon);
   upstream_pool_stop (&daemon->upstreams);
   configuration_stop (&daemon->configuration);
   members_stop (&daemon->members);
--- a/cornelpickd/inbound.c
+++ b/cornelpickd/inbound.c
@@ -6,9 +6,8 @@
 #include "cornelpickd/cornelpickd.h"
 #include "lib/cleanup.h"
 
-#define REGISTER_CAPACITY 65536
-#define REGISTER_MARGIN_US (10 * CP_US_PER_S)
-#define REMAINING_US_MAX (600 * CP_US_PER_S)
+/* A start-by time further ahead than this is no time of this clock.  */
+#define START_BY_AHEAD_MAX (CP_REGISTER_KEEP_US_MAX + CP_US_PER_S)
 #define SLOTS_DEFAULT 12
 
 /* A forwarded call at the inbound side.  */
@@ -20,7 +19,7 @@
   struct cp_target target;
   char from[CP_NAME_BYTES];
   uint64_t deadline_us;
-  uint64_t keep_until_us;
+  uint64_t start_by_us;
   uint64_t sent_us;
   bool idempotent;
   enum cp_priority priority;
@@ -41,7 +40,7 @@
   if (cp_chart_load (&inbound->chart, path, &cp_attempt_names, error) != 0)
     return -1;
   cp_register_init (&inbound->attempts, daemon->clock, &inbound->chart,
-                    REGISTER_CAPACITY);
+                    CP_REGISTER_CAPACITY);
   cp_admission_init (&inbound->admission, daemon->clock, SLOTS_DEFAULT);
   return 0;
 }
@@ -97,15 +96,19 @@
 own_headers (const struct visit *visit, const char *outcome, char *text,
              size_t size)
 {
+  const struct daemon *daemon = visit->inbound->daemon;
   struct cp_report report;
   char load[CP_REPORT_TEXT_BYTES];
+  char clock[CP_PEER_CLOCK_TEXT_BYTES];
 
   inbound_report (visit->inbound, &report);
   cp_report_text (&report, load);
+  cp_peer_clock_text (daemon->incarnation, cp_clock_now_us (daemon->clock),
+                      clock);
   snprintf (text, size,
-            HEADER_OUTCOME ": %s\r\n" HEADER_LOAD ": %s\r\n" HEADER_FROM
-                           ": %s\r\n",
-            outcome, load, visit->inbound->daemon->settings.vm);
+            HEADER_OUTCOME ": %s\r\n" HEADER_LOAD ": %s\r\n" HEADER_CLOCK
+                           ": %s\r\n" HEADER_FROM ": %s\r\n",
+            outcome, load, clock, daemon->settings.vm);
 }
 
 static void
@@ -127,18 +130,27 @@
   const char *idempotent = request_header (request, HEADER_IDEMPOTENT);
   const char *priority = request_header (request, HEADER_PRIORITY);
   const char *from = request_header (request, HEADER_FROM);
+  const char *start_by = request_header (request, HEADER_START_BY);
   uint64_t remaining_us;
 
   if (!cp_id_parse (&visit->attempt, request_header (request, HEADER_ATTEMPT))
       || remaining == NULL || from == NULL)
     return false;
   remaining_us = strtoull (remaining, NULL, 10);
-  if (remaining_us > REMAINING_US_MAX)
+  if (remaining_us > CP_REGISTER_KEEP_US_MAX)
     return false;
   snprintf (visit->from, sizeof visit->from, "%s", from);
   visit->deadline_us = request->arrived_us + remaining_us;
-  visit->keep_until_us = visit->deadline_us + REGISTER_MARGIN_US;
   visit->idempotent = idempotent != NULL && strcmp (idempotent, "yes") == 0;
+  visit->start_by_us = visit->deadline_us;
+  if (start_by != NULL)
+    visit->start_by_us = strtoull (start_by, NULL, 10);
+  else if (!visit->idempotent)
+    return false;
+  if (visit->start_by_us > request->arrived_us + START_BY_AHEAD_MAX)
+    return false;
+  if (visit->deadline_us > visit->start_by_us)
+    visit->deadline_us = visit->start_by_us;
   visit->priority = CP_PRIORITY_NORMAL;
   if (priority != NULL && strcmp (priority, "high") == 0)
     visit->priority = CP_PRIORITY_HIGH;
@@ -158,14 +170,20 @@
   return addressed == visit->inbound->daemon->incarnation;
 }
 
+static enum cp_register_result
+try_step (struct visit *visit, enum cp_attempt_event event,
+          enum cp_attempt_state *state)
+{
+  return cp_register_step (&visit->inbound->attempts, &visit->attempt, event,
+                           visit->start_by_us, state);
+}
+
 static bool
 step (struct visit *visit, enum cp_attempt_event event)
 {
   enum cp_attempt_state state;
 
-  return cp_register_step (&visit->inbound->attempts, &visit->attempt, event,
-                           visit->keep_until_us, &state)
-         == CP_REGISTER_DONE;
+  return try_step (visit, event, &state) == CP_REGISTER_DONE;
 }
 
 /* The last check, immediately before the target sees the call.  */
@@ -296,18 +314,41 @@
   finish_visit (visit, result);
 }
 
-static void
-admit (struct visit *visit)
+/* Enters the attempt.  Returns false when it was refused.  */
+static bool
+enter (struct visit *visit)
 {
   struct daemon *daemon = visit->inbound->daemon;
-  enum cp_admission_result result;
+  enum cp_attempt_state state;
+  bool given_up;
 
-  if (!step (visit, CP_ATTEMPT_ARRIVE))
+  switch (try_step (visit, CP_ATTEMPT_ARRIVE, &state))
     {
+    case CP_REGISTER_DONE:
+      return true;
+    case CP_REGISTER_FULL:
+      daemon_count (daemon, COUNT_REFUSED_FULL);
+      refuse (visit, 503, "not-run", "the register of attempts is full\n");
+      return false;
+    case CP_REGISTER_LATE:
+      daemon_count (daemon, COUNT_REFUSED_DEADLINE);
+      refuse (visit, 504, "unknown", "the time to start is over\n");
+      return false;
+    default:
       daemon_count (daemon, COUNT_REFUSED_DUPLICATE);
-      refuse (visit, 409, "unknown", "the attempt was seen before\n");
-      return;
+      given_up = state == CP_ATTEMPT_FENCED || state == CP_ATTEMPT_CANCELLED;
+      refuse (visit, 409, given_up ? "not-run" : "unknown",
+              "the attempt was seen before or fenced\n");
+      return false;
     }
+}
+
+static void
+admit (struct visit *visit)
+{
+  struct daemon *daemon = visit->inbound->daemon;
+  enum cp_admission_result result;
+
   result = cp_admission_enter (&visit->inbound->admission, visit->priority,
                                visit->from, visit->deadline_us);
   if (result == CP_ADMITTED)
@@ -355,20 +396,24 @@
       refuse (visit, 400, "not-run", "a header of the attempt is missing\n");
       return;
     }
-  if (daemon_life (daemon) != CP_LIFE_SERVING)
-    {
-      daemon_count (daemon, COUNT_REFUSED_LEAVING);
-      refuse (visit, 503, "not-run", "this daemon is not serving\n");
-      return;
-    }
   if (!right_incarnation (visit))
     {
       daemon_count (daemon, COUNT_REFUSED_INCARNATION);
       refuse (visit, 503, "not-run", "another incarnation is meant\n");
       return;
     }
+  if (!enter (visit))
+    return;
+  if (daemon_life (daemon) != CP_LIFE_SERVING)
+    {
+      step (visit, CP_ATTEMPT_REFUSE);
+      daemon_count (daemon, COUNT_REFUSED_LEAVING);
+      refuse (visit, 503, "not-run", "this daemon is not serving\n");
+      return;
+    }
   if (!find_own_target (visit))
     {
+      step (visit, CP_ATTEMPT_REFUSE);
       refuse (visit, 503, "not-run", "no target is beside this daemon\n");
       return;
     }
--- a/cornelpickd/outbound.c
+++ b/cornelpickd/outbound.c
@@ -19,6 +19,7 @@
   outbound->daemon = daemon;
   pthread_mutex_init (&outbound->lock, NULL);
   CDS_INIT_LIST_HEAD (&outbound->balancers);
+  cp_peer_clocks_init (&outbound->peers, daemon->clock);
   return 0;
 }
 
@@ -33,6 +34,7 @@
     cp_balancer_finish (&entry->balancer);
     free (entry);
   }
+  cp_peer_clocks_finish (&outbound->peers);
   pthread_mutex_destroy (&outbound->lock);
 }
 
--- a/cornelpickd/rpc.c
+++ b/cornelpickd/rpc.c
@@ -14,6 +14,7 @@
 #define TCP_RECORD_BYTES_MAX 2097152
 #define TCP_CONNECTIONS_MAX 256
 #define RETRIES 3
+#define START_BY_AHEAD_MAX (CP_REGISTER_KEEP_US_MAX + CP_US_PER_S)
 
 /* libtirpc keeps its services for the whole process.  */
 static struct daemon *served;
@@ -37,6 +38,7 @@
   reply->latency_us = report.latency_us;
   reply->errors_permille = report.errors_permille;
   reply->age_us = report.age_us;
+  reply->clock_us = cp_clock_now_us (served->clock);
   return TRUE;
 }
 
@@ -46,7 +48,7 @@
 {
   struct cp_id id;
   enum cp_attempt_state state;
-  uint64_t now = cp_clock_now_us (served->clock);
+  enum cp_register_result result;
 
   (void)request;
   daemon_count (served, COUNT_RPC_CALLS);
@@ -57,16 +59,23 @@
       reply->status = CP_RPC_OTHER_INCARNATION;
       return TRUE;
     }
-  if (cp_register_step (&served->inbound.attempts, &id, CP_ATTEMPT_FENCE,
-                        now + args->remember_us, &state)
-      == CP_REGISTER_FULL)
+  if (args->start_by_us > cp_clock_now_us (served->clock) + START_BY_AHEAD_MAX)
     {
-      reply->status = CP_RPC_FENCE_FULL;
+      daemon_count (served, COUNT_RPC_REFUSED);
+      reply->status = CP_RPC_FENCE_LATE;
       return TRUE;
     }
-  if (state == CP_ATTEMPT_FENCED || state == CP_ATTEMPT_CANCELLED)
+  result
+      = cp_register_step (&served->inbound.attempts, &id,
+                          args->cancel ? CP_ATTEMPT_FENCE : CP_ATTEMPT_QUERY,
+                          args->start_by_us, &state);
+  if (result == CP_REGISTER_FULL)
+    reply->status = CP_RPC_FENCE_FULL;
+  else if (result == CP_REGISTER_LATE)
+    reply->status = CP_RPC_FENCE_LATE;
+  else if (state == CP_ATTEMPT_FENCED || state == CP_ATTEMPT_CANCELLED)
     reply->status = CP_RPC_FENCED;
-  else if (state == CP_ATTEMPT_STARTED)
+  else if (state == CP_ATTEMPT_STARTED || state == CP_ATTEMPT_QUEUED)
     reply->status = CP_RPC_STARTED;
   else
     reply->status = CP_RPC_ANSWERED;
@@ -292,12 +301,12 @@
 
 enum fence_result
 rpc_fence (const struct cp_address *address, const struct cp_id *attempt,
-           uint64_t incarnation, uint64_t remember_us, bool cancel,
+           uint64_t incarnation, uint64_t start_by_us, bool cancel,
            uint64_t timeout_us)
 {
   struct rpc_client client __attribute__ ((cleanup (close_client)));
   cp_rpc_fence_args args = { .incarnation = incarnation,
-                             .remember_us = remember_us,
+                             .start_by_us = start_by_us,
                              .cancel = cancel };
   cp_rpc_fence_reply reply;
 
@@ -338,6 +347,8 @@
   report->latency_us = reply.latency_us;
   report->errors_permille = reply.errors_permille;
   report->age_us = reply.age_us;
+  cp_peer_clocks_learn (&served->outbound.peers, address->text,
+                        reply.incarnation, reply.clock_us);
   xdr_free ((xdrproc_t)xdr_cp_rpc_load, (char *)&reply);
   return true;
 }
--- /dev/null
+++ b/lib/peer_clock.c
@@ -0,0 +1,124 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lib/cleanup.h"
+#include "lib/peer_clock.h"
+
+#define PPM 1000000
+#define LATENCY_WEIGHT 8
+
+void
+cp_peer_clocks_init (struct cp_peer_clocks *peers,
+                     const struct cp_clock *clock)
+{
+  pthread_mutex_init (&peers->lock, NULL);
+  peers->clock = clock;
+  peers->peers = g_hash_table_new_full (g_str_hash, g_str_equal, free, free);
+}
+
+void
+cp_peer_clocks_finish (struct cp_peer_clocks *peers)
+{
+  g_hash_table_destroy (peers->peers);
+  pthread_mutex_destroy (&peers->lock);
+}
+
+static uint64_t
+bound_at (const struct cp_peer_clock *peer, uint64_t now_us)
+{
+  uint64_t passed = now_us - peer->taken_us;
+
+  return peer->clock_us + passed - passed / PPM * CP_CLOCK_DRIFT_PPM
+         - passed % PPM * CP_CLOCK_DRIFT_PPM / PPM;
+}
+
+/* Returns the entry of ADDRESS, made when it is not there.  */
+static struct cp_peer_clock *
+get_peer (struct cp_peer_clocks *peers, const char *address)
+{
+  struct cp_peer_clock *peer = g_hash_table_lookup (peers->peers, address);
+
+  if (peer != NULL)
+    return peer;
+  if (g_hash_table_size (peers->peers) >= CP_PEER_CLOCKS_MAX)
+    g_hash_table_remove_all (peers->peers);
+  peer = calloc (1, sizeof *peer);
+  if (peer == NULL)
+    abort ();
+  g_hash_table_insert (peers->peers, strdup (address), peer);
+  return peer;
+}
+
+void
+cp_peer_clocks_learn (struct cp_peer_clocks *peers, const char *address,
+                      uint64_t incarnation, uint64_t clock_us)
+{
+  uint64_t now = cp_clock_now_us (peers->clock);
+  struct cp_peer_clock *peer;
+
+  CP_LOCK_SCOPE (&peers->lock);
+  peer = get_peer (peers, address);
+  if (peer->incarnation == incarnation && bound_at (peer, now) >= clock_us)
+    return;
+  peer->incarnation = incarnation;
+  peer->clock_us = clock_us;
+  peer->taken_us = now;
+}
+
+void
+cp_peer_clocks_latency (struct cp_peer_clocks *peers, const char *address,
+                        uint64_t latency_us)
+{
+  struct cp_peer_clock *peer;
+
+  CP_LOCK_SCOPE (&peers->lock);
+  peer = g_hash_table_lookup (peers->peers, address);
+  if (peer == NULL)
+    return;
+  if (peer->latency_us == 0)
+    peer->latency_us = latency_us;
+  peer->latency_us = (peer->latency_us * (LATENCY_WEIGHT - 1) + latency_us)
+                     / LATENCY_WEIGHT;
+}
+
+bool
+cp_peer_clocks_get (struct cp_peer_clocks *peers, const char *address,
+                    struct cp_peer_clock *known, uint64_t *bound_us)
+{
+  const struct cp_peer_clock *peer;
+
+  CP_LOCK_SCOPE (&peers->lock);
+  peer = g_hash_table_lookup (peers->peers, address);
+  if (peer == NULL || peer->incarnation == 0)
+    return false;
+  *known = *peer;
+  *bound_us = bound_at (peer, cp_clock_now_us (peers->clock));
+  return true;
+}
+
+void
+cp_peer_clocks_forget (struct cp_peer_clocks *peers, const char *address)
+{
+  CP_LOCK_SCOPE (&peers->lock);
+  g_hash_table_remove (peers->peers, address);
+}
+
+void
+cp_peer_clock_text (uint64_t incarnation, uint64_t clock_us,
+                    char text[CP_PEER_CLOCK_TEXT_BYTES])
+{
+  snprintf (text, CP_PEER_CLOCK_TEXT_BYTES, "%016" PRIx64 " %" PRIu64,
+            incarnation, clock_us);
+}
+
+bool
+cp_peer_clock_parse (const char *text, uint64_t *incarnation,
+                     uint64_t *clock_us)
+{
+  if (strchr (text, '-') != NULL)
+    return false;
+  return sscanf (text, "%16" SCNx64 " %" SCNu64, incarnation, clock_us) == 2
+         && *incarnation != 0;
+}
--- a/lib/register.c
+++ b/lib/register.c
@@ -4,14 +4,13 @@
 #include "lib/cleanup.h"
 #include "lib/register.h"
 
-#define SWEEP_INTERVAL_US (CP_US_PER_S)
-
 static const char *const state_names[CP_ATTEMPT_STATE_COUNT]
     = { "unknown", "queued",    "started", "answered",
         "failed",  "cancelled", "fenced" };
 
 static const char *const event_names[CP_ATTEMPT_EVENT_COUNT]
-    = { "arrive", "start", "answer", "fail", "cancel", "refuse", "fence" };
+    = { "arrive", "start",  "answer", "fail",
+        "cancel", "refuse", "fence",  "query" };
 
 const struct cp_chart_names cp_attempt_names
     = { state_names, CP_ATTEMPT_STATE_COUNT, event_names,
@@ -22,6 +21,7 @@
   struct cp_id id;
   int state;
   uint64_t keep_until_us;
+  struct cds_list_head timer;
 };
 
 /* The identifiers are random, so that their first bytes serve as hash.  */
@@ -45,84 +45,179 @@
                   const struct cp_chart *chart, unsigned capacity)
 {
   memset (attempts, 0, sizeof *attempts);
-  pthread_mutex_init (&attempts->lock, NULL);
   attempts->clock = clock;
   attempts->chart = chart;
   attempts->capacity = capacity;
-  attempts->entries = g_hash_table_new_full (hash_id, same_id, NULL, free);
+  attempts->shards = calloc (CP_REGISTER_SHARDS, sizeof *attempts->shards);
+  if (attempts->shards == NULL)
+    abort ();
+  for (unsigned i = 0; i < CP_REGISTER_SHARDS; i++)
+    {
+      struct cp_register_shard *shard = &attempts->shards[i];
+
+      pthread_mutex_init (&shard->lock, NULL);
+      shard->entries = g_hash_table_new_full (hash_id, same_id, free, NULL);
+      shard->wheel_s = cp_clock_now_us (clock) / CP_US_PER_S;
+      for (unsigned slot = 0; slot < CP_REGISTER_SLOTS; slot++)
+        CDS_INIT_LIST_HEAD (&shard->wheel[slot]);
+    }
 }
 
 void
 cp_register_finish (struct cp_register *attempts)
 {
-  g_hash_table_destroy (attempts->entries);
-  pthread_mutex_destroy (&attempts->lock);
+  for (unsigned i = 0; i < CP_REGISTER_SHARDS; i++)
+    {
+      g_hash_table_destroy (attempts->shards[i].entries);
+      pthread_mutex_destroy (&attempts->shards[i].lock);
+    }
+  free (attempts->shards);
 }
 
-static gboolean
-is_over (gpointer key, gpointer value, gpointer now)
+/* Puts an entry into the slot of the second after it may be forgotten, or of
+   the last second that the wheel can hold.  */
+static void
+add_timer (struct cp_register_shard *shard, struct entry *entry)
 {
-  const struct entry *entry = value;
+  uint64_t second = entry->keep_until_us / CP_US_PER_S + 1;
+  uint64_t last = shard->wheel_s + CP_REGISTER_SLOTS - 1;
+
+  if (second > last)
+    second = last;
+  if (second <= shard->wheel_s)
+    second = shard->wheel_s + 1;
+  cds_list_add (&entry->timer, &shard->wheel[second % CP_REGISTER_SLOTS]);
+}
 
-  (void)key;
-  return entry->keep_until_us <= *(const uint64_t *)now
-         && entry->state != CP_ATTEMPT_QUEUED
+static bool
+is_over (const struct entry *entry, uint64_t now)
+{
+  return entry->keep_until_us <= now && entry->state != CP_ATTEMPT_QUEUED
          && entry->state != CP_ATTEMPT_STARTED;
 }
 
+/* Frees the entries of one slot whose time has come; the others are put where
+   they belong now.  */
 static void
-sweep (struct cp_register *attempts)
+empty_slot (struct cp_register *attempts, struct cp_register_shard *shard,
+            uint64_t now)
 {
-  uint64_t now = cp_clock_now_us (attempts->clock);
+  struct cds_list_head due;
+  struct entry *entry, *next;
+
+  CDS_INIT_LIST_HEAD (&due);
+  cds_list_splice (&shard->wheel[shard->wheel_s % CP_REGISTER_SLOTS], &due);
+  CDS_INIT_LIST_HEAD (&shard->wheel[shard->wheel_s % CP_REGISTER_SLOTS]);
+  cds_list_for_each_entry_safe (entry, next, &due, timer)
+  {
+    if (!is_over (entry, now))
+      {
+        add_timer (shard, entry);
+        continue;
+      }
+    g_hash_table_remove (shard->entries, &entry->id);
+    __atomic_fetch_sub (&attempts->count, 1, __ATOMIC_RELAXED);
+  }
+}
 
-  if (now < attempts->next_sweep_us)
-    return;
-  attempts->next_sweep_us = now + SWEEP_INTERVAL_US;
-  g_hash_table_foreach_remove (attempts->entries, is_over, &now);
+/* Moves the wheel to the present second, at most once around.  */
+static void
+turn_wheel (struct cp_register *attempts, struct cp_register_shard *shard,
+            uint64_t now)
+{
+  uint64_t second = now / CP_US_PER_S;
+
+  if (second > shard->wheel_s + CP_REGISTER_SLOTS)
+    shard->wheel_s = second - CP_REGISTER_SLOTS;
+  while (shard->wheel_s < second)
+    {
+      shard->wheel_s++;
+      empty_slot (attempts, shard, now);
+    }
 }
 
 static struct entry *
-add_entry (struct cp_register *attempts, const struct cp_id *id)
+add_entry (struct cp_register *attempts, struct cp_register_shard *shard,
+           const struct cp_id *id, uint64_t keep_until_us)
 {
   struct entry *entry;
 
-  if (g_hash_table_size (attempts->entries) >= attempts->capacity)
-    return NULL;
+  if (__atomic_add_fetch (&attempts->count, 1, __ATOMIC_RELAXED)
+      > attempts->capacity)
+    {
+      __atomic_fetch_sub (&attempts->count, 1, __ATOMIC_RELAXED);
+      return NULL;
+    }
   entry = calloc (1, sizeof *entry);
   if (entry == NULL)
-    return NULL;
+    abort ();
   entry->id = *id;
-  entry->state = CP_ATTEMPT_UNKNOWN;
-  g_hash_table_insert (attempts->entries, &entry->id, entry);
+  entry->state = attempts->chart->initial;
+  entry->keep_until_us = keep_until_us;
+  g_hash_table_add (shard->entries, entry);
+  add_timer (shard, entry);
   return entry;
 }
 
-enum cp_register_result
-cp_register_step (struct cp_register *attempts, const struct cp_id *id,
-                  enum cp_attempt_event event, uint64_t keep_until_us,
-                  enum cp_attempt_state *state)
+/* Frees what is due in all shards, for one that found no room.  */
+static void
+turn_all (struct cp_register *attempts, uint64_t now)
+{
+  for (unsigned i = 0; i < CP_REGISTER_SHARDS; i++)
+    {
+      CP_LOCK_SCOPE (&attempts->shards[i].lock);
+      turn_wheel (attempts, &attempts->shards[i], now);
+    }
+}
+
+static enum cp_register_result
+step (struct cp_register *attempts, struct cp_register_shard *shard,
+      const struct cp_id *id, enum cp_attempt_event event,
+      uint64_t start_by_us, enum cp_attempt_state *state)
 {
+  uint64_t now = cp_clock_now_us (attempts->clock);
   struct entry *entry;
-  bool moved;
 
-  CP_LOCK_SCOPE (&attempts->lock);
-  sweep (attempts);
-  entry = g_hash_table_lookup (attempts->entries, id);
+  CP_LOCK_SCOPE (&shard->lock);
+  turn_wheel (attempts, shard, now);
+  entry = g_hash_table_lookup (shard->entries, id);
   *state = CP_ATTEMPT_UNKNOWN;
+  if (entry == NULL && now >= start_by_us)
+    return CP_REGISTER_LATE;
   if (entry == NULL)
-    entry = add_entry (attempts, id);
+    entry = add_entry (attempts, shard, id, start_by_us);
   if (entry == NULL)
     return CP_REGISTER_FULL;
-  if (entry->keep_until_us < keep_until_us)
-    entry->keep_until_us = keep_until_us;
-  moved = cp_chart_step (attempts->chart, &entry->state, (int)event);
+  if (entry->keep_until_us < start_by_us)
+    entry->keep_until_us = start_by_us;
+  *state = (enum cp_attempt_state)entry->state;
+  if (event == CP_ATTEMPT_START && now >= start_by_us)
+    return CP_REGISTER_NO_STEP;
+  if (!cp_chart_step (attempts->chart, &entry->state, (int)event))
+    return CP_REGISTER_NO_STEP;
   *state = (enum cp_attempt_state)entry->state;
-  return moved ? CP_REGISTER_DONE : CP_REGISTER_NO_STEP;
+  return CP_REGISTER_DONE;
+}
+
+enum cp_register_result
+cp_register_step (struct cp_register *attempts, const struct cp_id *id,
+                  enum cp_attempt_event event, uint64_t start_by_us,
+                  enum cp_attempt_state *state)
+{
+  struct cp_register_shard *shard
+      = &attempts->shards[id->bytes[CP_ID_BYTES - 1] % CP_REGISTER_SHARDS];
+  enum cp_register_result result
+      = step (attempts, shard, id, event, start_by_us, state);
+
+  if (result != CP_REGISTER_FULL)
+    return result;
+  turn_all (attempts, cp_clock_now_us (attempts->clock));
+  return step (attempts, shard, id, event, start_by_us, state);
 }
 
 unsigned
 cp_register_count (struct cp_register *attempts)
 {
-  CP_LOCK_SCOPE (&attempts->lock);
-  return g_hash_table_size (attempts->entries);
+  turn_all (attempts, cp_clock_now_us (attempts->clock));
+  return __atomic_load_n (&attempts->count, __ATOMIC_RELAXED);
 }
--- a/lib/register.h
+++ b/lib/register.h
@@ -1,18 +1,44 @@
 /* Register of attempts at an inbound side.
 
-   Each attempt is entered before the target sees it and is remembered until
-   its deadline and a margin have passed.  The chart charts/attempt.json says
-   which steps there are.  A fence for an attempt that has not started is
-   remembered, so that the attempt is refused when it arrives later.  */
+   Each attempt is entered before the target sees it and is remembered for as
+   long as a message about it may still be acted upon.  The chart
+   charts/attempt.json says which steps there are.  A fence for an attempt that
+   has not started is remembered, so that the attempt is refused when it
+   arrives later.
+
+   An attempt names the time, on this register's clock, after which it may not
+   start.  Until then its entry is kept; from then on a new attempt of that
+   name is refused by its time alone and a fence that finds no entry proves
+   nothing.  Forgetting is therefore safe.
+
+   Memory: an entry takes CP_REGISTER_ENTRY_BYTES, the share of the hash table
+   and of malloc included.  A register for CP_REGISTER_CALLS_PER_S attempts a
+   second, each kept for CP_REGISTER_KEEP_US_MAX, holds CP_REGISTER_CAPACITY
+   entries and takes 19 MB.  A full register enters nothing; the caller then
+   refuses the attempt, which has not run.
+
+   The entries are spread over CP_REGISTER_SHARDS hash tables with a mutex
+   each.  Each shard has a timer wheel with one slot per second (G. Varghese
+   and A. Lauck, Hashed and Hierarchical Timing Wheels, SOSP 1987), so that
+   entries are freed one by one as their time comes.  */
 #ifndef CP_REGISTER_H
 #define CP_REGISTER_H
 
 #include <pthread.h>
+#include <urcu/list.h>
 
 #include "lib/chart.h"
 #include "lib/clock.h"
 #include "lib/id.h"
 
+#define CP_REGISTER_CALLS_PER_S 320
+#define CP_REGISTER_KEEP_US_MAX (600 * CP_US_PER_S)
+#define CP_REGISTER_CAPACITY                                                  \
+  (CP_REGISTER_CALLS_PER_S * (unsigned)(CP_REGISTER_KEEP_US_MAX / CP_US_PER_S))
+#define CP_REGISTER_ENTRY_BYTES 100
+#define CP_REGISTER_SHARDS 16
+#define CP_REGISTER_SLOTS 1024
+
 enum cp_attempt_state
 {
   CP_ATTEMPT_UNKNOWN,
@@ -33,41 +59,53 @@
   CP_ATTEMPT_FAIL,
   CP_ATTEMPT_CANCEL,
   CP_ATTEMPT_REFUSE,
-  CP_ATTEMPT_FENCE,
+  CP_ATTEMPT_FENCE, /* give the attempt up unless it has started */
+  CP_ATTEMPT_QUERY, /* give it up only if it has not arrived */
   CP_ATTEMPT_EVENT_COUNT
 };
 
 extern const struct cp_chart_names cp_attempt_names;
 
-struct cp_register
+/* One of the hash tables.  */
+struct cp_register_shard
 {
   pthread_mutex_t lock;
+  GHashTable *entries;
+  uint64_t wheel_s; /* the second that the wheel has reached */
+  struct cds_list_head wheel[CP_REGISTER_SLOTS];
+};
+
+struct cp_register
+{
   const struct cp_clock *clock;
   const struct cp_chart *chart;
-  GHashTable *entries;
   unsigned capacity;
-  uint64_t next_sweep_us;
+  unsigned count;
+  struct cp_register_shard *shards;
 };
 
 enum cp_register_result
 {
   CP_REGISTER_DONE,    /* the step was made */
   CP_REGISTER_NO_STEP, /* the attempt is in a state without this step */
-  CP_REGISTER_FULL     /* no room for a new attempt */
+  CP_REGISTER_FULL,    /* no room for a new attempt */
+  CP_REGISTER_LATE     /* not known, and its time to start is over */
 };
 
+/* Allocates the shards; ends the process when there is no memory.  */
 void cp_register_init (struct cp_register *attempts,
                        const struct cp_clock *clock,
                        const struct cp_chart *chart, unsigned capacity);
 void cp_register_finish (struct cp_register *attempts);
 
-/* Moves the attempt ID by EVENT.  An attempt not known counts as
-   CP_ATTEMPT_UNKNOWN and is entered; it is kept until KEEP_UNTIL_US at
-   least.  *STATE is the state after the call.  */
+/* Moves the attempt ID by EVENT.  START_BY_US is the time after which it may
+   not start.  An attempt not known counts as CP_ATTEMPT_UNKNOWN and is entered
+   when START_BY_US is still ahead.  CP_ATTEMPT_START is refused once
+   START_BY_US has passed.  *STATE is the state after the call.  */
 enum cp_register_result cp_register_step (struct cp_register *attempts,
                                           const struct cp_id *id,
                                           enum cp_attempt_event event,
-                                          uint64_t keep_until_us,
+                                          uint64_t start_by_us,
                                           enum cp_attempt_state *state);
 
 unsigned cp_register_count (struct cp_register *attempts);
--- a/regress/harness/harness.c
+++ b/regress/harness/harness.c
@@ -384,6 +384,8 @@
 {
   bool clean = stop_all (fleet->daemons, fleet->n_vms);
 
+  if (fleet->platform.pid != 0)
+    kill (fleet->platform.pid, SIGTERM);
   stop_all (fleet->targets, fleet->n_vms);
   process_signal (&fleet->platform, SIGTERM);
   ck_assert_msg (clean, "a daemon did not end with status 0; see %s",
--- a/regress/lib/check_base.c
+++ b/regress/lib/check_base.c
@@ -215,7 +215,10 @@
   clock.time_us += 10 * CP_US_PER_S;
   ck_assert_int_eq (
       cp_register_step (&attempts, &id, CP_ATTEMPT_ARRIVE, 5000, &state),
-      CP_REGISTER_DONE);
+      CP_REGISTER_LATE);
+  ck_assert_int_eq (cp_register_step (&attempts, &id, CP_ATTEMPT_ARRIVE,
+                                      clock.time_us + 5000, &state),
+                    CP_REGISTER_DONE);
   cp_register_finish (&attempts);
 }
 END_TEST
--- /dev/null
+++ b/regress/path/check_attempts_messages.c
@@ -0,0 +1,171 @@
+/* Attempts whose messages come late, twice or out of order.  */
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "lib/clock.h"
+#include "regress/harness/suite.h"
+#include "regress/harness/wire.h"
+#include "rpc/cornelpick.h"
+
+#define DEADLINE_US (2 * CP_US_PER_S)
+#define SHORT_US (300 * CP_US_PER_MS)
+
+static const char request_id[] = "0123456789abcdef0123456789abcdef";
+
+static struct wire_attempt
+order (struct fleet *fleet, const char *attempt_id, uint64_t time_us)
+{
+  return (struct wire_attempt){ .method = "POST",
+                                .path = "/orders",
+                                .request = request_id,
+                                .attempt = attempt_id,
+                                .incarnation = wire_incarnation (fleet, 2),
+                                .remaining_us = time_us,
+                                .start_by_us = wire_now_us () + time_us,
+                                .body = "leopard" };
+}
+
+START_TEST (an_attempt_sent_twice_runs_once)
+{
+  struct fleet fleet;
+  GString *answer = g_string_new (NULL);
+  struct wire_attempt attempt;
+
+  fleet_start (&fleet, 2, 2, NULL);
+  attempt = order (&fleet, "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa", DEADLINE_US);
+  ck_assert_int_eq (wire_attempt (&fleet, 2, &attempt, answer), 200);
+  ck_assert_int_eq (wire_attempt (&fleet, 2, &attempt, answer), 409);
+  ck_assert_ptr_nonnull (strstr (answer->str, "Cornelpick-Outcome: unknown"));
+  ck_assert_uint_eq (fleet_runs (&fleet, request_id), 1);
+  g_string_free (answer, TRUE);
+  fleet_stop (&fleet);
+}
+END_TEST
+
+/* The request waits in the kernel while the daemon is stopped; its own clock
+   shows when it wakes that the time is over.  */
+START_TEST (an_attempt_that_waited_in_a_stopped_daemon_does_not_start)
+{
+  struct fleet fleet;
+  GString *answer = g_string_new (NULL);
+  struct wire_attempt attempt;
+  char address[56];
+  char *text;
+  int fd;
+
+  fleet_start (&fleet, 2, 2, NULL);
+  attempt = order (&fleet, "bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb", SHORT_US);
+  text = wire_attempt_text (&attempt);
+  process_signal (&fleet.daemons[2], SIGSTOP);
+  fd = wire_open (&fleet, 1, fleet_address (&fleet, 2, 7400, address));
+  wire_send (fd, text);
+  usleep (2 * SHORT_US);
+  process_signal (&fleet.daemons[2], SIGCONT);
+  wire_read (fd, answer, 15000);
+  ck_assert_msg (strstr (answer->str, "Cornelpick-Outcome: unknown") != NULL,
+                 "%s", answer->str);
+  ck_assert_uint_eq (fleet_runs (&fleet, request_id), 0);
+  close (fd);
+  free (text);
+  g_string_free (answer, TRUE);
+  fleet_stop (&fleet);
+}
+END_TEST
+
+START_TEST (another_incarnation_refuses)
+{
+  struct fleet fleet;
+  GString *answer = g_string_new (NULL);
+  struct wire_attempt attempt;
+
+  fleet_start (&fleet, 2, 2, NULL);
+  attempt = order (&fleet, "cccccccccccccccccccccccccccccccc", DEADLINE_US);
+  process_signal (&fleet.daemons[2], SIGKILL);
+  fleet_start_daemon (&fleet, 2);
+  fleet_wait_serving (&fleet, 2);
+  ck_assert_int_eq (wire_attempt (&fleet, 2, &attempt, answer), 503);
+  ck_assert_ptr_nonnull (strstr (answer->str, "Cornelpick-Outcome: not-run"));
+  ck_assert_uint_eq (fleet_runs (&fleet, request_id), 0);
+  g_string_free (answer, TRUE);
+  fleet_stop (&fleet);
+}
+END_TEST
+
+START_TEST (an_attempt_that_comes_after_its_fence_does_not_start)
+{
+  static const char id[] = "dddddddddddddddddddddddddddddddd";
+  struct fleet fleet;
+  GString *answer = g_string_new (NULL);
+  struct wire_attempt attempt;
+
+  fleet_start (&fleet, 2, 2, NULL);
+  attempt = order (&fleet, id, DEADLINE_US);
+  ck_assert_int_eq (wire_fence (&fleet, 2, id, attempt.incarnation,
+                                attempt.start_by_us, true),
+                    CP_RPC_FENCED);
+  ck_assert_int_eq (wire_fence (&fleet, 2, id, attempt.incarnation + 2,
+                                attempt.start_by_us, true),
+                    CP_RPC_OTHER_INCARNATION);
+  ck_assert_int_eq (wire_attempt (&fleet, 2, &attempt, answer), 409);
+  ck_assert_ptr_nonnull (strstr (answer->str, "Cornelpick-Outcome: not-run"));
+  ck_assert_uint_eq (fleet_runs (&fleet, request_id), 0);
+  g_string_free (answer, TRUE);
+  fleet_stop (&fleet);
+}
+END_TEST
+
+static bool
+register_is_empty (void *context)
+{
+  json_t *state = fleet_state (context, 2);
+  json_t *inbound = json_object_get (state, "inbound");
+  bool empty
+      = json_integer_value (json_object_get (inbound, "register_entries"))
+        == 0;
+
+  json_decref (state);
+  return empty;
+}
+
+/* The attempt ran and was forgotten since; a fence that comes now must not be
+   taken for proof that it did not run.  */
+START_TEST (a_fence_that_comes_after_forgetting_proves_nothing)
+{
+  static const char id[] = "eeeeeeeeeeeeeeeeeeeeeeeeeeeeeeee";
+  struct fleet fleet;
+  GString *answer = g_string_new (NULL);
+  struct wire_attempt attempt;
+
+  fleet_start (&fleet, 2, 2, NULL);
+  attempt = order (&fleet, id, SHORT_US);
+  ck_assert_int_eq (wire_attempt (&fleet, 2, &attempt, answer), 200);
+  ck_assert_int_eq (wire_fence (&fleet, 2, id, attempt.incarnation,
+                                attempt.start_by_us, true),
+                    CP_RPC_ANSWERED);
+  wait_until (register_is_empty, &fleet);
+  ck_assert_int_eq (wire_fence (&fleet, 2, id, attempt.incarnation,
+                                attempt.start_by_us, true),
+                    CP_RPC_FENCE_LATE);
+  g_string_free (answer, TRUE);
+  fleet_stop (&fleet);
+}
+END_TEST
+
+static void
+add_tests (TCase *tests)
+{
+  tcase_add_test (tests, an_attempt_sent_twice_runs_once);
+  tcase_add_test (tests,
+                  an_attempt_that_waited_in_a_stopped_daemon_does_not_start);
+  tcase_add_test (tests, another_incarnation_refuses);
+  tcase_add_test (tests, an_attempt_that_comes_after_its_fence_does_not_start);
+  tcase_add_test (tests, a_fence_that_comes_after_forgetting_proves_nothing);
+}
+
+int
+main (void)
+{
+  return suite_run ("attempts_messages", add_tests, 90);
+}
--- a/rpc/cornelpick.h
+++ b/rpc/cornelpick.h
@@ -31,13 +31,14 @@
 	u_quad_t latency_us;
 	u_int errors_permille;
 	u_quad_t age_us;
+	u_quad_t clock_us;
 };
 typedef struct cp_rpc_load cp_rpc_load;
 
 struct cp_rpc_fence_args {
 	cp_rpc_id attempt;
 	u_quad_t incarnation;
-	u_quad_t remember_us;
+	u_quad_t start_by_us;
 	bool_t cancel;
 };
 typedef struct cp_rpc_fence_args cp_rpc_fence_args;
@@ -48,6 +49,7 @@
 	CP_RPC_ANSWERED = 2,
 	CP_RPC_OTHER_INCARNATION = 3,
 	CP_RPC_FENCE_FULL = 4,
+	CP_RPC_FENCE_LATE = 5,
 };
 typedef enum cp_rpc_fence_status cp_rpc_fence_status;
 
--- a/rpc/cornelpick.x
+++ b/rpc/cornelpick.x
@@ -21,13 +21,18 @@
 	unsigned hyper latency_us;
 	unsigned int errors_permille;
 	unsigned hyper age_us;
+	unsigned hyper clock_us;
 };
 
-/* A fence names the incarnation that the attempt was addressed to. */
+/*
+ * A fence names the incarnation that the attempt was addressed to and the time,
+ * on the clock of the inbound side, after which the attempt may not start.
+ * Without cancel, an attempt that has arrived is left alone.
+ */
 struct cp_rpc_fence_args {
 	cp_rpc_id attempt;
 	unsigned hyper incarnation;
-	unsigned hyper remember_us;
+	unsigned hyper start_by_us;
 	bool cancel;
 };
 
@@ -36,7 +41,8 @@
 	CP_RPC_STARTED = 1,
 	CP_RPC_ANSWERED = 2,
 	CP_RPC_OTHER_INCARNATION = 3,
-	CP_RPC_FENCE_FULL = 4
+	CP_RPC_FENCE_FULL = 4,
+	CP_RPC_FENCE_LATE = 5
 };
 
 struct cp_rpc_fence_reply {
--- a/rpc/cornelpick_xdr.c
+++ b/rpc/cornelpick_xdr.c
@@ -56,6 +56,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->age_us))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->clock_us))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
@@ -82,6 +84,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->age_us))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->clock_us))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -101,6 +105,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->age_us))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->clock_us))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -113,7 +119,7 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->remember_us))
+	 if (!xdr_u_quad_t (xdrs, &objp->start_by_us))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->cancel))
 		 return FALSE;
