Find connections that went silent by asking over RPC

Cause: a call on a connection that something on the way had forgotten waited for its whole deadline, and later calls went onto such connections.

Change: when no first byte has come after four times the inbound side's own mean latency (at least 100 ms), the outbound side asks it over RPC. An attempt that never arrived is fenced and may go elsewhere, one in its hands is waited for, one answered there but not here is given up. Idle siblings of a dead connection are not used again; a call that runs once does not use one idle for over a second. Tests get a relay that swallows, drops or holds bytes, and daemons the setting peers_listen for translated addresses.

Conclusion: calls on silent connections succeed elsewhere, or are told unknown when only the answer was lost.

--- a/cornelpickd/attempt.c
+++ b/cornelpickd/attempt.c
@@ -7,6 +7,15 @@
 #include "lib/cleanup.h"
 
 #define FENCE_TIMEOUT_US (50 * CP_US_PER_MS)
+/* After this many times its mean latency without a first byte, an inbound side
+   is asked what became of the attempt.  */
+#define SILENT_LATENCIES 4
+#define SILENT_US_MIN (100 * CP_US_PER_MS)
+/* An answer that was sent may still be on its way for this long.  */
+#define ANSWER_GRACE_US (100 * CP_US_PER_MS)
+#define NO_PROOF_MAX 2
+/* A connection idle for longer is not used for a call that runs once.  */
+#define IDLE_ONCE_US (CP_US_PER_S)
 #define LOAD_TIMEOUT_US (50 * CP_US_PER_MS)
 #define FENCE_SHARE 4 /* of the time left, at most, is kept for the fence */
 
@@ -90,6 +99,8 @@
   if (head_value (head, HEADER_CLOCK, text, sizeof text)
       && cp_peer_clock_parse (text, &incarnation, &clock_us))
     cp_peer_clocks_learn (peers, address, incarnation, clock_us);
+  cp_peer_clocks_latency (
+      peers, address, cp_clock_now_us (peers->clock) - attempt->started_us);
 }
 
 /* Reads the outcome that the inbound side states.  An answer without one does
@@ -181,6 +192,58 @@
   return g_strconcat (info->request_uri, "?", info->query_string, NULL);
 }
 
+/* Nothing came back in the time expected: asks the inbound side over a path of
+   its own.  Only an attempt that never arrived there is given up for good; one
+   in its hands is waited for.  */
+static uint64_t
+on_silent (void *context)
+{
+  struct attempt *attempt = context;
+  struct daemon *daemon = attempt->call->outbound->daemon;
+  enum fence_result result
+      = rpc_fence (&attempt->target.daemon, &attempt->id, attempt->incarnation,
+                   attempt->start_by_us, false, FENCE_TIMEOUT_US);
+  uint64_t now = cp_clock_now_us (daemon->clock);
+
+  attempt->silent_us *= 2;
+  switch (result)
+    {
+    case FENCE_FENCED:
+      attempt->outcome = ATTEMPT_NOT_RUN;
+      return 0;
+    case FENCE_STARTED:
+      attempt->no_proof = 0;
+      return now + attempt->silent_us;
+    case FENCE_ANSWERED:
+      if (attempt->answered)
+        return 0;
+      attempt->answered = true;
+      return now + ANSWER_GRACE_US;
+    default:
+      attempt->no_proof++;
+      if (attempt->call->idempotent && attempt->no_proof >= NO_PROOF_MAX)
+        return 0;
+      return now + attempt->silent_us;
+    }
+}
+
+/* Sets when the first byte of the answer is overdue.  */
+static uint64_t
+first_byte_limit (struct attempt *attempt)
+{
+  struct cp_peer_clock known;
+  uint64_t bound_us;
+
+  if (attempt->start_by_us == 0
+      || !cp_peer_clocks_get (&attempt->call->outbound->peers,
+                              attempt->target.daemon.text, &known, &bound_us))
+    return 0;
+  attempt->silent_us = known.latency_us * SILENT_LATENCIES;
+  if (attempt->silent_us < SILENT_US_MIN)
+    attempt->silent_us = SILENT_US_MIN;
+  return attempt->started_us + attempt->silent_us;
+}
+
 static enum upstream_result
 send_attempt (struct attempt *attempt)
 {
@@ -196,6 +259,9 @@
           .has_body = call->request->body_size != 0,
           .body_size = call->request->body_size,
           .deadline_us = attempt->deadline_us,
+          .first_byte_us = first_byte_limit (attempt),
+          .idle_max_us = call->idempotent ? 0 : IDLE_ONCE_US,
+          .on_silent = on_silent,
           .caller_fd = call->request->caller_fd,
           .context = attempt,
           .read_body = read_body,
@@ -281,6 +347,8 @@
   else if (attempt->outcome == ATTEMPT_UNKNOWN)
     attempt->outcome = fence (attempt);
   call->late = call->late || result == UPSTREAM_DEADLINE;
+  if (result == UPSTREAM_SILENT)
+    daemon_count (daemon, COUNT_SILENT_CONNECTIONS);
   attempt_record (attempt, CP_DECISION_ATTEMPT_END,
                   outcome_names[attempt->outcome], call->answer.status);
   cp_balancer_done (call->balancer, attempt->target.name,
--- a/cornelpickd/cornelpickd.h
+++ b/cornelpickd/cornelpickd.h
@@ -177,6 +177,9 @@
   uint64_t started_us;
   uint64_t deadline_us; /* earlier than the call's, to leave time to fence */
   uint64_t start_by_us; /* on the clock of the inbound side; 0: not known */
+  uint64_t silent_us;   /* how long to wait before the next question */
+  unsigned no_proof;    /* questions without a reply, one after the other */
+  bool answered;        /* the inbound side says that it has answered */
   bool swallow;         /* the answer is not for the caller */
   enum attempt_outcome outcome;
   char from[CP_NAME_BYTES];
--- a/cornelpickd/daemon.c
+++ b/cornelpickd/daemon.c
@@ -74,7 +74,7 @@
                       &settings->admin, ADMIN_THREADS, error)
           != 0
       || start_listener (daemon, &daemon->peers, inbound_handle,
-                         &daemon->inbound, &settings->peers,
+                         &daemon->inbound, &settings->peers_listen,
                          settings->peer_threads, error)
              != 0
       || start_listener (daemon, &daemon->calls, outbound_handle,
--- a/cornelpickd/inbound.c
+++ b/cornelpickd/inbound.c
@@ -8,6 +8,8 @@
 
 /* A start-by time further ahead than this is no time of this clock.  */
 #define START_BY_AHEAD_MAX (CP_REGISTER_KEEP_US_MAX + CP_US_PER_S)
+/* A connection idle for longer is not used for a call that runs once.  */
+#define IDLE_ONCE_US (CP_US_PER_S)
 #define SLOTS_DEFAULT 12
 
 /* A forwarded call at the inbound side.  */
@@ -289,19 +291,21 @@
   struct daemon *daemon = visit->inbound->daemon;
   CP_AUTO_FREE char *path = full_path (visit->request);
   struct curl_slist *headers = target_headers (visit);
-  struct upstream_call call = { .address = &visit->target.address,
-                                .method = visit->request->info->request_method,
-                                .path = path,
-                                .headers = headers,
-                                .has_body = visit->request->body_size != 0,
-                                .body_size = visit->request->body_size,
-                                .deadline_us = visit->deadline_us,
-                                .caller_fd = visit->request->caller_fd,
-                                .context = visit,
-                                .before_send = before_send,
-                                .read_body = read_body,
-                                .on_head = on_head,
-                                .on_body = on_body };
+  struct upstream_call call
+      = { .address = &visit->target.address,
+          .method = visit->request->info->request_method,
+          .path = path,
+          .headers = headers,
+          .has_body = visit->request->body_size != 0,
+          .body_size = visit->request->body_size,
+          .deadline_us = visit->deadline_us,
+          .idle_max_us = visit->idempotent ? 0 : IDLE_ONCE_US,
+          .caller_fd = visit->request->caller_fd,
+          .context = visit,
+          .before_send = before_send,
+          .read_body = read_body,
+          .on_head = on_head,
+          .on_body = on_body };
   enum upstream_result result;
 
   visit->answer.request = visit->request;
--- a/http/http.h
+++ b/http/http.h
@@ -105,6 +105,7 @@
   uint64_t deadline_us;   /* absolute */
   uint64_t first_byte_us; /* absolute; 0 for none */
   bool fresh;             /* do not use a connection that was idle */
+  uint64_t idle_max_us;   /* nor one idle for longer; 0: the pool's limit */
   int caller_fd;          /* watched for its end, or -1 */
   bool background;        /* ends as soon as the pool is stopping */
   void *context;
@@ -112,6 +113,9 @@
   bool (*before_send) (void *context);
   /* Reads the request body: as request_read.  */
   ssize_t (*read_body) (void *context, char *buffer, size_t size);
+  /* Called when first_byte_us has passed; returns the time until which to wait
+     on, or 0 to give the connection up.  NULL gives up.  */
+  uint64_t (*on_silent) (void *context);
   /* Called once, before the body of the answer; false gives up.  */
   bool (*on_head) (void *context, const struct upstream_head *head);
   bool (*on_body) (void *context, const char *data, size_t size);
--- a/http/upstream.c
+++ b/http/upstream.c
@@ -32,12 +32,16 @@
   struct cds_list_head idle;
   unsigned n_idle;
   unsigned n_busy;
+  /* A connection to this address was found dead then: those that were idle at
+     that time are not used again.  */
+  uint64_t suspect_us;
 };
 
 /* One call on one connection.  */
 struct transfer
 {
   const struct upstream_call *call;
+  uint64_t first_byte_us; /* 0 for no limit */
   struct upstream_head head;
   bool sent;
   bool resent;
@@ -126,30 +130,71 @@
   return upstream;
 }
 
-/* Takes the connection that was used last, unless it was idle for too long. */
+/* Takes the first idle connection, which was used last, off the list.  */
 static struct upstream *
-take_upstream (struct upstream_pool *pool, const struct upstream_call *call)
+take_idle (struct upstream_pool *pool, const struct upstream_call *call,
+           uint64_t *suspect_us)
 {
   struct upstream_address *address;
-  struct upstream *upstream = NULL;
+  struct upstream *upstream;
 
-  pthread_mutex_lock (&pool->lock);
+  CP_LOCK_SCOPE (&pool->lock);
   address = get_address (pool, call->address->text);
-  address->n_busy++;
-  if (!call->fresh && address->n_idle > 0)
-    {
-      upstream = cds_list_first_entry (&address->idle, struct upstream, node);
-      cds_list_del (&upstream->node);
-      address->n_idle--;
-    }
-  pthread_mutex_unlock (&pool->lock);
-  if (upstream != NULL
-      && cp_clock_now_us (pool->clock) - upstream->idle_since_us > IDLE_US_MAX)
+  *suspect_us = address->suspect_us;
+  if (call->fresh || address->n_idle == 0)
+    return NULL;
+  upstream = cds_list_first_entry (&address->idle, struct upstream, node);
+  cds_list_del (&upstream->node);
+  address->n_idle--;
+  return upstream;
+}
+
+/* Takes an idle connection that may be used; the others that it meets are
+   closed.  */
+static struct upstream *
+take_upstream (struct upstream_pool *pool, const struct upstream_call *call)
+{
+  uint64_t idle_max = call->idle_max_us == 0 ? IDLE_US_MAX : call->idle_max_us;
+  uint64_t now = cp_clock_now_us (pool->clock);
+  uint64_t suspect_us;
+  struct upstream *upstream;
+
+  while ((upstream = take_idle (pool, call, &suspect_us)) != NULL)
     {
+      if (upstream->idle_since_us > suspect_us
+          && now < upstream->idle_since_us + idle_max)
+        return upstream;
       free_upstream (upstream);
-      upstream = NULL;
     }
-  return upstream == NULL ? new_upstream () : upstream;
+  return new_upstream ();
+}
+
+/* Whether the result makes the other idle connections suspect: no answer came,
+   though the request had been written.  */
+static bool
+is_suspicious (const struct transfer *transfer, enum upstream_result result)
+{
+  if (!transfer->sent || transfer->head.status != 0)
+    return false;
+  return result == UPSTREAM_SILENT || result == UPSTREAM_DEADLINE
+         || result == UPSTREAM_CUT;
+}
+
+/* Counts the call as in flight at its address, or no longer.  */
+static void
+count_busy (struct upstream_pool *pool, const struct upstream_call *call,
+            int change)
+{
+  CP_LOCK_SCOPE (&pool->lock);
+  get_address (pool, call->address->text)->n_busy += (unsigned)change;
+}
+
+static void
+set_suspect (struct upstream_pool *pool, const struct upstream_call *call)
+{
+  CP_LOCK_SCOPE (&pool->lock);
+  get_address (pool, call->address->text)->suspect_us
+      = cp_clock_now_us (pool->clock);
 }
 
 static void
@@ -160,7 +205,6 @@
 
   pthread_mutex_lock (&pool->lock);
   address = get_address (pool, call->address->text);
-  address->n_busy--;
   keep = keep && address->n_idle < IDLE_KEPT_MAX;
   if (keep)
     {
@@ -344,7 +388,7 @@
    UPSTREAM_COMPLETE to go on.  */
 static enum upstream_result
 wait_for_progress (struct upstream_pool *pool, struct upstream *upstream,
-                   const struct transfer *transfer, bool *watch_caller)
+                   struct transfer *transfer, bool *watch_caller)
 {
   const struct upstream_call *call = transfer->call;
   struct curl_waitfd fds[WATCH_COUNT]
@@ -352,16 +396,22 @@
           [WATCH_CALLER] = { call->caller_fd, CURL_WAIT_POLLIN, 0 } };
   uint64_t now = cp_clock_now_us (pool->clock);
   uint64_t until = call->deadline_us;
-  bool silent = call->first_byte_us != 0 && transfer->head.status == 0;
+  bool silent = transfer->first_byte_us != 0 && transfer->head.status == 0;
   unsigned first = call->background ? WATCH_STOP : WATCH_CALLER;
   unsigned end = *watch_caller ? WATCH_COUNT : WATCH_CALLER;
 
   if (now >= call->deadline_us)
     return UPSTREAM_DEADLINE;
-  if (silent && now >= call->first_byte_us)
-    return UPSTREAM_SILENT;
-  if (silent && call->first_byte_us < until)
-    until = call->first_byte_us;
+  if (silent && now >= transfer->first_byte_us)
+    {
+      if (call->on_silent == NULL)
+        return UPSTREAM_SILENT;
+      transfer->first_byte_us = call->on_silent (call->context);
+      return transfer->first_byte_us == 0 ? UPSTREAM_SILENT
+                                          : UPSTREAM_COMPLETE;
+    }
+  if (silent && transfer->first_byte_us < until)
+    until = transfer->first_byte_us;
   curl_multi_poll (upstream->multi, &fds[first], end - first,
                    wait_ms (now, until), NULL);
   if (call->background && fds[WATCH_STOP].revents != 0)
@@ -413,16 +463,24 @@
 enum upstream_result
 upstream_perform (struct upstream_pool *pool, const struct upstream_call *call)
 {
-  struct transfer transfer = { .call = call, .head.length = -1 };
-  struct upstream *upstream = take_upstream (pool, call);
+  struct transfer transfer = { .call = call,
+                               .first_byte_us = call->first_byte_us,
+                               .head.length = -1 };
+  struct upstream *upstream;
   enum upstream_result result;
 
+  count_busy (pool, call, 1);
+  upstream = take_upstream (pool, call);
+
   set_options (pool, upstream->easy, &transfer);
   curl_multi_add_handle (upstream->multi, upstream->easy);
   result = run_transfer (pool, upstream, &transfer);
   curl_multi_remove_handle (upstream->multi, upstream->easy);
   if (result != UPSTREAM_COMPLETE && !transfer.sent)
     result = UPSTREAM_NOT_SENT;
+  if (is_suspicious (&transfer, result))
+    set_suspect (pool, call);
+  count_busy (pool, call, -1);
   return_upstream (pool, call, upstream, result == UPSTREAM_COMPLETE);
   curl_slist_free_all (transfer.head.headers);
   return result;
--- a/lib/settings.c
+++ b/lib/settings.c
@@ -36,6 +36,7 @@
   { "failure_domain", SETTING_TEXT, true, FIELD (failure_domain) },
   { "calls", SETTING_ADDRESS, true, FIELD (calls) },
   { "peers", SETTING_ADDRESS, true, FIELD (peers) },
+  { "peers_listen", SETTING_ADDRESS, false, FIELD (peers_listen) },
   { "admin", SETTING_ADDRESS, true, FIELD (admin) },
   { "configuration_service", SETTING_ADDRESS, true,
     FIELD (configuration_service) },
@@ -179,6 +180,8 @@
   }
   if (check_required (root, path, error) != 0)
     return -1;
+  if (settings->peers_listen.length == 0)
+    settings->peers_listen = settings->peers;
   if (settings->vm_list.length == 0)
     settings->vm_list = settings->configuration_service;
   return 0;
--- a/lib/settings.h
+++ b/lib/settings.h
@@ -5,6 +5,8 @@
    calls                  address for calls of applications and callers
    peers                  address for forwarded calls; the document's "daemon".
                           ONC RPC, UDP and TCP, is at the next port
+   peers_listen           where to listen for forwarded calls when addresses
+                          are translated on the way; default: peers
    admin                  address for /healthz, /state and /metrics
    configuration_service  address of the configuration service
    configuration_key      path of the document there; default /document
@@ -28,6 +30,7 @@
   char failure_domain[CP_NAME_BYTES];
   struct cp_address calls;
   struct cp_address peers;
+  struct cp_address peers_listen;
   struct cp_address admin;
   struct cp_address configuration_service;
   char configuration_key[128];
--- a/regress/harness/harness.c
+++ b/regress/harness/harness.c
@@ -18,6 +18,7 @@
 #define PORT_CALLS 8000
 #define PORT_TARGET 8080
 #define PORT_PEERS 7400
+#define PORT_RELAYED 7500
 #define PORT_ADMIN 7402
 #define PORT_PLATFORM 9000
 #define PLATFORM_VM 250
@@ -234,6 +235,7 @@
 {
   char calls[56];
   char peers[56];
+  char listen[56];
   char admin[56];
   char platform[56];
   char charts[256];
@@ -250,16 +252,20 @@
   snprintf (name, sizeof name, "vm-%u.json", vm);
   write_file (
       fleet, name,
-      json_pack ("{s:s#, s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:s}", "vm",
-                 name, (int)(strlen (name) - strlen (".json")),
-                 "failure_domain", domain, "calls",
-                 fleet_address (fleet, vm, PORT_CALLS, calls), "peers",
-                 fleet_address (fleet, vm, PORT_PEERS, peers), "admin",
-                 fleet_address (fleet, vm, PORT_ADMIN, admin),
-                 "configuration_service",
-                 fleet_address (fleet, PLATFORM_VM, PORT_PLATFORM, platform),
-                 "charts", charts, "call_threads", 32, "peer_threads", 64,
-                 "log_level", "debug"));
+      json_pack (
+          "{s:s#, s:s, s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:s}", "vm",
+          name, (int)(strlen (name) - strlen (".json")), "failure_domain",
+          domain, "calls", fleet_address (fleet, vm, PORT_CALLS, calls),
+          "peers", fleet_address (fleet, vm, PORT_PEERS, peers),
+          "peers_listen",
+          fleet_address (fleet, vm,
+                         fleet->relayed_vm == vm ? PORT_RELAYED : PORT_PEERS,
+                         listen),
+          "admin", fleet_address (fleet, vm, PORT_ADMIN, admin),
+          "configuration_service",
+          fleet_address (fleet, PLATFORM_VM, PORT_PLATFORM, platform),
+          "charts", charts, "call_threads", 32, "peer_threads", 64,
+          "log_level", "debug"));
   process_start (&fleet->daemons[vm], log, "cornelpickd/cornelpickd",
                  "--settings", path, NULL);
 }
--- a/regress/harness/harness.h
+++ b/regress/harness/harness.h
@@ -29,6 +29,7 @@
   unsigned n_vms;
   unsigned n_domains;
   uint64_t version;
+  unsigned relayed_vm; /* its peers port is 7500, behind a relay; 0: none */
   struct process platform;
   struct process targets[FLEET_VMS_MAX + 1]; /* from 1 */
   struct process daemons[FLEET_VMS_MAX + 1]; /* from 1 */
--- /dev/null
+++ b/regress/path/check_attempts_silence.c
@@ -0,0 +1,176 @@
+/* Connections that go silent for good while new ones work.  A relay in front
+   of VM 2's inbound side swallows, drops or holds bytes; RPC goes past it.  */
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "regress/harness/campaign.h"
+#include "regress/harness/relay.h"
+#include "regress/harness/suite.h"
+
+#define CALLS_WARM 10
+#define CALLERS_WARM 4
+#define CALLS 30
+
+struct place
+{
+  struct fleet fleet;
+  struct relay relay;
+  struct campaign campaign;
+  struct campaign_totals totals;
+};
+
+/* Makes calls with several callers, so that some connections are kept.  */
+static void
+run_calls (struct place *place, unsigned callers, unsigned calls,
+           const char *method)
+{
+  struct campaign *campaign = &place->campaign;
+
+  memset (campaign, 0, sizeof *campaign);
+  campaign->fleet = &place->fleet;
+  campaign->method = method;
+  campaign->path = strcmp (method, "POST") == 0 ? "/orders" : "/items/1";
+  campaign->body = strcmp (method, "POST") == 0 ? "leopard" : NULL;
+  campaign->first_vm = campaign->last_vm = 1;
+  campaign->n_callers = callers;
+  campaign->calls_each = calls;
+  campaign_start (campaign);
+}
+
+static void
+begin (struct place *place)
+{
+  char address[56];
+  char server[56];
+  char from[56];
+  struct fleet *fleet = &place->fleet;
+
+  fleet_start (fleet, 3, 3, campaign_gate);
+  process_signal (&fleet->daemons[2], SIGKILL);
+  relay_start (&place->relay, fleet_address (fleet, 2, 7400, address),
+               fleet_address (fleet, 1, 1, from),
+               fleet_address (fleet, 2, 7500, server));
+  fleet->relayed_vm = 2;
+  fleet_start_daemon (fleet, 2);
+  fleet_wait_serving (fleet, 2);
+  run_calls (place, CALLERS_WARM, CALLS_WARM, "POST");
+  campaign_check (&place->campaign, &place->totals);
+  ck_assert_uint_eq (place->totals.told[TOLD_RAN], CALLERS_WARM * CALLS_WARM);
+  ck_assert_uint_gt (relay_connections (&place->relay), 0);
+}
+
+static void
+end (struct place *place)
+{
+  fleet_stop (&place->fleet);
+  relay_stop (&place->relay);
+}
+
+START_TEST (idempotent_calls_succeed_elsewhere)
+{
+  static struct place place;
+  unsigned swallowed;
+
+  begin (&place);
+  relay_silence (&place.relay, RELAY_SWALLOW);
+  run_calls (&place, 1, CALLS, "GET");
+  campaign_check (&place.campaign, &place.totals);
+  ck_assert_uint_eq (place.totals.told[TOLD_RAN], CALLS);
+  ck_assert_uint_eq (
+      fleet_counter (&place.fleet, 1, "silent_connections_total"), 1);
+  swallowed = relay_swallowed (&place.relay);
+  ck_assert_uint_gt (swallowed, 0);
+  run_calls (&place, CALLERS_WARM, CALLS, "GET");
+  campaign_check (&place.campaign, &place.totals);
+  ck_assert_uint_eq (relay_swallowed (&place.relay), swallowed);
+  end (&place);
+}
+END_TEST
+
+START_TEST (orders_that_never_arrived_run_elsewhere)
+{
+  static struct place place;
+
+  begin (&place);
+  relay_silence (&place.relay, RELAY_SWALLOW);
+  run_calls (&place, 1, CALLS, "POST");
+  campaign_check (&place.campaign, &place.totals);
+  ck_assert_uint_eq (place.totals.told[TOLD_RAN], CALLS);
+  ck_assert_uint_gt (relay_swallowed (&place.relay), 0);
+  end (&place);
+}
+END_TEST
+
+START_TEST (orders_whose_answer_is_lost_are_unknown)
+{
+  static struct place place;
+
+  begin (&place);
+  relay_silence (&place.relay, RELAY_DROP_ANSWER);
+  run_calls (&place, 1, CALLS, "POST");
+  campaign_check (&place.campaign, &place.totals);
+  ck_assert_uint_eq (place.totals.told[TOLD_UNKNOWN], 1);
+  ck_assert_uint_eq (place.totals.told[TOLD_RAN], CALLS - 1);
+  ck_assert_uint_eq (place.totals.runs, CALLERS_WARM * CALLS_WARM + CALLS);
+  end (&place);
+}
+END_TEST
+
+static bool
+was_refused (void *context)
+{
+  return fleet_counter (context, 2, "refused_duplicate_total") > 0;
+}
+
+/* The attempt is held on its way, fenced, run elsewhere, and then arrives.  */
+START_TEST (a_held_order_that_arrives_after_its_fence_is_refused)
+{
+  static struct place place;
+
+  begin (&place);
+  relay_hold (&place.relay, true);
+  run_calls (&place, 1, CALLS, "POST");
+  campaign_check (&place.campaign, &place.totals);
+  ck_assert_uint_eq (place.totals.told[TOLD_RAN], CALLS);
+  relay_hold (&place.relay, false);
+  wait_until (was_refused, &place.fleet);
+  run_calls (&place, 1, 1, "POST");
+  campaign_check (&place.campaign, &place.totals);
+  ck_assert_uint_eq (place.totals.runs, CALLERS_WARM * CALLS_WARM + CALLS + 1);
+  end (&place);
+}
+END_TEST
+
+/* A slow target is not taken for a silent connection.  */
+START_TEST (slow_answers_are_waited_for)
+{
+  static struct place place;
+
+  begin (&place);
+  fleet_control (&place.fleet, 2, "{\"fixed_ms\": 700}");
+  fleet_control (&place.fleet, 3, "{\"fixed_ms\": 700}");
+  run_calls (&place, 2, 3, "POST");
+  campaign_check (&place.campaign, &place.totals);
+  ck_assert_uint_eq (place.totals.told[TOLD_RAN], 6);
+  ck_assert_uint_eq (
+      fleet_counter (&place.fleet, 1, "silent_connections_total"), 0);
+  end (&place);
+}
+END_TEST
+
+static void
+add_tests (TCase *tests)
+{
+  tcase_add_test (tests, idempotent_calls_succeed_elsewhere);
+  tcase_add_test (tests, orders_that_never_arrived_run_elsewhere);
+  tcase_add_test (tests, orders_whose_answer_is_lost_are_unknown);
+  tcase_add_test (tests, a_held_order_that_arrives_after_its_fence_is_refused);
+  tcase_add_test (tests, slow_answers_are_waited_for);
+}
+
+int
+main (void)
+{
+  return suite_run ("attempts_silence", add_tests, 90);
+}
