Keep answers of other requests from callers

Cause: the new test every_caller_gets_its_own_whole_answer failed with 21 wrong answers of 800: an answer that nobody asked for, waiting on a kept connection, was taken for that to the next request. The test cut_answers_reset_the_connection_of_old_callers saw a clean end after 3435 bytes of a cut answer.

Change: a kept connection on which anything has come is closed instead of used; answers between daemons name their attempt and others are dropped and counted; a target that repeats the request ID is checked too. A cut answer to an HTTP/1.0 caller resets its connection. Tests get a target that answers byte by byte as scripted.

Conclusion: what is left is a target that sends an unasked answer, without a request ID, after the next request was written.

--- a/cornelpickd/attempt.c
+++ b/cornelpickd/attempt.c
@@ -103,6 +103,22 @@
       peers, address, cp_clock_now_us (peers->clock) - attempt->started_us);
 }
 
+/* Whether the answer names this attempt.  */
+static bool
+is_own_answer (const struct attempt *attempt, const struct upstream_head *head)
+{
+  char own[CP_ID_TEXT_BYTES];
+  char named[CP_ID_TEXT_BYTES];
+
+  if (!head_value (head, HEADER_ATTEMPT, named, sizeof named))
+    return false;
+  cp_id_text (&attempt->id, own);
+  if (strcmp (named, own) == 0)
+    return true;
+  daemon_count (attempt->call->outbound->daemon, COUNT_MIXED_ANSWERS);
+  return false;
+}
+
 /* Reads the outcome that the inbound side states.  An answer without one does
    not come from the target but from the HTTP server in front of it.  */
 static enum attempt_outcome
@@ -113,6 +129,8 @@
 
   if (!attempt->target.has_daemon)
     return ATTEMPT_RAN;
+  if (!is_own_answer (attempt, head))
+    return ATTEMPT_UNKNOWN;
   if (!head_value (head, HEADER_OUTCOME, outcome, sizeof outcome))
     return ATTEMPT_UNKNOWN;
   if (strcmp (outcome, "ran") == 0)
--- a/cornelpickd/forward.c
+++ b/cornelpickd/forward.c
@@ -201,4 +201,8 @@
     mg_disable_connection_keep_alive (connection);
   if (whole && answer->chunked)
     mg_send_chunk (connection, "", 0);
+  /* Without length and chunks, the end of the connection ends the answer.  */
+  if (!whole && !answer->chunked && answer->length < 0
+      && !answer->without_body)
+    request_reset (answer->request);
 }
--- a/cornelpickd/inbound.c
+++ b/cornelpickd/inbound.c
@@ -11,6 +11,7 @@
 /* A connection idle for longer is not used for a call that runs once.  */
 #define IDLE_ONCE_US (CP_US_PER_S)
 #define SLOTS_DEFAULT 12
+#define OWN_HEADERS_BYTES 768
 
 /* A forwarded call at the inbound side.  */
 struct visit
@@ -102,22 +103,25 @@
   struct cp_report report;
   char load[CP_REPORT_TEXT_BYTES];
   char clock[CP_PEER_CLOCK_TEXT_BYTES];
+  char attempt[CP_ID_TEXT_BYTES];
 
   inbound_report (visit->inbound, &report);
   cp_report_text (&report, load);
   cp_peer_clock_text (daemon->incarnation, cp_clock_now_us (daemon->clock),
                       clock);
+  cp_id_text (&visit->attempt, attempt);
   snprintf (text, size,
             HEADER_OUTCOME ": %s\r\n" HEADER_LOAD ": %s\r\n" HEADER_CLOCK
-                           ": %s\r\n" HEADER_FROM ": %s\r\n",
-            outcome, load, clock, daemon->settings.vm);
+                           ": %s\r\n" HEADER_FROM ": %s\r\n" HEADER_ATTEMPT
+                           ": %s\r\n",
+            outcome, load, clock, daemon->settings.vm, attempt);
 }
 
 static void
 refuse (struct visit *visit, int status, const char *outcome,
         const char *reason)
 {
-  char headers[512];
+  char headers[OWN_HEADERS_BYTES];
 
   own_headers (visit, outcome, headers, sizeof headers);
   request_answer (visit->request, status, headers, "text/plain", reason);
@@ -217,8 +221,19 @@
 on_head (void *context, const struct upstream_head *head)
 {
   struct visit *visit = context;
-  char headers[512];
-
+  const char *asked = request_header (visit->request, HEADER_REQUEST);
+  char answered[CP_ID_TEXT_BYTES];
+  char headers[OWN_HEADERS_BYTES];
+
+  /* A target may repeat the request ID; another one shows that this answer is
+     not for this request.  */
+  if (asked != NULL
+      && head_value (head, HEADER_REQUEST, answered, sizeof answered)
+      && strcmp (asked, answered) != 0)
+    {
+      daemon_count (visit->inbound->daemon, COUNT_MIXED_ANSWERS);
+      return false;
+    }
   own_headers (visit, "ran", headers, sizeof headers);
   return answer_head (&visit->answer, head, headers);
 }
--- a/cornelpickd/metrics.c
+++ b/cornelpickd/metrics.c
@@ -48,6 +48,8 @@
   [COUNT_PAUSES] = { "pauses_total", "Pauses of this process noticed." },
   [COUNT_LATE_STARTS]
   = { "late_starts_total", "Attempts started after their deadline." },
+  [COUNT_MIXED_ANSWERS]
+  = { "mixed_answers_total", "Answers dropped as those of other requests." },
 };
 
 char *
--- a/http/http.h
+++ b/http/http.h
@@ -62,6 +62,10 @@
 void request_answer (struct request *request, int status, const char *headers,
                      const char *type, const char *body);
 
+/* Ends the caller's connection by a reset, so that the answer sent so far can
+   not be taken for a whole one.  */
+void request_reset (const struct request *request);
+
 /* Returns whether the caller has closed its connection.  */
 bool request_caller_gone (const struct request *request);
 
--- a/http/listener.c
+++ b/http/listener.c
@@ -209,6 +209,16 @@
              head ? "" : body);
 }
 
+void
+request_reset (const struct request *request)
+{
+  const struct sockaddr nowhere = { .sa_family = AF_UNSPEC };
+
+  /* For TCP this drops what is unsent and sends a reset (connect(2)).  */
+  if (request->caller_fd >= 0)
+    connect (request->caller_fd, &nowhere, sizeof nowhere);
+}
+
 bool
 request_caller_gone (const struct request *request)
 {
--- a/http/upstream.c
+++ b/http/upstream.c
@@ -24,6 +24,7 @@
   CURL *easy;
   CURLM *multi;
   uint64_t idle_since_us;
+  int fd; /* the connection's socket, or -1 */
 };
 
 /* The idle connections to one address.  */
@@ -127,9 +128,22 @@
   if (upstream->easy == NULL || upstream->multi == NULL)
     abort ();
   curl_multi_setopt (upstream->multi, CURLMOPT_MAXCONNECTS, 1L);
+  upstream->fd = -1;
   return upstream;
 }
 
+/* Whether nothing has come on an idle connection, not even its end.  Bytes
+   that no request asked for would be taken for the answer to the next.  */
+static bool
+is_quiet (const struct upstream *upstream)
+{
+  char byte;
+
+  return upstream->fd >= 0
+         && recv (upstream->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0
+         && errno == EAGAIN;
+}
+
 /* Takes the first idle connection, which was used last, off the list.  */
 static struct upstream *
 take_idle (struct upstream_pool *pool, const struct upstream_call *call,
@@ -162,7 +176,7 @@
   while ((upstream = take_idle (pool, call, &suspect_us)) != NULL)
     {
       if (upstream->idle_since_us > suspect_us
-          && now < upstream->idle_since_us + idle_max)
+          && now < upstream->idle_since_us + idle_max && is_quiet (upstream))
         return upstream;
       free_upstream (upstream);
     }
@@ -308,6 +322,29 @@
   return 0;
 }
 
+/* libcurl opens and closes sockets through these two.  */
+static curl_socket_t
+open_socket (void *context, curlsocktype purpose,
+             struct curl_sockaddr *address)
+{
+  struct upstream *upstream = context;
+
+  (void)purpose;
+  upstream->fd = socket (address->family, address->socktype | SOCK_CLOEXEC,
+                         address->protocol);
+  return upstream->fd;
+}
+
+static int
+close_socket (void *context, curl_socket_t fd)
+{
+  struct upstream *upstream = context;
+
+  if (upstream->fd == fd)
+    upstream->fd = -1;
+  return close (fd);
+}
+
 static void
 set_body_options (CURL *easy, struct transfer *transfer)
 {
@@ -330,9 +367,10 @@
 }
 
 static void
-set_options (const struct upstream_pool *pool, CURL *easy,
+set_options (const struct upstream_pool *pool, struct upstream *upstream,
              struct transfer *transfer)
 {
+  CURL *easy = upstream->easy;
   const struct upstream_call *call = transfer->call;
   char url[CP_ADDRESS_TEXT_BYTES + 16];
 
@@ -347,6 +385,10 @@
   curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->headers);
+  curl_easy_setopt (easy, CURLOPT_OPENSOCKETFUNCTION, open_socket);
+  curl_easy_setopt (easy, CURLOPT_OPENSOCKETDATA, upstream);
+  curl_easy_setopt (easy, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
+  curl_easy_setopt (easy, CURLOPT_CLOSESOCKETDATA, upstream);
   curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, before_send);
   curl_easy_setopt (easy, CURLOPT_PREREQDATA, transfer);
   curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, take_header);
@@ -472,7 +514,7 @@
   count_busy (pool, call, 1);
   upstream = take_upstream (pool, call);
 
-  set_options (pool, upstream->easy, &transfer);
+  set_options (pool, upstream, &transfer);
   curl_multi_add_handle (upstream->multi, upstream->easy);
   result = run_transfer (pool, upstream, &transfer);
   curl_multi_remove_handle (upstream->multi, upstream->easy);
--- /dev/null
+++ b/regress/harness/script_target.h
@@ -0,0 +1,44 @@
+/* A target that answers as scripted, byte by byte: what its HTTP answers look
+   like follows from the last part of the path.
+
+   whole       Content-Length and a whole body
+   chunked     a whole chunked body
+   closed      no length; the end of the connection ends the body
+   short       Content-Length of twice the bytes that follow, then the end
+   long        more bytes than Content-Length says
+   cutchunk    a chunked body without its last chunk, then the end
+   excess      a whole answer and another that nobody asked for, at once
+   stray       the same, the other 20 ms later and with another request ID
+   interim     an interim 103 before the answer
+   204, 304    these statuses, without a body
+   early       an answer before the body of the request is read
+   continue    100 before the body is read
+   A body is the request ID, repeated SCRIPT_REPEATS times.  */
+#ifndef SCRIPT_TARGET_H
+#define SCRIPT_TARGET_H
+
+#include <pthread.h>
+
+#include "regress/harness/harness.h"
+
+#define SCRIPT_REPEATS 200
+#define SCRIPT_CONNECTIONS_MAX 512
+
+struct script_target
+{
+  pthread_t thread;
+  int listen_fd;
+  bool stop;
+  unsigned n_connections;
+  pthread_t connections[SCRIPT_CONNECTIONS_MAX];
+};
+
+void script_target_start (struct script_target *target, const char *address);
+
+/* Ends the threads; their connections must have been closed.  */
+void script_target_stop (struct script_target *target);
+
+/* Composes the body that belongs to a request ID.  */
+void script_body (const char *request, GString *body);
+
+#endif
--- /dev/null
+++ b/regress/path/check_attempts_answers.c
@@ -0,0 +1,321 @@
+/* The whole answer to one's own request, whatever the target sends.  */
+#include <curl/curl.h>
+#include <errno.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "regress/harness/campaign.h"
+#include "regress/harness/script_target.h"
+#include "regress/harness/suite.h"
+#include "regress/harness/wire.h"
+
+#define CALLERS 8
+#define CALLS_EACH 100
+#define EARLY_BYTES 4000000
+
+/* What a caller should see of each kind of answer.  */
+struct expected
+{
+  const char *kind;
+  int status;
+  bool body; /* the whole body, else none */
+  bool cut;  /* must not look whole */
+};
+
+static const struct expected table[]
+    = { { "whole", 200, true, false },    { "chunked", 200, true, false },
+        { "closed", 200, true, false },   { "short", 200, false, true },
+        { "cutchunk", 200, false, true }, { "excess", 200, true, false },
+        { "interim", 200, true, false },  { "204", 204, false, false },
+        { "304", 304, false, false } };
+
+struct place
+{
+  struct fleet fleet;
+  struct script_target target;
+};
+
+static void
+begin (struct place *place)
+{
+  char address[56];
+
+  fleet_start (&place->fleet, 2, 2, campaign_gate);
+  process_signal (&place->fleet.targets[2], SIGKILL);
+  script_target_start (&place->target,
+                       fleet_address (&place->fleet, 2, 8080, address));
+}
+
+static void
+end (struct place *place)
+{
+  fleet_stop (&place->fleet);
+  script_target_stop (&place->target);
+}
+
+/* A caller that keeps its connection.  */
+struct caller
+{
+  struct place *place;
+  pthread_t thread;
+  unsigned seed;
+  unsigned wrong;
+  char first_wrong[256];
+};
+
+static size_t
+append (char *data, size_t size, size_t count, void *context)
+{
+  g_string_append_len (context, data, (gssize)(size * count));
+  return size * count;
+}
+
+/* Compares an answer with what is expected; the body must be that of the
+   request ID in the head.  */
+static bool
+is_right (const struct expected *expected, CURLcode code, long status,
+          const struct reply *reply)
+{
+  GString *body = g_string_new (NULL);
+  char id[40] = "";
+  bool right;
+
+  reply_header (reply, "Cornelpick-Request", id, sizeof id);
+  script_body (id, body);
+  if (expected->cut)
+    right = code != CURLE_OK
+            && strncmp (body->str, reply->body->str, reply->body->len) == 0;
+  else if (expected->body)
+    right = code == CURLE_OK && status == expected->status
+            && strcmp (body->str, reply->body->str) == 0;
+  else
+    right = code == CURLE_OK && status == expected->status
+            && reply->body->len == 0;
+  g_string_free (body, TRUE);
+  return right;
+}
+
+static void
+make_call (struct caller *caller, CURL *easy, const struct expected *expected)
+{
+  struct reply reply;
+  char url[160];
+  char address[56];
+  long status = 0;
+  CURLcode code;
+
+  reply_init (&reply);
+  snprintf (url, sizeof url, "http://%s/items/%s",
+            fleet_address (&caller->place->fleet, 1, 8000, address),
+            expected->kind);
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, append);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, reply.body);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, append);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, reply.head);
+  code = curl_easy_perform (easy);
+  curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &status);
+  if (!is_right (expected, code, status, &reply))
+    {
+      if (caller->wrong++ == 0)
+        snprintf (caller->first_wrong, sizeof caller->first_wrong,
+                  "%s: code %d, status %ld, %zu bytes", expected->kind,
+                  (int)code, status, reply.body->len);
+    }
+  reply_finish (&reply);
+}
+
+static void *
+make_calls (void *context)
+{
+  struct caller *caller = context;
+  CURL *easy = curl_easy_init ();
+  struct curl_slist *headers = curl_slist_append (NULL, "Host: shop.example");
+
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, 20000L);
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
+  for (unsigned i = 0; i < CALLS_EACH; i++)
+    make_call (caller, easy,
+               &table[(caller->seed + i * 7) % G_N_ELEMENTS (table)]);
+  curl_slist_free_all (headers);
+  curl_easy_cleanup (easy);
+  return NULL;
+}
+
+START_TEST (every_caller_gets_its_own_whole_answer)
+{
+  static struct place place;
+  struct caller callers[CALLERS];
+
+  begin (&place);
+  for (unsigned i = 0; i < CALLERS; i++)
+    {
+      callers[i] = (struct caller){ .place = &place, .seed = i };
+      pthread_create (&callers[i].thread, NULL, make_calls, &callers[i]);
+    }
+  for (unsigned i = 0; i < CALLERS; i++)
+    {
+      pthread_join (callers[i].thread, NULL);
+      ck_assert_msg (callers[i].wrong == 0, "%u wrong, first %s",
+                     callers[i].wrong, callers[i].first_wrong);
+    }
+  end (&place);
+}
+END_TEST
+
+START_TEST (excess_bytes_do_not_reach_the_next_caller)
+{
+  static struct place place;
+  struct reply reply;
+  GString *body = g_string_new (NULL);
+  char id[40];
+
+  begin (&place);
+  reply_init (&reply);
+  for (unsigned i = 0; i < 20; i++)
+    {
+      fleet_call (&place.fleet, &reply, 1, "GET",
+                  i % 2 == 0 ? "/items/long" : "/items/whole", NULL, NULL);
+      ck_assert_msg (reply.status == 200, "call %u: %d %s", i, reply.status,
+                     reply.head->str);
+      ck_assert (reply_header (&reply, "Cornelpick-Request", id, sizeof id));
+      script_body (id, body);
+      ck_assert_uint_eq (reply.body->len,
+                         i % 2 == 0 ? body->len / 2 : body->len);
+      ck_assert_int_eq (strncmp (body->str, reply.body->str, reply.body->len),
+                        0);
+    }
+  reply_finish (&reply);
+  g_string_free (body, TRUE);
+  end (&place);
+}
+END_TEST
+
+/* The target sends an answer that nobody asked for, which may meet the next
+   request on the connection; its request ID gives it away.  */
+START_TEST (stray_answers_are_dropped)
+{
+  static struct place place;
+  struct reply reply;
+  GString *body = g_string_new (NULL);
+  char id[40];
+  unsigned whole = 0;
+
+  begin (&place);
+  reply_init (&reply);
+  for (unsigned i = 0; i < 60; i++)
+    {
+      fleet_call (&place.fleet, &reply, 1, "GET",
+                  i % 2 == 0 ? "/items/stray" : "/items/whole", NULL, NULL);
+      ck_assert (reply_header (&reply, "Cornelpick-Request", id, sizeof id));
+      script_body (id, body);
+      if (reply.status == 200)
+        ck_assert_str_eq (body->str, reply.body->str);
+      else
+        ck_assert_int_eq (reply.status, 502);
+      whole += reply.status == 200;
+      usleep (i % 3 * 15000);
+    }
+  ck_assert_uint_ge (whole, 30);
+  reply_finish (&reply);
+  g_string_free (body, TRUE);
+  end (&place);
+}
+END_TEST
+
+START_TEST (heads_have_no_body)
+{
+  static struct place place;
+  struct reply reply;
+  char length[24];
+
+  begin (&place);
+  reply_init (&reply);
+  for (unsigned i = 0; i < 6; i++)
+    {
+      fleet_call (&place.fleet, &reply, 1, i % 2 == 0 ? "HEAD" : "GET",
+                  "/items/whole", NULL, NULL);
+      ck_assert_int_eq (reply.status, 200);
+      ck_assert (
+          reply_header (&reply, "Content-Length", length, sizeof length));
+      ck_assert_int_eq (atoi (length), 33 * SCRIPT_REPEATS);
+      ck_assert_uint_eq (reply.body->len,
+                         i % 2 == 0 ? 0 : 33 * SCRIPT_REPEATS);
+    }
+  reply_finish (&reply);
+  end (&place);
+}
+END_TEST
+
+START_TEST (answers_before_the_body_was_read_are_passed_on)
+{
+  static struct place place;
+  struct reply reply;
+  char *upload = g_strnfill (EARLY_BYTES, 'u');
+  GString *body = g_string_new (NULL);
+  char id[40];
+
+  begin (&place);
+  reply_init (&reply);
+  fleet_call (&place.fleet, &reply, 1, "PUT", "/uploads/continue", NULL,
+              upload);
+  ck_assert_int_eq (reply.status, 200);
+  fleet_call (&place.fleet, &reply, 1, "PUT", "/uploads/early", NULL, upload);
+  ck_assert_int_eq (reply.status, 413);
+  ck_assert (reply_header (&reply, "Cornelpick-Request", id, sizeof id));
+  script_body (id, body);
+  ck_assert_str_eq (body->str, reply.body->str);
+  fleet_call (&place.fleet, &reply, 1, "GET", "/items/whole", NULL, NULL);
+  ck_assert_int_eq (reply.status, 200);
+  reply_finish (&reply);
+  g_string_free (body, TRUE);
+  g_free (upload);
+  end (&place);
+}
+END_TEST
+
+/* A caller of HTTP/1.0 takes the end of the connection for the end of the
+   answer: one that was cut must end in an error.  */
+START_TEST (cut_answers_reset_the_connection_of_old_callers)
+{
+  static struct place place;
+  char address[56];
+  char buffer[4096];
+  ssize_t count;
+  size_t total = 0;
+  int fd;
+
+  begin (&place);
+  fd = wire_open (&place.fleet, 1,
+                  fleet_address (&place.fleet, 1, 8000, address));
+  wire_send (fd, "GET /items/cutchunk HTTP/1.0\r\nHost: shop.example\r\n\r\n");
+  while ((count = recv (fd, buffer, sizeof buffer, 0)) > 0)
+    total += (size_t)count;
+  ck_assert_msg (count < 0, "a clean end after %zu bytes", total);
+  ck_assert_int_eq (errno, ECONNRESET);
+  close (fd);
+  end (&place);
+}
+END_TEST
+
+static void
+add_tests (TCase *tests)
+{
+  tcase_add_test (tests, every_caller_gets_its_own_whole_answer);
+  tcase_add_test (tests, excess_bytes_do_not_reach_the_next_caller);
+  tcase_add_test (tests, stray_answers_are_dropped);
+  tcase_add_test (tests, heads_have_no_body);
+  tcase_add_test (tests, answers_before_the_body_was_read_are_passed_on);
+  tcase_add_test (tests, cut_answers_reset_the_connection_of_old_callers);
+}
+
+int
+main (void)
+{
+  return suite_run ("attempts_answers", add_tests, 90);
+}
