--- a/cornelpick/common.c
+++ b/cornelpick/common.c
@@ -62,3 +62,17 @@
                        "check that this is the admin address of a daemon",
                        "answered with status %d", status);
 }
+
+int
+read_file (const char *path, char **text, size_t *length,
+           struct cp_error *error)
+{
+  GError *fault = NULL;
+
+  if (g_file_get_contents (path, text, length, &fault))
+    return 0;
+  cp_error_set (error, CP_ERROR_IO, path, "name a file that can be read", "%s",
+                fault->message);
+  g_error_free (fault);
+  return -1;
+}
--- a/cornelpick/cornelpick.h
+++ b/cornelpick/cornelpick.h
@@ -25,6 +25,7 @@
 };
 
 int command_check (int argc, char **argv);
+int command_diff (int argc, char **argv);
 int command_state (int argc, char **argv);
 int command_run (int argc, char **argv);
 
@@ -37,6 +38,11 @@
 /* Prints ERROR; returns STATUS_FINDING.  */
 int report_error (const struct cp_error *error);
 
+/* Reads the file at PATH into *TEXT, which the caller frees.  Returns 0, or -1
+   with ERROR set.  */
+int read_file (const char *path, char **text, size_t *length,
+               struct cp_error *error);
+
 /* Reads PATH from the admin address TEXT.  Returns 0, or -1 with ERROR set. */
 int admin_get (const char *text, const char *path, GString *body,
                struct cp_error *error);
--- a/cornelpick/main.c
+++ b/cornelpick/main.c
@@ -5,7 +5,8 @@
 #include "cornelpick/cornelpick.h"
 
 static const struct command commands[] = {
-  { "check", "FILE", command_check },
+  { "check", "[--section NAME] [--json] FILE", command_check },
+  { "diff", "OLD NEW", command_diff },
   { "run", "--document FILE SETTINGS", command_run },
   { "state", "[--json] [--wait-serving SECONDS] ADDRESS", command_state },
 };
--- a/cornelpick/run.c
+++ b/cornelpick/run.c
@@ -102,7 +102,7 @@
             "The document to serve", "FILE" },
           G_OPTION_ENTRY_NULL };
   CP_AUTO_FREE char *text = NULL;
-  gsize length;
+  size_t length;
   struct cp_settings settings;
   struct cp_error error;
   struct cp_document *document;
@@ -113,12 +113,8 @@
     return usage ();
   if (cp_settings_load (&settings, argv[1], &error) != 0)
     return report_error (&error);
-  if (!g_file_get_contents (document_file, &text, &length, NULL))
-    {
-      cp_error_set (&error, CP_ERROR_IO, document_file,
-                    "name a file that can be read", "can not be read");
-      return report_error (&error);
-    }
+  if (read_file (document_file, &text, &length, &error) != 0)
+    return report_error (&error);
   document = cp_document_compile (document_file, text, length, &error);
   if (document == NULL)
     return report_error (&error);
--- a/lib/address.c
+++ b/lib/address.c
@@ -14,7 +14,7 @@
   if (*text < '0' || *text > '9')
     return false;
   value = strtol (text, &end, 10);
-  if (*end != '\0' || value < 1 || value > 65535)
+  if (*end != '\0' || value < 1 || value > CP_PORT_MAX)
     return false;
   *port = htons ((in_port_t)value);
   return true;
--- a/lib/address.h
+++ b/lib/address.h
@@ -8,6 +8,7 @@
 #include <stddef.h>
 
 #define CP_ADDRESS_TEXT_BYTES 56
+#define CP_PORT_MAX 65535
 
 struct cp_address
 {
--- a/lib/document.h
+++ b/lib/document.h
@@ -7,6 +7,7 @@
 #ifndef CP_DOCUMENT_H
 #define CP_DOCUMENT_H
 
+#include <glib.h>
 #include <jansson.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -117,12 +118,13 @@
   struct cp_fleet fleet;
   struct cp_service *services;
   unsigned n_services;
+  GHashTable *routes; /* index of all routes, see lib/routes.h */
   unsigned references;
 };
 
-/* Compiles TEXT of LENGTH bytes; NAME is used in messages.  Returns NULL with
-   ERROR set when the document can not be used.  The caller owns one
-   reference.  */
+/* Checks and compiles TEXT of LENGTH bytes; NAME is used in messages.  Returns
+   NULL with ERROR set to the first fault when the document can not be used.
+   The caller owns one reference.  */
 struct cp_document *cp_document_compile (const char *name, const char *text,
                                          size_t length,
                                          struct cp_error *error);
--- /dev/null
+++ b/lib/faults.h
@@ -0,0 +1,54 @@
+/* Faults of a document: all of them, each with place, remedy and owner.  */
+#ifndef CP_FAULTS_H
+#define CP_FAULTS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <urcu/list.h>
+
+/* Further faults are counted, not kept.  */
+#define CP_FAULTS_MAX 1000
+
+struct cp_fault
+{
+  struct cds_list_head node;
+  unsigned line;
+  char section[64];
+  char path[160];
+  char problem[224];
+  char remedy[160];
+  char owner[64]; /* empty when no section's owner is known */
+};
+
+struct cp_faults
+{
+  struct cds_list_head list; /* of struct cp_fault, in the order found */
+  unsigned count;            /* also of those that were not kept */
+};
+
+void cp_faults_init (struct cp_faults *faults);
+void cp_faults_finish (struct cp_faults *faults);
+
+/* Returns whether further faults are only counted, so that their messages need
+   not be composed.  */
+static inline bool
+cp_faults_full (const struct cp_faults *faults)
+{
+  return faults->count >= CP_FAULTS_MAX;
+}
+
+/* Adds a fault; SECTION and OWNER may be empty.  PROBLEM is a printf format
+   for the arguments that follow.  */
+void cp_faults_add (struct cp_faults *faults, unsigned line,
+                    const char *section, const char *path, const char *owner,
+                    const char *remedy, const char *problem, ...)
+    __attribute__ ((format (printf, 7, 8)));
+
+/* Writes "FILE:LINE: SECTION/PATH: PROBLEM; REMEDY (OWNER)".  */
+void cp_fault_text (const struct cp_fault *fault, const char *file, char *text,
+                    size_t size);
+
+/* Returns whether a fault was found in SECTION.  */
+bool cp_faults_in (const struct cp_faults *faults, const char *section);
+
+#endif
--- /dev/null
+++ b/lib/locate.c
@@ -0,0 +1,284 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+#include <yajl/yajl_parse.h>
+
+#include "lib/cleanup.h"
+#include "lib/locate.h"
+
+/* One open object or list.  */
+struct level
+{
+  bool is_list;
+  unsigned index;     /* of the list's next entry */
+  size_t path_length; /* of the path of the object or list itself */
+};
+
+/* The path of the value that is read.  */
+struct path
+{
+  size_t length;
+  char text[CP_PATH_BYTES];
+};
+
+struct reader
+{
+  struct cp_lines *lines;
+  struct cp_faults *faults;
+  unsigned line;
+  unsigned depth;
+  bool too_deep;
+  struct level levels[CP_JSON_DEPTH_MAX];
+  struct path path;
+};
+
+/* The table is keyed by the hash itself, which needs no copies of paths.  Two
+   paths with one hash would be reported as one member that is there twice.  */
+static gpointer
+path_key (const char *path, size_t length)
+{
+  return (gpointer)(uintptr_t)XXH3_64bits (path, length);
+}
+
+/* Cuts the path back to that of the innermost open object or list.  */
+static void
+cut_path (struct reader *reader)
+{
+  reader->path.length = reader->levels[reader->depth - 1].path_length;
+}
+
+static void
+append (struct reader *reader, const char *text, size_t length)
+{
+  struct path *path = &reader->path;
+
+  length = MIN (length, sizeof path->text - path->length);
+  memcpy (path->text + path->length, text, length);
+  path->length += length;
+}
+
+static void
+append_index (struct reader *reader, unsigned index)
+{
+  char text[16];
+  int length = snprintf (text, sizeof text, "[%u]", index);
+
+  append (reader, text, (size_t)length);
+}
+
+/* Notes that the value at the path is at the current line.  */
+static void
+note_line (struct reader *reader)
+{
+  g_hash_table_insert (reader->lines->lines,
+                       path_key (reader->path.text, reader->path.length),
+                       GUINT_TO_POINTER (reader->line));
+}
+
+static bool
+in_list (const struct reader *reader)
+{
+  return reader->depth > 0 && reader->levels[reader->depth - 1].is_list;
+}
+
+static int
+open_level (struct reader *reader, bool is_list)
+{
+  if (in_list (reader))
+    {
+      cut_path (reader);
+      append_index (reader, reader->levels[reader->depth - 1].index++);
+    }
+  note_line (reader);
+  if (reader->depth == CP_JSON_DEPTH_MAX)
+    {
+      reader->too_deep = true;
+      return 0;
+    }
+  reader->levels[reader->depth++]
+      = (struct level){ .is_list = is_list,
+                        .path_length = reader->path.length };
+  return 1;
+}
+
+static int
+close_level (void *context)
+{
+  struct reader *reader = context;
+
+  cut_path (reader);
+  reader->depth--;
+  return 1;
+}
+
+/* An entry of a list that is no object or list has the line of the list.  */
+static int
+on_scalar (void *context)
+{
+  struct reader *reader = context;
+
+  if (!in_list (reader))
+    note_line (reader);
+  return 1;
+}
+
+static int
+on_boolean (void *context, int value)
+{
+  (void)value;
+  return on_scalar (context);
+}
+
+static int
+on_text (void *context, const unsigned char *text, size_t length)
+{
+  (void)text;
+  (void)length;
+  return on_scalar (context);
+}
+
+static int
+on_number (void *context, const char *text, size_t length)
+{
+  (void)text;
+  (void)length;
+  return on_scalar (context);
+}
+
+static int
+on_object (void *context)
+{
+  return open_level (context, false);
+}
+
+static int
+on_list (void *context)
+{
+  return open_level (context, true);
+}
+
+static int
+on_key (void *context, const unsigned char *text, size_t length)
+{
+  struct reader *reader = context;
+
+  cut_path (reader);
+  if (reader->path.length > 0)
+    append (reader, "/", 1);
+  append (reader, (const char *)text, length);
+  if (g_hash_table_contains (
+          reader->lines->lines,
+          path_key (reader->path.text, reader->path.length)))
+    {
+      CP_AUTO_FREE char *path
+          = g_strndup (reader->path.text, reader->path.length);
+
+      cp_faults_add (reader->faults, reader->line, "", path, "",
+                     "keep one of them", "\"%.*s\" is there twice",
+                     (int)MIN (length, 40), (const char *)text);
+    }
+  return 1;
+}
+
+static const yajl_callbacks callbacks = { .yajl_null = on_scalar,
+                                          .yajl_boolean = on_boolean,
+                                          .yajl_number = on_number,
+                                          .yajl_string = on_text,
+                                          .yajl_start_map = on_object,
+                                          .yajl_map_key = on_key,
+                                          .yajl_end_map = close_level,
+                                          .yajl_start_array = on_list,
+                                          .yajl_end_array = close_level };
+
+/* Adds yajl's message, cut to its first line.  */
+static void
+add_syntax_fault (struct reader *reader, yajl_handle parser)
+{
+  unsigned char *message = yajl_get_error (parser, 0, NULL, 0);
+  char *text = (char *)message;
+
+  text[strcspn (text, "\n")] = '\0';
+  cp_faults_add (reader->faults, reader->line, "", "", "",
+                 "correct the JSON at this line", "%s", text);
+  yajl_free_error (parser, message);
+}
+
+/* Feeds the parser line by line.  */
+static yajl_status
+feed (struct reader *reader, yajl_handle parser, const char *text,
+      size_t length)
+{
+  const char *end = text + length;
+  yajl_status status = yajl_status_ok;
+
+  while (text < end && status == yajl_status_ok)
+    {
+      const char *line_end = memchr (text, '\n', (size_t)(end - text));
+      size_t size = line_end == NULL ? (size_t)(end - text)
+                                     : (size_t)(line_end - text) + 1;
+
+      reader->line++;
+      status = yajl_parse (parser, (const unsigned char *)text, size);
+      text += size;
+    }
+  if (status == yajl_status_ok)
+    status = yajl_complete_parse (parser);
+  return status;
+}
+
+bool
+cp_lines_init (struct cp_lines *lines, const char *text, size_t length,
+               struct cp_faults *faults)
+{
+  struct reader *reader = calloc (1, sizeof *reader);
+  yajl_handle parser;
+  yajl_status status;
+
+  lines->lines = g_hash_table_new (NULL, NULL);
+  if (reader == NULL)
+    return false;
+  reader->lines = lines;
+  reader->faults = faults;
+  parser = yajl_alloc (&callbacks, NULL, reader);
+  status = feed (reader, parser, text, length);
+  lines->last = reader->line;
+  if (reader->too_deep)
+    cp_faults_add (faults, reader->line, "", "", "",
+                   "write a flatter document",
+                   "values are nested more than %d deep", CP_JSON_DEPTH_MAX);
+  else if (status != yajl_status_ok)
+    add_syntax_fault (reader, parser);
+  yajl_free (parser);
+  free (reader);
+  return status == yajl_status_ok;
+}
+
+void
+cp_lines_finish (struct cp_lines *lines)
+{
+  g_hash_table_destroy (lines->lines);
+}
+
+unsigned
+cp_lines_find (const struct cp_lines *lines, const char *path)
+{
+  char text[CP_PATH_BYTES];
+  size_t length;
+
+  g_strlcpy (text, path, sizeof text);
+  for (;;)
+    {
+      gpointer line;
+
+      if (g_hash_table_lookup_extended (
+              lines->lines, path_key (text, strlen (text)), NULL, &line))
+        return GPOINTER_TO_UINT (line);
+      length = strlen (text);
+      while (length > 0 && text[length - 1] != '/' && text[length - 1] != '[')
+        length--;
+      if (length == 0)
+        return 1;
+      text[length - 1] = '\0';
+    }
+}
--- a/mk/common.mk
+++ b/mk/common.mk
@@ -15,13 +15,15 @@
 
 PACKAGES := jansson glib-2.0 liburcu-bp libxxhash libtirpc libcurl yajl
 CC := $(if $(SANITIZE),clang,gcc)
+FORMAT_FLAGS := $(if $(SANITIZE),,-Wno-format-truncation)
 SANITIZE_FLAGS := $(if $(SANITIZE),-fsanitize=$(SANITIZE) -fno-sanitize-recover=all)
 PKG_CFLAGS := $(patsubst -I%,-isystem %,$(shell pkg-config --cflags $(PACKAGES)))
 PKG_LIBS := $(shell pkg-config --libs $(PACKAGES))
 CPPFLAGS += -D_GNU_SOURCE -I$(TOP) $(PKG_CFLAGS)
 CFLAGS ?= -O2 -g
 CFLAGS += -std=gnu11 -Wall -Wextra -Wshadow -Wstrict-prototypes \
-	-Wmissing-prototypes -Wpointer-arith -Werror -fPIC $(SANITIZE_FLAGS)
+	-Wmissing-prototypes -Wpointer-arith -Werror \
+	$(FORMAT_FLAGS) -fPIC $(SANITIZE_FLAGS)
 LDFLAGS += $(SANITIZE_FLAGS)
 LDLIBS += $(PKG_LIBS) -lcivetweb -lpthread -lm
 
