Test the daemon's settings, signals and malformed requests

Cause found by the new tests: a second SIGTERM was taken by the logger's thread, started before the signals were blocked, and killed the process by the signal; CivetWeb takes a space before the colon, and stops silently at a folded line and after 64 headers. Ruled out: a race in the drain (the wait status was signal 15). Change: signals are blocked before any thread starts; listeners refuse these requests with 400.

--- a/cornelpickd/main.c
+++ b/cornelpickd/main.c
@@ -127,27 +127,33 @@
   return STATUS_FAULT;
 }
 
+/* Blocks the signals that serve waits for.  No thread may be there yet, since
+   a signal is taken by any thread that does not block it.  */
+static void
+block_signals (sigset_t *signals)
+{
+  sigemptyset (signals);
+  sigaddset (signals, SIGTERM);
+  sigaddset (signals, SIGINT);
+  sigaddset (signals, SIGHUP);
+  pthread_sigmask (SIG_BLOCK, signals, NULL);
+  signal (SIGPIPE, SIG_IGN);
+}
+
 static int
-run (const struct cp_settings *settings)
+run (const struct cp_settings *settings, sigset_t *signals)
 {
   static struct daemon daemon;
   struct cp_error error;
-  sigset_t signals;
   pthread_t second;
 
-  sigemptyset (&signals);
-  sigaddset (&signals, SIGTERM);
-  sigaddset (&signals, SIGINT);
-  sigaddset (&signals, SIGHUP);
-  pthread_sigmask (SIG_BLOCK, &signals, NULL);
-  signal (SIGPIPE, SIG_IGN);
   if (daemon_start (&daemon, settings, &error) != 0)
     {
       cp_log_stop ();
       return fail (&error);
     }
-  serve (&daemon, &signals);
-  if (pthread_create (&second, NULL, end_at_second_signal, &signals) == 0)
+  serve (&daemon, signals);
+  if (pthread_create (&second, NULL, end_at_second_signal, signals) == 0)
     pthread_detach (second);
   if (!daemon_wait_idle (&daemon))
     cp_log (CP_LOG_WARNING, CP_PART_DAEMON,
@@ -163,6 +169,7 @@
   struct options options = { 0 };
   struct cp_settings settings;
   struct cp_error error;
+  sigset_t signals;
 
   if (!parse_options (argc, argv, &options))
     return usage ();
@@ -179,10 +186,11 @@
     return usage ();
   if (options.check)
     return STATUS_OK;
+  block_signals (&signals);
   curl_global_init (CURL_GLOBAL_DEFAULT);
   mg_init_library (0);
   if (cp_log_start (settings.log_level, settings.log_format, STDERR_FILENO)
       != 0)
     return STATUS_FAULT;
-  return run (&settings);
+  return run (&settings, &signals);
 }
--- a/http/listener.c
+++ b/http/listener.c
@@ -110,6 +110,32 @@
   return value != NULL && value[strlen (value) + 1] == '\0';
 }
 
+/* CivetWeb stops without an error at a line that starts with a space and after
+   64 headers.  The empty line must follow the last header that it gives.  */
+static bool
+headers_end_here (const struct mg_request_info *info)
+{
+  const char *value;
+
+  if (info->num_headers == 0)
+    return false;
+  value = info->http_headers[info->num_headers - 1].value;
+  return value[strlen (value) + 2] == '\r';
+}
+
+/* CivetWeb overwrites the colon with a zero byte, and so each space before it,
+   which RFC 9112 forbids (section 5.1).  */
+static bool
+space_before_colon (const struct mg_header *header)
+{
+  const char *at = header->name + strlen (header->name) + 1;
+
+  for (; at < header->value; at++)
+    if (*at == '\0')
+      return true;
+  return false;
+}
+
 /* Returns why the request is refused, or NULL.  */
 static const char *
 find_fault (const struct request *request)
@@ -131,11 +157,13 @@
   if (coding != NULL && strcasecmp (coding, "chunked") != 0)
     return "Transfer-Encoding is not chunked";
   for (int i = 0; i < info->num_headers; i++)
-    if (strpbrk (info->http_headers[i].name, " \t") != NULL)
+    if (space_before_colon (&info->http_headers[i]))
       return "a header name has a space";
   for (int i = 0; i < info->num_headers; i++)
     if (!line_ends_in_crlf (info->http_headers[i].value))
       return "a line ends without CR";
+  if (!headers_end_here (info))
+    return "a line is folded, or there are no or too many headers";
   return NULL;
 }
 
