--- a/regress/harness/harness.c
+++ b/regress/harness/harness.c
@@ -1,4 +1,3 @@
-#include <check.h>
 #include <curl/curl.h>
 #include <errno.h>
 #include <fcntl.h>
@@ -25,6 +24,24 @@
 #define POLL_US 10000
 #define STOP_WAIT_US (60 * G_USEC_PER_SEC)
 
+int fleet_call_threads = 32;
+int fleet_peer_threads = 64;
+
+/* Fails the test, or the bench, which runs without check.  */
+static void
+require (bool holds, const char *format, ...)
+{
+  va_list arguments;
+
+  if (holds)
+    return;
+  va_start (arguments, format);
+  vfprintf (stderr, format, arguments);
+  va_end (arguments);
+  fputc ('\n', stderr);
+  abort ();
+}
+
 static const char *
 build_folder (void)
 {
@@ -55,13 +72,13 @@
   va_start (list, program);
   do
     {
-      ck_assert_uint_lt (count, ARGUMENTS_MAX);
+      require (count < ARGUMENTS_MAX, "too many arguments");
       arguments[count] = va_arg (list, char *);
     }
   while (arguments[count++] != NULL);
   va_end (list);
   process->pid = fork ();
-  ck_assert_int_ge (process->pid, 0);
+  require (process->pid >= 0, "cannot start a process");
   if (process->pid > 0)
     return;
   int fd = open (log, O_WRONLY | O_CREAT | O_APPEND, 0644);
@@ -79,8 +96,8 @@
 
   while (waitpid (process->pid, &status, WNOHANG) == 0)
     {
-      ck_assert_msg (g_get_monotonic_time () < until,
-                     "process %d does not end", (int)process->pid);
+      require (g_get_monotonic_time () < until, "process %d does not end",
+               (int)process->pid);
       g_usleep (POLL_US);
     }
   process->pid = 0;
@@ -187,7 +204,8 @@
   char path[256];
 
   snprintf (path, sizeof path, "%s/%s", fleet->folder, name);
-  ck_assert_int_eq (json_dump_file (value, path, JSON_INDENT (2)), 0);
+  require (json_dump_file (value, path, JSON_INDENT (2)) == 0,
+           "cannot write %s", path);
   json_decref (value);
 }
 
@@ -258,8 +276,8 @@
                  fleet_address (fleet, vm, PORT_ADMIN, admin),
                  "configuration_service",
                  fleet_address (fleet, PLATFORM_VM, PORT_PLATFORM, platform),
-                 "charts", charts, "call_threads", 32, "peer_threads", 64,
-                 "log_level", "debug"));
+                 "charts", charts, "call_threads", fleet_call_threads,
+                 "peer_threads", fleet_peer_threads, "log_level", "debug"));
   process_start (&fleet->daemons[vm], log, "cornelpickd/cornelpickd",
                  "--settings", path, NULL);
 }
@@ -319,12 +337,12 @@
 {
   json_t *document;
 
-  ck_assert_uint_gt (n_domains, 0);
+  require (n_domains > 0, "a fleet needs a failure domain");
   memset (fleet, 0, sizeof *fleet);
   snprintf (fleet->net, sizeof fleet->net, "127.%d.%d",
             1 + (int)getpid () % 250, (int)getpid () / 250 % 250);
   strcpy (fleet->folder, "/tmp/cornelpick-fleet-XXXXXX");
-  ck_assert_ptr_nonnull (mkdtemp (fleet->folder));
+  require (mkdtemp (fleet->folder) != NULL, "cannot make a folder");
   fleet->n_vms = n_vms;
   fleet->n_domains = n_domains;
   fleet->version = 1;
@@ -386,8 +404,7 @@
 
   stop_all (fleet->targets, fleet->n_vms);
   process_signal (&fleet->platform, SIGTERM);
-  ck_assert_msg (clean, "a daemon did not end with status 0; see %s",
-                 fleet->folder);
+  require (clean, "a daemon did not end with status 0; see %s", fleet->folder);
   remove_folder (fleet->folder);
 }
 
@@ -411,7 +428,7 @@
   http_call (&reply,
              fleet_address (fleet, PLATFORM_VM, PORT_PLATFORM, address), "PUT",
              "/document", NULL, text, 5000);
-  ck_assert_int_eq (reply.status, 200);
+  require (reply.status == 200, "status %d", reply.status);
   reply_finish (&reply);
 }
 
@@ -532,7 +549,7 @@
   else
     fleet_address (fleet, vm, PORT_TARGET, address);
   http_call (&reply, address, "POST", "/fake/control", NULL, json, 5000);
-  ck_assert_int_eq (reply.status, 200);
+  require (reply.status == 200, "status %d", reply.status);
   reply_finish (&reply);
 }
 
@@ -552,7 +569,7 @@
       reply_init (&reply);
       http_call (&reply, fleet_address (fleet, vm, PORT_TARGET, address),
                  "GET", "/fake/journal", NULL, NULL, 10000);
-      ck_assert_int_eq (reply.status, 200);
+      require (reply.status == 200, "status %d", reply.status);
       for (at = reply.body->str; (at = strstr (at, request)) != NULL; at++)
         runs++;
       reply_finish (&reply);
@@ -589,7 +606,7 @@
              "/metrics", NULL, NULL, 10000);
   snprintf (line, sizeof line, "\ncornelpick_%s ", name);
   at = strstr (reply.body->str, line);
-  ck_assert_msg (at != NULL, "no counter %s", name);
+  require (at != NULL, "no counter %s", name);
   value = strtoull (at + strlen (line), NULL, 10);
   reply_finish (&reply);
   return value;
@@ -602,8 +619,8 @@
 
   while (!condition (context))
     {
-      ck_assert_msg (g_get_monotonic_time () < until,
-                     "the condition did not come about");
+      require (g_get_monotonic_time () < until,
+               "the condition did not come about");
       g_usleep (POLL_US);
     }
 }
--- a/regress/harness/harness.h
+++ b/regress/harness/harness.h
@@ -44,6 +44,10 @@
   GString *body;
 };
 
+/* Threads of each daemon that is started from now on.  */
+extern int fleet_call_threads;
+extern int fleet_peer_threads;
+
 /* Starts the platform, N_VMS targets and daemons, spread over N_DOMAINS
    failure domains, all in the service "shop", and waits until all serve.  */
 void fleet_start (struct fleet *fleet, unsigned n_vms, unsigned n_domains,
