Record admissions, refusals, starts, ends, fences and outcomes

Cause: the ring held only sends and ends of attempts, so a request's story could not be told from both sides. Change: the inbound side records admit, refuse, start and end, RPC records how a fence was answered, attempts record the fence they asked for, calls record their outcome. A dump copies the ring in batches of 32 records, so that recording waits for one batch at most. /decisions also takes an attempt, /targets tells where a service's targets are, /state has uptime, addresses and the ring's fill. Small hooks in attempt.c and call.c.

--- a/cornelpickd/admin.c
+++ b/cornelpickd/admin.c
@@ -13,20 +13,66 @@
                   text == NULL ? "{}" : text);
 }
 
-/* Answers /decisions, or /decisions?request=ID for one request.  */
+/* Returns the value of NAME in the query, at most SIZE - 1 bytes.  */
+static bool
+query_value (const struct request *request, const char *name, char *value,
+             size_t size)
+{
+  const char *query = request->info->query_string;
+
+  return query != NULL
+         && mg_get_var (query, strlen (query), name, value, size) > 0;
+}
+
+/* Answers /decisions; with ?request=ID or ?attempt=ID those of one.  */
 static void
 answer_decisions (struct daemon *daemon, struct request *request)
 {
-  const char *query = request->info->query_string;
+  char text[CP_ID_TEXT_BYTES];
   struct cp_id id;
-  bool one = query != NULL && strncmp (query, "request=", 8) == 0
-             && cp_id_parse (&id, query + 8);
-  CP_AUTO_JSON json_t *list
-      = cp_decisions_dump (&daemon->decisions, one ? &id : NULL);
-  CP_AUTO_FREE char *text = json_dumps (list, JSON_COMPACT);
+  bool one = query_value (request, "request", text, sizeof text)
+             || query_value (request, "attempt", text, sizeof text);
+  CP_AUTO_JSON json_t *list = NULL;
+  CP_AUTO_FREE char *dump = NULL;
+
+  if (one && !cp_id_parse (&id, text))
+    {
+      request_answer (request, 400, NULL, "text/plain",
+                      "Write the ID as 32 hexadecimal digits.\n");
+      return;
+    }
+  list = cp_decisions_dump (&daemon->decisions, one ? &id : NULL);
+  dump = json_dumps (list, JSON_COMPACT);
+  request_answer (request, 200, NULL, "application/json",
+                  dump == NULL ? "[]" : dump);
+}
+
+/* Answers /targets?service=NAME: where the targets of a service are.  */
+static void
+answer_targets (struct daemon *daemon, struct request *request)
+{
+  struct cp_document *document = configuration_get (&daemon->configuration);
+  CP_AUTO_JSON json_t *list = json_array ();
+  CP_AUTO_FREE char *dump = NULL;
+  char name[CP_NAME_BYTES] = "";
+
+  query_value (request, "service", name, sizeof name);
+  for (unsigned s = 0; document != NULL && s < document->n_services; s++)
+    for (unsigned t = 0; t < document->services[s].n_targets; t++)
+      {
+        const struct cp_target *target = &document->services[s].targets[t];
 
+        if (strcmp (document->services[s].name, name) == 0)
+          json_array_append_new (
+              list, json_pack ("{s:s, s:s, s:s, s:s}", "name", target->name,
+                               "address", target->address.text, "daemon",
+                               target->has_daemon ? target->daemon.text : "",
+                               "failure_domain", target->failure_domain));
+      }
+  cp_document_unref (document);
+  dump = json_dumps (list, JSON_COMPACT);
   request_answer (request, 200, NULL, "application/json",
-                  text == NULL ? "[]" : text);
+                  dump == NULL ? "[]" : dump);
 }
 
 static void
@@ -56,11 +102,14 @@
     answer_state (daemon, request);
   else if (strcmp (path, "/decisions") == 0)
     answer_decisions (daemon, request);
+  else if (strcmp (path, "/targets") == 0)
+    answer_targets (daemon, request);
   else if (strcmp (path, "/metrics") == 0)
     answer_metrics (daemon, request);
   else if (strcmp (path, "/healthz") == 0)
     answer_health (daemon, request);
   else
     request_answer (request, 404, NULL, "text/plain",
-                    "Use /healthz, /state, /metrics or /decisions.\n");
+                    "Use /healthz, /state, /metrics, /decisions or "
+                    "/targets?service=NAME.\n");
 }
--- a/cornelpickd/attempt.c
+++ b/cornelpickd/attempt.c
@@ -17,6 +17,11 @@
                                              [ATTEMPT_NOT_RUN] = "not-run",
                                              [ATTEMPT_UNKNOWN] = "unknown" };
 
+static const char *const fence_names[] = { [FENCE_FENCED] = "fenced",
+                                           [FENCE_STARTED] = "started",
+                                           [FENCE_ANSWERED] = "answered",
+                                           [FENCE_NO_PROOF] = "no proof" };
+
 /* Records a step of the attempt.  */
 static void
 attempt_record (const struct attempt *attempt, enum cp_decision_kind kind,
@@ -184,13 +189,16 @@
 fence (struct attempt *attempt)
 {
   struct call *call = attempt->call;
+  enum fence_result result;
 
   if (!attempt->target.has_daemon || attempt->incarnation == 0)
     return ATTEMPT_UNKNOWN;
   daemon_count (call->outbound->daemon, COUNT_FENCES);
-  if (rpc_fence (&attempt->target.daemon, &attempt->id, attempt->incarnation,
-                 REGISTER_MARGIN_US, true, FENCE_TIMEOUT_US)
-      == FENCE_FENCED)
+  result
+      = rpc_fence (&attempt->target.daemon, &attempt->id, attempt->incarnation,
+                   REGISTER_MARGIN_US, true, FENCE_TIMEOUT_US);
+  attempt_record (attempt, CP_DECISION_FENCE, fence_names[result], 0);
+  if (result == FENCE_FENCED)
     return ATTEMPT_NOT_RUN;
   return ATTEMPT_UNKNOWN;
 }
--- a/cornelpickd/call.c
+++ b/cornelpickd/call.c
@@ -11,6 +11,24 @@
               name);
 }
 
+/* Records how the call ended.  */
+static void
+record_outcome (const struct call *call, const char *outcome, int status)
+{
+  struct daemon *daemon = call->outbound->daemon;
+  struct cp_decision decision = { .kind = CP_DECISION_OUTCOME,
+                                  .request = call->id,
+                                  .status = status,
+                                  .value = call->tried.count };
+
+  g_strlcpy (decision.service, call->route->service->name,
+             sizeof decision.service);
+  g_strlcpy (decision.reason, outcome, sizeof decision.reason);
+  decision.duration_us
+      = cp_clock_now_us (daemon->clock) - call->request->arrived_us;
+  daemon_record (daemon, &decision);
+}
+
 /* Tells the caller that there is no answer.  */
 static void
 answer_outcome (struct call *call, enum attempt_outcome outcome)
@@ -24,6 +42,7 @@
   if (outcome == ATTEMPT_NOT_RUN)
     {
       daemon_count (daemon, COUNT_NOT_RUN);
+      record_outcome (call, "not-run", late ? 504 : 503);
       snprintf (headers, sizeof headers,
                 HEADER_REQUEST ": %s\r\n" HEADER_OUTCOME
                                ": not-run\r\nRetry-After: 1\r\n",
@@ -33,6 +52,7 @@
       return;
     }
   daemon_count (daemon, COUNT_UNKNOWN);
+  record_outcome (call, "unknown", late ? 504 : 502);
   snprintf (headers, sizeof headers,
             HEADER_REQUEST ": %s\r\n" HEADER_OUTCOME ": unknown\r\n", id);
   request_answer (call->request, late ? 504 : 502, headers, "text/plain",
@@ -83,6 +103,9 @@
           daemon_count (daemon, result == UPSTREAM_COMPLETE
                                     ? COUNT_RAN
                                     : COUNT_CUT_ANSWERS);
+          record_outcome (call,
+                          result == UPSTREAM_COMPLETE ? "ran" : "cut short",
+                          call->answer.status);
           return;
         }
       if (attempt.outcome == ATTEMPT_UNKNOWN)
--- a/cornelpickd/daemon.c
+++ b/cornelpickd/daemon.c
@@ -163,6 +163,30 @@
   cp_decisions_add (&daemon->decisions, decision);
 }
 
+/* Describes the ring of decision records.  */
+static json_t *
+decisions_dump (struct daemon *daemon)
+{
+  uint64_t oldest_us = cp_decisions_oldest_us (&daemon->decisions);
+  uint64_t now = cp_clock_now_us (daemon->clock);
+
+  return json_pack ("{s:i, s:I, s:I}", "capacity", CP_DECISIONS, "added",
+                    (json_int_t)cp_decisions_added (&daemon->decisions),
+                    "oldest_age_us",
+                    (json_int_t)(oldest_us == 0 ? 0 : now - oldest_us));
+}
+
+/* Describes the listeners.  */
+static json_t *
+addresses_dump (const struct cp_settings *settings)
+{
+  return json_pack ("{s:s, s:s, s:s, s:s, s:s}", "calls", settings->calls.text,
+                    "peers", settings->peers.text, "admin",
+                    settings->admin.text, "configuration_service",
+                    settings->configuration_service.text, "vm_list",
+                    settings->vm_list.text);
+}
+
 json_t *
 daemon_dump (struct daemon *daemon)
 {
@@ -175,6 +199,12 @@
                     "failure_domain", daemon->settings.failure_domain,
                     "version", CORNELPICK_VERSION, "incarnation", incarnation,
                     "life", cp_life_names[daemon_life (daemon)]);
+  json_object_set_new (
+      dump, "uptime_us",
+      json_integer (
+          (json_int_t)(cp_clock_now_us (daemon->clock) - daemon->started_us)));
+  json_object_set_new (dump, "addresses", addresses_dump (&daemon->settings));
+  json_object_set_new (dump, "decisions", decisions_dump (daemon));
   json_object_set_new (dump, "configuration",
                        configuration_dump (&daemon->configuration));
   json_object_set_new (dump, "members", members_dump (&daemon->members));
--- a/cornelpickd/inbound.c
+++ b/cornelpickd/inbound.c
@@ -16,6 +16,7 @@
 {
   struct inbound *inbound;
   struct request *request;
+  struct cp_id id;
   struct cp_id attempt;
   struct cp_target target;
   char from[CP_NAME_BYTES];
@@ -23,6 +24,7 @@
   uint64_t keep_until_us;
   uint64_t sent_us;
   bool idempotent;
+  bool started; /* the target may have seen the call */
   enum cp_priority priority;
   struct answer answer;
   enum daemon_counter refused_as;
@@ -108,12 +110,40 @@
             outcome, load, visit->inbound->daemon->settings.vm);
 }
 
+/* Records a step of the visit; DURATION_US as the kind says.  */
+static void
+visit_record (const struct visit *visit, enum cp_decision_kind kind,
+              const char *reason, int status, uint64_t duration_us)
+{
+  struct cp_decision decision = { .kind = kind,
+                                  .request = visit->id,
+                                  .attempt = visit->attempt,
+                                  .status = status,
+                                  .duration_us = duration_us };
+
+  g_strlcpy (decision.target, visit->target.name, sizeof decision.target);
+  g_strlcpy (decision.reason, reason, sizeof decision.reason);
+  decision.reason[strcspn (decision.reason, "\n")] = '\0';
+  daemon_record (visit->inbound->daemon, &decision);
+}
+
+/* Returns the time since the call arrived.  */
+static uint64_t
+visit_age_us (const struct visit *visit)
+{
+  return cp_clock_now_us (visit->inbound->daemon->clock)
+         - visit->request->arrived_us;
+}
+
 static void
 refuse (struct visit *visit, int status, const char *outcome,
         const char *reason)
 {
   char headers[512];
 
+  if (!visit->started)
+    visit_record (visit, CP_DECISION_REFUSE, reason, status,
+                  visit_age_us (visit));
   own_headers (visit, outcome, headers, sizeof headers);
   request_answer (visit->request, status, headers, "text/plain", reason);
 }
@@ -129,6 +159,7 @@
   const char *from = request_header (request, HEADER_FROM);
   uint64_t remaining_us;
 
+  cp_id_parse (&visit->id, request_header (request, HEADER_REQUEST));
   if (!cp_id_parse (&visit->attempt, request_header (request, HEADER_ATTEMPT))
       || remaining == NULL || from == NULL)
     return false;
@@ -182,7 +213,11 @@
     }
   visit->sent_us = now;
   visit->refused_as = COUNT_REFUSED_DUPLICATE;
-  return step (visit, CP_ATTEMPT_START);
+  visit->started = step (visit, CP_ATTEMPT_START);
+  if (visit->started)
+    visit_record (visit, CP_DECISION_START, "sent to the target", 0,
+                  visit_age_us (visit));
+  return visit->started;
 }
 
 static ssize_t
@@ -247,6 +282,9 @@
     {
       step (visit, CP_ATTEMPT_REFUSE);
       daemon_count (daemon, visit->refused_as);
+      if (visit->started)
+        visit_record (visit, CP_DECISION_END, upstream_result_names[result], 0,
+                      0);
       refuse (visit, 503, "not-run", "the target was not reached\n");
       return;
     }
@@ -257,6 +295,8 @@
     cp_histogram_add (&inbound->latency, latency);
   else
     daemon_count (daemon, COUNT_CUT_ANSWERS);
+  visit_record (visit, CP_DECISION_END, upstream_result_names[result],
+                visit->answer.status, latency);
   if (visit->answer.head_sent)
     answer_end (&visit->answer, result == UPSTREAM_COMPLETE);
   else
@@ -312,6 +352,8 @@
                                visit->from, visit->deadline_us);
   if (result == CP_ADMITTED)
     {
+      visit_record (visit, CP_DECISION_ADMIT, visit->from, 0,
+                    visit_age_us (visit));
       call_target (visit);
       return;
     }
--- a/cornelpickd/rpc.c
+++ b/cornelpickd/rpc.c
@@ -40,6 +40,18 @@
   return TRUE;
 }
 
+/* Records how a fence was answered.  */
+static void
+record_fence (const struct cp_id *attempt, enum cp_attempt_state state)
+{
+  struct cp_decision decision
+      = { .kind = CP_DECISION_FENCED, .attempt = *attempt };
+
+  g_strlcpy (decision.reason, cp_attempt_names.states[state],
+             sizeof decision.reason);
+  daemon_record (served, &decision);
+}
+
 bool_t
 cp_rpc_fence_1_svc (cp_rpc_fence_args *args, cp_rpc_fence_reply *reply,
                     struct svc_req *request)
@@ -64,6 +76,7 @@
       reply->status = CP_RPC_FENCE_FULL;
       return TRUE;
     }
+  record_fence (&id, state);
   if (state == CP_ATTEMPT_FENCED || state == CP_ATTEMPT_CANCELLED)
     reply->status = CP_RPC_FENCED;
   else if (state == CP_ATTEMPT_STARTED)
--- a/http/http.h
+++ b/http/http.h
@@ -91,9 +91,12 @@
   UPSTREAM_SILENT,      /* no first byte within first_byte_us */
   UPSTREAM_CALLER_GONE, /* the caller closed its connection */
   UPSTREAM_STOPPED,     /* the pool is stopping */
-  UPSTREAM_ABORTED      /* a callback asked to stop */
+  UPSTREAM_ABORTED,     /* a callback asked to stop */
+  UPSTREAM_RESULT_COUNT
 };
 
+extern const char *const upstream_result_names[UPSTREAM_RESULT_COUNT];
+
 struct upstream_call
 {
   const struct cp_address *address;
--- a/http/upstream.c
+++ b/http/upstream.c
@@ -26,6 +26,13 @@
   uint64_t idle_since_us;
 };
 
+const char *const upstream_result_names[UPSTREAM_RESULT_COUNT] = {
+  [UPSTREAM_COMPLETE] = "complete", [UPSTREAM_NOT_SENT] = "not sent",
+  [UPSTREAM_CUT] = "cut short",     [UPSTREAM_DEADLINE] = "deadline passed",
+  [UPSTREAM_SILENT] = "silent",     [UPSTREAM_CALLER_GONE] = "caller gone",
+  [UPSTREAM_STOPPED] = "stopped",   [UPSTREAM_ABORTED] = "aborted",
+};
+
 /* The idle connections to one address.  */
 struct upstream_address
 {
--- a/lib/decision.c
+++ b/lib/decision.c
@@ -4,6 +4,9 @@
 #include "lib/cleanup.h"
 #include "lib/decision.h"
 
+/* Records that a dump copies at a time, so that writers wait little.  */
+#define BATCH 32
+
 const char *const cp_decision_names[CP_DECISION_KIND_COUNT] = {
   [CP_DECISION_NONE] = "none",
   [CP_DECISION_PICK] = "pick",
@@ -48,25 +51,67 @@
   decisions->ring[decisions->added++ % CP_DECISIONS] = *decision;
 }
 
+/* Copies records from number *NEXT on, at most SIZE, to BATCH; steps over
+   those that were replaced meanwhile.  */
+static unsigned
+copy_batch (struct cp_decisions *decisions, uint64_t *next,
+            struct cp_decision *batch, unsigned size)
+{
+  unsigned count = 0;
+
+  CP_LOCK_SCOPE (&decisions->lock);
+  if (decisions->added > CP_DECISIONS
+      && *next < decisions->added - CP_DECISIONS)
+    *next = decisions->added - CP_DECISIONS;
+  while (count < size && *next < decisions->added)
+    batch[count++] = decisions->ring[(*next)++ % CP_DECISIONS];
+  return count;
+}
+
+static bool
+concerns (const struct cp_decision *decision, const struct cp_id *id)
+{
+  return id == NULL || cp_id_equal (id, &decision->request)
+         || cp_id_equal (id, &decision->attempt);
+}
+
 json_t *
-cp_decisions_dump (struct cp_decisions *decisions, const struct cp_id *request)
+cp_decisions_dump (struct cp_decisions *decisions, const struct cp_id *id)
 {
   json_t *list = json_array ();
-  uint64_t first = 0;
+  CP_AUTO_FREE struct cp_decision *batch = calloc (BATCH, sizeof *batch);
+  uint64_t next = 0;
+  uint64_t end = cp_decisions_added (decisions);
 
-  CP_LOCK_SCOPE (&decisions->lock);
-  if (decisions->added > CP_DECISIONS)
-    first = decisions->added - CP_DECISIONS;
-  for (uint64_t i = first; i < decisions->added; i++)
+  while (batch != NULL && next < end)
     {
-      const struct cp_decision *decision = &decisions->ring[i % CP_DECISIONS];
+      unsigned count = copy_batch (decisions, &next, batch, BATCH);
 
-      if (request == NULL || cp_id_equal (request, &decision->request))
-        json_array_append_new (list, cp_decision_json (decision));
+      for (unsigned i = 0; i < count; i++)
+        if (concerns (&batch[i], id))
+          json_array_append_new (list, cp_decision_json (&batch[i]));
     }
   return list;
 }
 
+uint64_t
+cp_decisions_added (struct cp_decisions *decisions)
+{
+  CP_LOCK_SCOPE (&decisions->lock);
+  return decisions->added;
+}
+
+uint64_t
+cp_decisions_oldest_us (struct cp_decisions *decisions)
+{
+  CP_LOCK_SCOPE (&decisions->lock);
+  if (decisions->added == 0)
+    return 0;
+  if (decisions->added <= CP_DECISIONS)
+    return decisions->ring[0].time_us;
+  return decisions->ring[decisions->added % CP_DECISIONS].time_us;
+}
+
 static void
 set_text (json_t *object, const char *key, const char *text)
 {
--- a/lib/decision.h
+++ b/lib/decision.h
@@ -83,10 +83,17 @@
 void cp_decisions_add (struct cp_decisions *decisions,
                        const struct cp_decision *decision);
 
-/* Returns an array of the records kept, oldest first; only those of REQUEST
-   when it is not NULL.  */
+/* Returns an array of the records kept, oldest first; only those of the
+   request or attempt ID when it is not NULL.  Records are copied in batches:
+   those added meanwhile wait for one batch at most.  */
 json_t *cp_decisions_dump (struct cp_decisions *decisions,
-                           const struct cp_id *request);
+                           const struct cp_id *id);
+
+/* Returns how many records were added since the start.  */
+uint64_t cp_decisions_added (struct cp_decisions *decisions);
+
+/* Returns the time of the oldest record kept, 0 when there is none.  */
+uint64_t cp_decisions_oldest_us (struct cp_decisions *decisions);
 
 json_t *cp_decision_json (const struct cp_decision *decision);
 
