--- a/cornelpick/common.c
+++ b/cornelpick/common.c
@@ -28,7 +28,7 @@
 
   cp_error_text (error, text, sizeof text);
   fprintf (stderr, "cornelpick: %s\n", text);
-  return STATUS_FINDING;
+  return error->kind == CP_ERROR_USAGE ? STATUS_USAGE : STATUS_FINDING;
 }
 
 int
@@ -42,7 +42,7 @@
   if (!cp_address_parse (&address, text))
     return cp_error_set (error, CP_ERROR_USAGE, text,
                          "write the admin address as in the settings, for "
-                         "example 127.0.0.1:7401",
+                         "example 127.0.0.1:7402",
                          "is no IP number with port");
   if (upstream_pool_init (&pool, &cp_clock_boot, NULL) != 0)
     return cp_error_set (error, CP_ERROR_LIMIT, text,
@@ -62,3 +62,35 @@
                        "check that this is the admin address of a daemon",
                        "answered with status %d", status);
 }
+
+json_t *
+admin_get_json (const char *text, const char *path, struct cp_error *error)
+{
+  GString *body = g_string_new (NULL);
+  json_t *value = NULL;
+
+  if (admin_get (text, path, body, error) == 0)
+    {
+      value = json_loads (body->str, 0, NULL);
+      if (value == NULL)
+        cp_error_set (error, CP_ERROR_PROTOCOL, text,
+                      "check that this is the admin address of a daemon",
+                      "answers %s with what is no JSON", path);
+    }
+  g_string_free (body, TRUE);
+  return value;
+}
+
+const char *
+json_text (json_t *object, const char *key)
+{
+  const char *text = json_string_value (json_object_get (object, key));
+
+  return text == NULL ? "" : text;
+}
+
+json_int_t
+json_number (json_t *object, const char *key)
+{
+  return json_integer_value (json_object_get (object, key));
+}
--- a/cornelpick/cornelpick.h
+++ b/cornelpick/cornelpick.h
@@ -25,7 +25,9 @@
 };
 
 int command_check (int argc, char **argv);
+int command_explain (int argc, char **argv);
 int command_state (int argc, char **argv);
+int command_top (int argc, char **argv);
 int command_run (int argc, char **argv);
 
 /* Prints the usage of all subcommands; returns STATUS_USAGE.  */
@@ -34,11 +36,22 @@
 /* Parses the options of a subcommand.  Returns false after a message.  */
 bool parse_arguments (int *argc, char ***argv, const GOptionEntry *entries);
 
-/* Prints ERROR; returns STATUS_FINDING.  */
+/* Prints ERROR; returns STATUS_USAGE for an error of usage, else
+   STATUS_FINDING.  */
 int report_error (const struct cp_error *error);
 
 /* Reads PATH from the admin address TEXT.  Returns 0, or -1 with ERROR set. */
 int admin_get (const char *text, const char *path, GString *body,
                struct cp_error *error);
 
+/* Reads PATH and parses it as JSON.  Returns NULL with ERROR set.  */
+json_t *admin_get_json (const char *text, const char *path,
+                        struct cp_error *error);
+
+/* Returns a text of OBJECT, or "" when it has none of that name.  */
+const char *json_text (json_t *object, const char *key);
+
+/* Returns a whole number of OBJECT, or 0.  */
+json_int_t json_number (json_t *object, const char *key);
+
 #endif
--- a/cornelpick/state.c
+++ b/cornelpick/state.c
@@ -2,39 +2,186 @@
 #include <string.h>
 
 #include "cornelpick/cornelpick.h"
+#include "cornelpick/progress.h"
 #include "lib/cleanup.h"
 
 #define WAIT_STEP_US 50000
 
 static const char *
-text_of (json_t *object, const char *key)
+text_or_dash (json_t *object, const char *key)
 {
-  const char *text = json_string_value (json_object_get (object, key));
+  const char *text = json_text (object, key);
 
-  return text == NULL ? "-" : text;
+  return *text == '\0' ? "-" : text;
+}
+
+static double
+seconds (json_t *object, const char *key)
+{
+  return (double)json_number (object, key) / CP_US_PER_S;
+}
+
+static void
+print_daemon (json_t *state)
+{
+  json_t *addresses = json_object_get (state, "addresses");
+  json_t *ring = json_object_get (state, "decisions");
+
+  printf ("vm             %s (%s), cornelpickd %s\n",
+          text_or_dash (state, "vm"), text_or_dash (state, "failure_domain"),
+          text_or_dash (state, "version"));
+  printf ("life           %s, up %.1f s\n", text_or_dash (state, "life"),
+          seconds (state, "uptime_us"));
+  printf ("incarnation    %s\n", text_or_dash (state, "incarnation"));
+  printf ("addresses      calls %s, peers %s, admin %s\n",
+          text_or_dash (addresses, "calls"), text_or_dash (addresses, "peers"),
+          text_or_dash (addresses, "admin"));
+  printf ("decisions      %lld added, the last %lld kept, reaching back "
+          "%.1f s\n",
+          (long long)json_number (ring, "added"),
+          (long long)json_number (ring, "capacity"),
+          seconds (ring, "oldest_age_us"));
+}
+
+static void
+print_configuration (json_t *configuration)
+{
+  const char *refused = json_text (configuration, "refused");
+
+  if (json_number (configuration, "version") == 0)
+    printf ("configuration  none accepted yet\n");
+  else
+    printf ("configuration  version %lld, hash %s, in force for %.1f s\n",
+            (long long)json_number (configuration, "version"),
+            text_or_dash (configuration, "hash"),
+            seconds (configuration, "age_us"));
+  if (*refused != '\0')
+    printf ("  refused      %s\n", refused);
+}
+
+/* Prints one line for each section, where the dump has them.  */
+static void
+print_sections (json_t *configuration)
+{
+  json_t *sections = json_object_get (configuration, "sections");
+  const char *name;
+  json_t *section;
+
+  json_object_foreach (sections, name, section)
+  {
+    printf ("  section      %s: version %lld, hash %s", name,
+            (long long)json_number (section, "version"),
+            text_or_dash (section, "hash"));
+    if (json_object_get (section, "age_us") != NULL)
+      printf (", %.1f s old", seconds (section, "age_us"));
+    if (*json_text (section, "refused") != '\0')
+      printf (", refused: %s", json_text (section, "refused"));
+    putchar ('\n');
+  }
+}
+
+static void
+print_members (json_t *state)
+{
+  json_t *members = json_object_get (state, "members");
+  json_t *list
+      = json_is_array (members) ? members : json_object_get (members, "vms");
+  size_t leaving = 0;
+  size_t i;
+  json_t *vm;
+
+  json_array_foreach (list, i, vm)
+  {
+    if (json_is_true (json_object_get (vm, "leaving")))
+      leaving++;
+  }
+  printf ("members        %zu VMs in the list, %zu leaving\n",
+          json_array_size (list), leaving);
+}
+
+static void
+print_target (json_t *target)
+{
+  printf ("  target       %-16s %-10s %lld own calls, %lld in flight",
+          text_or_dash (target, "name"), json_text (target, "health"),
+          (long long)json_number (target, "own_in_flight"),
+          (long long)json_number (target, "in_flight"));
+  if (json_object_get (target, "report_age_us") != NULL)
+    printf (", report %.1f ms old",
+            (double)json_number (target, "report_age_us") / CP_US_PER_MS);
+  putchar ('\n');
+}
+
+static void
+print_outbound (json_t *outbound)
+{
+  const char *name;
+  json_t *service;
+  size_t i;
+  json_t *target;
+
+  printf ("outbound       %lld in flight, p50 %.3f ms, p99 %.3f ms\n",
+          (long long)json_number (outbound, "in_flight"),
+          (double)json_number (outbound, "p50_us") / CP_US_PER_MS,
+          (double)json_number (outbound, "p99_us") / CP_US_PER_MS);
+  json_object_foreach (json_object_get (outbound, "services"), name, service)
+  {
+    json_t *targets = json_is_array (service)
+                          ? service
+                          : json_object_get (service, "targets");
+
+    printf ("  service      %s, %zu targets\n", name,
+            json_array_size (targets));
+    json_array_foreach (targets, i, target) print_target (target);
+  }
+}
+
+static void
+print_inbound (json_t *inbound)
+{
+  json_t *load = json_object_get (inbound, "load");
+
+  printf ("inbound        %s: %lld in flight, %lld queued, limit %lld, "
+          "p50 %.3f ms, p99 %.3f ms\n",
+          text_or_dash (inbound, "target"),
+          (long long)json_number (load, "in_flight"),
+          (long long)json_number (load, "queued"),
+          (long long)json_number (load, "limit"),
+          (double)json_number (inbound, "p50_us") / CP_US_PER_MS,
+          (double)json_number (inbound, "p99_us") / CP_US_PER_MS);
+  printf ("  attempts     %lld in the register\n",
+          (long long)json_number (inbound, "register_entries"));
+}
+
+static void
+print_connections (json_t *list)
+{
+  json_int_t idle = 0;
+  json_int_t busy = 0;
+  size_t i;
+  json_t *address;
+
+  json_array_foreach (list, i, address)
+  {
+    idle += json_number (address, "idle");
+    busy += json_number (address, "busy");
+  }
+  printf ("connections    %lld busy, %lld idle, to %zu addresses\n",
+          (long long)busy, (long long)idle, json_array_size (list));
 }
 
 static void
 print_summary (json_t *state)
 {
   json_t *configuration = json_object_get (state, "configuration");
-  json_t *outbound = json_object_get (state, "outbound");
-  json_t *inbound = json_object_get (state, "inbound");
-
-  printf ("vm             %s (%s)\n", text_of (state, "vm"),
-          text_of (state, "failure_domain"));
-  printf ("life           %s\n", text_of (state, "life"));
-  printf ("incarnation    %s\n", text_of (state, "incarnation"));
-  printf ("configuration  version %lld, hash %s\n",
-          (long long)json_integer_value (
-              json_object_get (configuration, "version")),
-          text_of (configuration, "hash"));
-  printf (
-      "outbound       %lld in flight\n",
-      (long long)json_integer_value (json_object_get (outbound, "in_flight")));
-  printf (
-      "inbound        %lld in flight\n",
-      (long long)json_integer_value (json_object_get (inbound, "in_flight")));
+
+  print_daemon (state);
+  print_configuration (configuration);
+  print_sections (configuration);
+  print_members (state);
+  print_outbound (json_object_get (state, "outbound"));
+  print_inbound (json_object_get (state, "inbound"));
+  print_connections (json_object_get (state, "connections"));
 }
 
 /* Waits until the daemon is serving.  */
@@ -45,14 +192,17 @@
       = cp_clock_now_us (&cp_clock_boot) + (uint64_t)seconds * CP_US_PER_S;
   GString *body = g_string_new (NULL);
   struct cp_error error;
+  struct progress progress;
   bool serving = false;
 
+  progress_begin (&progress, "waiting until the daemon serves");
   while (!serving && cp_clock_now_us (&cp_clock_boot) < until)
     {
       serving = admin_get (address, "/healthz", body, &error) == 0;
       if (!serving)
         g_usleep (WAIT_STEP_US);
     }
+  progress_end (&progress);
   g_string_free (body, TRUE);
   return serving;
 }
@@ -68,9 +218,9 @@
           { "wait-serving", 'w', 0, G_OPTION_ARG_INT, &wait,
             "Wait until the daemon serves", "SECONDS" },
           G_OPTION_ENTRY_NULL };
-  GString *body;
+  CP_AUTO_JSON json_t *state = NULL;
+  CP_AUTO_FREE char *text = NULL;
   struct cp_error error;
-  int status = STATUS_HOLDS;
 
   if (!parse_arguments (&argc, &argv, entries) || argc != 2)
     return usage ();
@@ -81,17 +231,15 @@
                     wait);
       return report_error (&error);
     }
-  body = g_string_new (NULL);
-  if (admin_get (argv[1], "/state", body, &error) != 0)
-    status = report_error (&error);
-  else if (json)
-    puts (body->str);
-  else
+  state = admin_get_json (argv[1], "/state", &error);
+  if (state == NULL)
+    return report_error (&error);
+  if (!json)
     {
-      CP_AUTO_JSON json_t *state = json_loads (body->str, 0, NULL);
-
       print_summary (state);
+      return STATUS_HOLDS;
     }
-  g_string_free (body, TRUE);
-  return status;
+  text = json_dumps (state, JSON_INDENT (2));
+  puts (text == NULL ? "{}" : text);
+  return STATUS_HOLDS;
 }
--- a/cornelpickd/inbound.c
+++ b/cornelpickd/inbound.c
@@ -427,17 +427,45 @@
   __atomic_fetch_sub (&visit.inbound->in_flight, 1, __ATOMIC_RELAXED);
 }
 
+/* Adds the name of the target beside this daemon and of its service.  */
+static void
+dump_target (struct inbound *inbound, json_t *dump)
+{
+  struct daemon *daemon = inbound->daemon;
+  struct cp_document *document = configuration_get (&daemon->configuration);
+  const struct cp_service *service = NULL;
+  const struct cp_target *target = NULL;
+
+  if (document != NULL)
+    target = own_target (daemon, document, &service);
+  if (target != NULL)
+    {
+      json_object_set_new (dump, "target", json_string (target->name));
+      json_object_set_new (dump, "service", json_string (service->name));
+    }
+  cp_document_unref (document);
+}
+
 json_t *
 inbound_dump (struct inbound *inbound)
 {
   struct cp_report report;
-  char text[CP_REPORT_TEXT_BYTES];
+  json_t *load;
+  json_t *dump;
 
   inbound_report (inbound, &report);
-  cp_report_text (&report, text);
-  return json_pack (
-      "{s:i, s:o, s:i, s:s}", "in_flight",
+  load = json_pack (
+      "{s:I, s:I, s:I, s:I, s:I}", "in_flight", (json_int_t)report.in_flight,
+      "queued", (json_int_t)report.queued, "limit", (json_int_t)report.limit,
+      "errors_permille", (json_int_t)report.errors_permille, "age_us",
+      (json_int_t)report.age_us);
+  dump = json_pack (
+      "{s:i, s:o, s:i, s:o, s:I, s:I}", "in_flight",
       (int)__atomic_load_n (&inbound->in_flight, __ATOMIC_RELAXED),
       "admission", cp_admission_dump (&inbound->admission), "register_entries",
-      (int)cp_register_count (&inbound->attempts), "report", text);
+      (int)cp_register_count (&inbound->attempts), "load", load, "p50_us",
+      (json_int_t)cp_histogram_quantile (&inbound->latency, 0.5), "p99_us",
+      (json_int_t)cp_histogram_quantile (&inbound->latency, 0.99));
+  dump_target (inbound, dump);
+  return dump;
 }
