--- a/cornelpick/main.c
+++ b/cornelpick/main.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "cornelpick/cornelpick.h"
+#include "cornelpickd/cornelpickd.h"
 
 static const struct command commands[] = {
   { "check", "FILE", command_check },
@@ -14,17 +15,36 @@
   { "top", "[--once] [--interval-ms MILLISECONDS] ADDRESS...", command_top },
 };
 
-int
-usage (void)
+static void
+print_usage (FILE *stream)
 {
   fputs ("usage: cornelpick COMMAND [OPTIONS] [ARGUMENTS]\n"
          "commands:\n",
-         stderr);
+         stream);
   for (unsigned i = 0; i < G_N_ELEMENTS (commands); i++)
-    fprintf (stderr, "  %s %s\n", commands[i].name, commands[i].arguments);
+    fprintf (stream, "  %s %s\n", commands[i].name, commands[i].arguments);
+}
+
+int
+usage (void)
+{
+  print_usage (stderr);
   return STATUS_USAGE;
 }
 
+/* Answers "help" and "--version".  Returns whether it was one of them.  */
+static bool
+answer_general (const char *word)
+{
+  if (strcmp (word, "--version") == 0)
+    puts ("cornelpick " CORNELPICK_VERSION);
+  else if (strcmp (word, "help") == 0 || strcmp (word, "--help") == 0)
+    print_usage (stdout);
+  else
+    return false;
+  return true;
+}
+
 /* Returns STATUS, or STATUS_FINDING when the output could not be written.  A
    reader that went away, such as head(1), needs no message.  */
 static int
@@ -46,6 +66,8 @@
   signal (SIGPIPE, SIG_IGN);
   if (argc < 2)
     return usage ();
+  if (answer_general (argv[1]))
+    return flush_output (STATUS_HOLDS);
   for (unsigned i = 0; i < G_N_ELEMENTS (commands); i++)
     if (strcmp (argv[1], commands[i].name) == 0)
       return flush_output (commands[i].run (argc - 1, argv + 1));
--- a/cornelpickd/cornelpickd.h
+++ b/cornelpickd/cornelpickd.h
@@ -75,6 +75,7 @@
   COUNT_CONFIGURATION_OLDER,
   COUNT_PAUSES,
   COUNT_LATE_STARTS,
+  COUNT_LEAVING_STARTS,
   COUNT_END
 };
 
@@ -292,6 +293,9 @@
 void admin_handle (void *context, struct request *request);
 char *metrics_text (struct daemon *daemon);
 
+/* metrics_gauges.c: appends gauges and histograms to TEXT.  */
+void metrics_gauges (struct daemon *daemon, GString *text);
+
 /* daemon.c */
 struct daemon
 {
@@ -304,6 +308,7 @@
   int life;
   uint64_t incarnation;
   uint64_t started_us;
+  uint64_t drained_us; /* when the drain began, 0 for not yet */
   struct upstream_pool upstreams;
   struct outbound outbound;
   struct inbound inbound;
--- a/cornelpickd/daemon.c
+++ b/cornelpickd/daemon.c
@@ -118,7 +118,10 @@
 void
 daemon_drain (struct daemon *daemon)
 {
-  daemon_step (daemon, CP_LIFE_DRAIN);
+  uint64_t now = cp_clock_now_us (daemon->clock);
+
+  if (daemon_step (daemon, CP_LIFE_DRAIN))
+    __atomic_store_n (&daemon->drained_us, now, __ATOMIC_RELEASE);
 }
 
 bool
--- a/cornelpickd/inbound.c
+++ b/cornelpickd/inbound.c
@@ -22,6 +22,7 @@
   char from[CP_NAME_BYTES];
   uint64_t deadline_us;
   uint64_t keep_until_us;
+  uint64_t drain_within_us;
   uint64_t sent_us;
   bool idempotent;
   bool started; /* the target may have seen the call */
@@ -199,6 +200,22 @@
          == CP_REGISTER_DONE;
 }
 
+/* Counts a start that breaks a promise: after the deadline, or longer after
+   the begin of the drain than the document allows.  */
+static void
+count_broken_promises (const struct visit *visit)
+{
+  struct daemon *daemon = visit->inbound->daemon;
+  uint64_t now = cp_clock_now_us (daemon->clock);
+  uint64_t drained_us
+      = __atomic_load_n (&daemon->drained_us, __ATOMIC_ACQUIRE);
+
+  if (now >= visit->deadline_us)
+    daemon_count (daemon, COUNT_LATE_STARTS);
+  if (drained_us != 0 && now > drained_us + visit->drain_within_us)
+    daemon_count (daemon, COUNT_LEAVING_STARTS);
+}
+
 /* The last check, immediately before the target sees the call.  */
 static bool
 before_send (void *context)
@@ -214,10 +231,12 @@
   visit->sent_us = now;
   visit->refused_as = COUNT_REFUSED_DUPLICATE;
   visit->started = step (visit, CP_ATTEMPT_START);
-  if (visit->started)
-    visit_record (visit, CP_DECISION_START, "sent to the target", 0,
-                  visit_age_us (visit));
-  return visit->started;
+  if (!visit->started)
+    return false;
+  count_broken_promises (visit);
+  visit_record (visit, CP_DECISION_START, "sent to the target", 0,
+                visit_age_us (visit));
+  return true;
 }
 
 static ssize_t
@@ -375,7 +394,10 @@
   if (document != NULL)
     target = own_target (daemon, document, &service);
   if (target != NULL)
-    visit->target = *target;
+    {
+      visit->target = *target;
+      visit->drain_within_us = service->drain_within_us;
+    }
   cp_document_unref (document);
   return target != NULL;
 }
--- a/cornelpickd/metrics.c
+++ b/cornelpickd/metrics.c
@@ -48,6 +48,9 @@
   [COUNT_PAUSES] = { "pauses_total", "Pauses of this process noticed." },
   [COUNT_LATE_STARTS]
   = { "late_starts_total", "Attempts started after their deadline." },
+  [COUNT_LEAVING_STARTS]
+  = { "leaving_starts_total",
+      "Attempts started later after the begin of the drain than allowed." },
 };
 
 char *
@@ -62,5 +65,6 @@
         "cornelpick_%s %" PRIu64 "\n",
         table[i].name, table[i].help, table[i].name, table[i].name,
         cp_counters_read (&daemon->counters, i));
+  metrics_gauges (daemon, text);
   return g_string_free (text, FALSE);
 }
--- a/lib/counter.c
+++ b/lib/counter.c
@@ -126,6 +126,24 @@
 {
   __atomic_fetch_add (&histogram->cells[cell_of (value_us)], 1,
                       __ATOMIC_RELAXED);
+  __atomic_fetch_add (&histogram->sum_us, value_us, __ATOMIC_RELAXED);
+}
+
+uint64_t
+cp_histogram_below (const struct cp_histogram *histogram, unsigned power)
+{
+  unsigned end = cell_of ((uint64_t)1 << power);
+  uint64_t count = 0;
+
+  for (unsigned i = 0; i < end; i++)
+    count += __atomic_load_n (&histogram->cells[i], __ATOMIC_RELAXED);
+  return count;
+}
+
+uint64_t
+cp_histogram_sum_us (const struct cp_histogram *histogram)
+{
+  return __atomic_load_n (&histogram->sum_us, __ATOMIC_RELAXED);
 }
 
 uint64_t
--- a/lib/counter.h
+++ b/lib/counter.h
@@ -42,11 +42,19 @@
 struct cp_histogram
 {
   uint64_t cells[CP_HISTOGRAM_CELLS];
+  uint64_t sum_us;
 };
 
 void cp_histogram_add (struct cp_histogram *histogram, uint64_t value_us);
 uint64_t cp_histogram_count (const struct cp_histogram *histogram);
 
+/* Returns how many values below 1 << POWER were added.  */
+uint64_t cp_histogram_below (const struct cp_histogram *histogram,
+                             unsigned power);
+
+/* Returns the sum of all values added, in microseconds.  */
+uint64_t cp_histogram_sum_us (const struct cp_histogram *histogram);
+
 /* Returns the value below which the share QUANTILE, 0 to 1, of all values
    lies; 0 when there are none.  */
 uint64_t cp_histogram_quantile (const struct cp_histogram *histogram,
