--- a/cornelpick/common.c
+++ b/cornelpick/common.c
@@ -63,7 +63,8 @@
                        "answered with status %d", status);
 }
 
-json_t *
+/* Reads PATH and parses it as JSON.  Returns NULL with ERROR set.  */
+static json_t *
 admin_get_json (const char *text, const char *path, struct cp_error *error)
 {
   GString *body = g_string_new (NULL);
@@ -81,6 +82,34 @@
   return value;
 }
 
+json_t *
+admin_get_state (const char *text, struct cp_error *error)
+{
+  json_t *state = admin_get_json (text, "/state", error);
+
+  if (state == NULL || *json_text (state, "incarnation") != '\0')
+    return state;
+  json_decref (state);
+  cp_error_set (error, CP_ERROR_PROTOCOL, text,
+                "check that this is the admin address of a daemon",
+                "answers /state with what is no state dump");
+  return NULL;
+}
+
+json_t *
+admin_get_list (const char *text, const char *path, struct cp_error *error)
+{
+  json_t *list = admin_get_json (text, path, error);
+
+  if (list == NULL || json_is_array (list))
+    return list;
+  json_decref (list);
+  cp_error_set (error, CP_ERROR_PROTOCOL, text,
+                "check that this is the admin address of a daemon",
+                "answers %s with what is no list", path);
+  return NULL;
+}
+
 const char *
 json_text (json_t *object, const char *key)
 {
--- a/cornelpick/cornelpick.h
+++ b/cornelpick/cornelpick.h
@@ -44,8 +44,11 @@
 int admin_get (const char *text, const char *path, GString *body,
                struct cp_error *error);
 
-/* Reads PATH and parses it as JSON.  Returns NULL with ERROR set.  */
-json_t *admin_get_json (const char *text, const char *path,
+/* Reads the state dump.  Returns NULL with ERROR set.  */
+json_t *admin_get_state (const char *text, struct cp_error *error);
+
+/* Reads PATH, which must give a JSON array.  Returns NULL with ERROR set.  */
+json_t *admin_get_list (const char *text, const char *path,
                         struct cp_error *error);
 
 /* Returns a text of OBJECT, or "" when it has none of that name.  */
--- a/cornelpick/explain.c
+++ b/cornelpick/explain.c
@@ -48,8 +48,7 @@
 report_missing (const struct explanation *explanation)
 {
   struct cp_error error;
-  CP_AUTO_JSON json_t *state
-      = admin_get_json (explanation->address, "/state", &error);
+  CP_AUTO_JSON json_t *state = admin_get_state (explanation->address, &error);
   json_t *ring = json_object_get (state, "decisions");
   json_int_t added = json_integer_value (json_object_get (ring, "added"));
   json_int_t capacity
@@ -84,7 +83,7 @@
   CP_AUTO_FREE char *path
       = g_strdup_printf ("/targets?service=%s", send->service);
   CP_AUTO_JSON json_t *targets
-      = admin_get_json (explanation->address, path, error);
+      = admin_get_list (explanation->address, path, error);
   size_t i;
   json_t *target;
 
@@ -142,7 +141,7 @@
   admin_address (explanation, &peers, hop->admin, sizeof hop->admin);
   cp_id_text (&hop->send->attempt, id);
   snprintf (path, sizeof path, "/decisions?attempt=%s", id);
-  hop->records = admin_get_json (hop->admin, path, &error);
+  hop->records = admin_get_list (hop->admin, path, &error);
   if (hop->records == NULL)
     hop->fault = g_strdup_printf (
         "%s does not answer; give its port with --admin-port, or run "
@@ -262,7 +261,7 @@
   int status = STATUS_HOLDS;
 
   snprintf (path, sizeof path, "/decisions?request=%s", explanation->request);
-  explanation->records = admin_get_json (explanation->address, path, &error);
+  explanation->records = admin_get_list (explanation->address, path, &error);
   if (explanation->records == NULL)
     return report_error (&error);
   if (story_init (&explanation->story, explanation->records) != 0
--- a/cornelpick/state.c
+++ b/cornelpick/state.c
@@ -231,7 +231,7 @@
                     wait);
       return report_error (&error);
     }
-  state = admin_get_json (argv[1], "/state", &error);
+  state = admin_get_state (argv[1], &error);
   if (state == NULL)
     return report_error (&error);
   if (!json)
--- a/cornelpick/top.c
+++ b/cornelpick/top.c
@@ -187,7 +187,7 @@
   for (char **address = addresses; *address != NULL; address++)
     {
       struct cp_error error;
-      CP_AUTO_JSON json_t *state = admin_get_json (*address, "/state", &error);
+      CP_AUTO_JSON json_t *state = admin_get_state (*address, &error);
 
       if (state != NULL)
         take_state (table, state);
