--- a/cornelpickd/inbound.c
+++ b/cornelpickd/inbound.c
@@ -16,13 +16,16 @@
 {
   struct inbound *inbound;
   struct request *request;
+  struct cp_id id;
   struct cp_id attempt;
   struct cp_target target;
   char from[CP_NAME_BYTES];
   uint64_t deadline_us;
   uint64_t keep_until_us;
+  uint64_t drain_within_us;
   uint64_t sent_us;
   bool idempotent;
+  bool started; /* the target may have seen the call */
   enum cp_priority priority;
   struct answer answer;
   enum daemon_counter refused_as;
@@ -108,12 +111,40 @@
             outcome, load, visit->inbound->daemon->settings.vm);
 }
 
+/* Records a step of the visit; DURATION_US as the kind says.  */
+static void
+visit_record (const struct visit *visit, enum cp_decision_kind kind,
+              const char *reason, int status, uint64_t duration_us)
+{
+  struct cp_decision decision = { .kind = kind,
+                                  .request = visit->id,
+                                  .attempt = visit->attempt,
+                                  .status = status,
+                                  .duration_us = duration_us };
+
+  g_strlcpy (decision.target, visit->target.name, sizeof decision.target);
+  g_strlcpy (decision.reason, reason, sizeof decision.reason);
+  decision.reason[strcspn (decision.reason, "\n")] = '\0';
+  daemon_record (visit->inbound->daemon, &decision);
+}
+
+/* Returns the time since the call arrived.  */
+static uint64_t
+visit_age_us (const struct visit *visit)
+{
+  return cp_clock_now_us (visit->inbound->daemon->clock)
+         - visit->request->arrived_us;
+}
+
 static void
 refuse (struct visit *visit, int status, const char *outcome,
         const char *reason)
 {
   char headers[512];
 
+  if (!visit->started)
+    visit_record (visit, CP_DECISION_REFUSE, reason, status,
+                  visit_age_us (visit));
   own_headers (visit, outcome, headers, sizeof headers);
   request_answer (visit->request, status, headers, "text/plain", reason);
 }
@@ -129,6 +160,7 @@
   const char *from = request_header (request, HEADER_FROM);
   uint64_t remaining_us;
 
+  cp_id_parse (&visit->id, request_header (request, HEADER_REQUEST));
   if (!cp_id_parse (&visit->attempt, request_header (request, HEADER_ATTEMPT))
       || remaining == NULL || from == NULL)
     return false;
@@ -168,6 +200,22 @@
          == CP_REGISTER_DONE;
 }
 
+/* Counts a start that breaks a promise: after the deadline, or longer after
+   the begin of the drain than the document allows.  */
+static void
+count_broken_promises (const struct visit *visit)
+{
+  struct daemon *daemon = visit->inbound->daemon;
+  uint64_t now = cp_clock_now_us (daemon->clock);
+  uint64_t drained_us
+      = __atomic_load_n (&daemon->drained_us, __ATOMIC_ACQUIRE);
+
+  if (now >= visit->deadline_us)
+    daemon_count (daemon, COUNT_LATE_STARTS);
+  if (drained_us != 0 && now > drained_us + visit->drain_within_us)
+    daemon_count (daemon, COUNT_LEAVING_STARTS);
+}
+
 /* The last check, immediately before the target sees the call.  */
 static bool
 before_send (void *context)
@@ -182,7 +230,13 @@
     }
   visit->sent_us = now;
   visit->refused_as = COUNT_REFUSED_DUPLICATE;
-  return step (visit, CP_ATTEMPT_START);
+  visit->started = step (visit, CP_ATTEMPT_START);
+  if (!visit->started)
+    return false;
+  count_broken_promises (visit);
+  visit_record (visit, CP_DECISION_START, "sent to the target", 0,
+                visit_age_us (visit));
+  return true;
 }
 
 static ssize_t
@@ -247,6 +301,9 @@
     {
       step (visit, CP_ATTEMPT_REFUSE);
       daemon_count (daemon, visit->refused_as);
+      if (visit->started)
+        visit_record (visit, CP_DECISION_END, upstream_result_names[result], 0,
+                      0);
       refuse (visit, 503, "not-run", "the target was not reached\n");
       return;
     }
@@ -257,6 +314,8 @@
     cp_histogram_add (&inbound->latency, latency);
   else
     daemon_count (daemon, COUNT_CUT_ANSWERS);
+  visit_record (visit, CP_DECISION_END, upstream_result_names[result],
+                visit->answer.status, latency);
   if (visit->answer.head_sent)
     answer_end (&visit->answer, result == UPSTREAM_COMPLETE);
   else
@@ -312,6 +371,8 @@
                                visit->from, visit->deadline_us);
   if (result == CP_ADMITTED)
     {
+      visit_record (visit, CP_DECISION_ADMIT, visit->from, 0,
+                    visit_age_us (visit));
       call_target (visit);
       return;
     }
@@ -333,7 +394,10 @@
   if (document != NULL)
     target = own_target (daemon, document, &service);
   if (target != NULL)
-    visit->target = *target;
+    {
+      visit->target = *target;
+      visit->drain_within_us = service->drain_within_us;
+    }
   cp_document_unref (document);
   return target != NULL;
 }
@@ -385,17 +449,45 @@
   __atomic_fetch_sub (&visit.inbound->in_flight, 1, __ATOMIC_RELAXED);
 }
 
+/* Adds the name of the target beside this daemon and of its service.  */
+static void
+dump_target (struct inbound *inbound, json_t *dump)
+{
+  struct daemon *daemon = inbound->daemon;
+  struct cp_document *document = configuration_get (&daemon->configuration);
+  const struct cp_service *service = NULL;
+  const struct cp_target *target = NULL;
+
+  if (document != NULL)
+    target = own_target (daemon, document, &service);
+  if (target != NULL)
+    {
+      json_object_set_new (dump, "target", json_string (target->name));
+      json_object_set_new (dump, "service", json_string (service->name));
+    }
+  cp_document_unref (document);
+}
+
 json_t *
 inbound_dump (struct inbound *inbound)
 {
   struct cp_report report;
-  char text[CP_REPORT_TEXT_BYTES];
+  json_t *load;
+  json_t *dump;
 
   inbound_report (inbound, &report);
-  cp_report_text (&report, text);
-  return json_pack (
-      "{s:i, s:o, s:i, s:s}", "in_flight",
+  load = json_pack (
+      "{s:I, s:I, s:I, s:I, s:I}", "in_flight", (json_int_t)report.in_flight,
+      "queued", (json_int_t)report.queued, "limit", (json_int_t)report.limit,
+      "errors_permille", (json_int_t)report.errors_permille, "age_us",
+      (json_int_t)report.age_us);
+  dump = json_pack (
+      "{s:i, s:o, s:i, s:o, s:I, s:I}", "in_flight",
       (int)__atomic_load_n (&inbound->in_flight, __ATOMIC_RELAXED),
       "admission", cp_admission_dump (&inbound->admission), "register_entries",
-      (int)cp_register_count (&inbound->attempts), "report", text);
+      (int)cp_register_count (&inbound->attempts), "load", load, "p50_us",
+      (json_int_t)cp_histogram_quantile (&inbound->latency, 0.5), "p99_us",
+      (json_int_t)cp_histogram_quantile (&inbound->latency, 0.99));
+  dump_target (inbound, dump);
+  return dump;
 }
