Pick by the hot-cold rule and drive the health of targets

The daemon chose by two choices and knew no health of its targets. lib/picker* holds five rules over one view; the daemon uses hot-cold. charts/target.json drives lib/health*: ejection within the document's share, probation, ramp, leaving by report, gone by refused connections.

--- a/cornelpickd/cornelpickd.h
+++ b/cornelpickd/cornelpickd.h
@@ -120,11 +120,13 @@
   struct daemon *daemon;
   pthread_mutex_t lock;
   struct cds_list_head balancers;
+  struct cp_chart chart; /* of a target's health */
   struct cp_histogram latency;
   unsigned in_flight;
 };
 
-int outbound_init (struct outbound *outbound, struct daemon *daemon);
+int outbound_init (struct outbound *outbound, struct daemon *daemon,
+                   struct cp_error *error);
 void outbound_finish (struct outbound *outbound);
 void outbound_handle (void *context, struct request *request);
 
--- a/cornelpickd/daemon.c
+++ b/cornelpickd/daemon.c
@@ -69,7 +69,8 @@
     return -1;
   if (inbound_init (&daemon->inbound, daemon, error) != 0)
     return -1;
-  outbound_init (&daemon->outbound, daemon);
+  if (outbound_init (&daemon->outbound, daemon, error) != 0)
+    return -1;
   if (start_listener (daemon, &daemon->admin, admin_handle, daemon,
                       &settings->admin, ADMIN_THREADS, error)
           != 0
--- a/cornelpickd/outbound.c
+++ b/cornelpickd/outbound.c
@@ -5,6 +5,9 @@
 #include "cornelpickd/cornelpickd.h"
 #include "lib/cleanup.h"
 
+#define ASK_MOST 8
+#define ASK_TIMEOUT_US (10 * CP_US_PER_MS)
+
 /* The balancer of one service.  */
 struct service_balancer
 {
@@ -13,13 +16,17 @@
 };
 
 int
-outbound_init (struct outbound *outbound, struct daemon *daemon)
+outbound_init (struct outbound *outbound, struct daemon *daemon,
+               struct cp_error *error)
 {
+  char path[320];
+
   memset (outbound, 0, sizeof *outbound);
   outbound->daemon = daemon;
   pthread_mutex_init (&outbound->lock, NULL);
   CDS_INIT_LIST_HEAD (&outbound->balancers);
-  return 0;
+  snprintf (path, sizeof path, "%s/target.json", daemon->settings.charts);
+  return cp_chart_load (&outbound->chart, path, &cp_health_names, error);
 }
 
 void
@@ -50,9 +57,16 @@
   return NULL;
 }
 
+static void
+record (void *context, struct cp_decision *decision)
+{
+  daemon_record (context, decision);
+}
+
 static struct cp_balancer *
 get_balancer (struct outbound *outbound, const char *service)
 {
+  const struct cp_balancer_observer observer = { record, outbound->daemon };
   struct cp_balancer *balancer;
   struct service_balancer *entry;
 
@@ -63,19 +77,43 @@
   entry = calloc (1, sizeof *entry);
   if (entry == NULL)
     abort ();
-  cp_balancer_init (&entry->balancer, &cp_picker_two_choices,
+  cp_balancer_init (&entry->balancer, &cp_picker_hot_cold, &outbound->chart,
                     outbound->daemon->clock, service,
                     outbound->daemon->settings.failure_domain);
+  cp_balancer_observe (&entry->balancer, &observer);
   cds_list_add (&entry->node, &outbound->balancers);
   return &entry->balancer;
 }
 
+/* Asks the inbound sides of which nothing is known for their load, so that
+   the first calls are not sent blindly.  */
+static void
+ask_unreported (struct cp_balancer *balancer)
+{
+  struct cp_target targets[ASK_MOST];
+  unsigned count = cp_balancer_unreported (balancer, targets, ASK_MOST);
+
+  for (unsigned i = 0; i < count; i++)
+    {
+      struct cp_report report;
+
+      if (rpc_load (&targets[i].daemon, &report, ASK_TIMEOUT_US))
+        cp_balancer_report (balancer, targets[i].name, &report);
+    }
+}
+
 void
 outbound_update (struct outbound *outbound, const struct cp_document *document)
 {
   for (unsigned i = 0; i < document->n_services; i++)
-    cp_balancer_update (get_balancer (outbound, document->services[i].name),
-                        &document->services[i]);
+    {
+      struct cp_balancer *balancer
+          = get_balancer (outbound, document->services[i].name);
+
+      cp_balancer_update (balancer, &document->services[i],
+                          2 * document->fleet.one_way_us);
+      ask_unreported (balancer);
+    }
 }
 
 /* Sets deadline, idempotency and retry right: the document's, which the
@@ -132,6 +170,7 @@
     }
   set_limits (&call);
   cp_id_create (&call.id, cp_random_thread ());
+  call.tried.request = call.id;
   call.answer.request = request;
   call.balancer = get_balancer (outbound, call.route->service->name);
   call.body = g_byte_array_new ();
--- a/lib/balancer.c
+++ b/lib/balancer.c
@@ -2,57 +2,57 @@
 #include <string.h>
 
 #include "lib/balancer.h"
+#include "lib/balancer_internal.h"
 #include "lib/cleanup.h"
 
-#define LATENCY_WEIGHT 8
-
-static uint32_t
-load_of (const struct cp_target_state *state)
-{
-  uint32_t reported = state->report.in_flight + state->report.queued
-                      + state->sent_since_report;
-
-  if (state->report_us == 0 || reported < state->own_in_flight)
-    return state->own_in_flight;
-  return reported;
-}
-
-static unsigned
-pick_two_choices (void *context, const struct cp_pick_view *view)
-{
-  unsigned first = (unsigned)cp_random_below (view->random, view->n_targets);
-  unsigned second = (unsigned)cp_random_below (view->random, view->n_targets);
-
-  (void)context;
-  if (load_of (view->targets[second]) < load_of (view->targets[first]))
-    return second;
-  return first;
-}
-
-const struct cp_picker cp_picker_two_choices
-    = { "two-choices", pick_two_choices, NULL };
+#define LATENCY_WEIGHT 0.25
+#define SERVICE_LATENCY_WEIGHT 0.03
+#define REPORT_LATENCY_WAIT_US (100 * CP_US_PER_MS)
+#define LOAD_WEIGHT 0.03
+#define DRIFT_WEIGHT 0.2
+#define DRIFT_LEAST_S 0.0005
+#define DRIFT_FIRST 1000.0
+#define LOAD_MOST 1000000
+#define AGE_MOST_US (600 * CP_US_PER_S)
+#define TICK_US (50 * CP_US_PER_MS)
+#define TRIAL_EVERY 250
+#define TRIAL_IDLE_US (5 * CP_US_PER_S)
+#define SILENCE_FACTOR 10
+#define SILENCE_LEAST_US (100 * CP_US_PER_MS)
 
 void
 cp_balancer_init (struct cp_balancer *balancer, const struct cp_picker *picker,
-                  const struct cp_clock *clock, const char *service,
-                  const char *failure_domain)
+                  const struct cp_chart *chart, const struct cp_clock *clock,
+                  const char *service, const char *failure_domain)
 {
   memset (balancer, 0, sizeof *balancer);
   pthread_mutex_init (&balancer->lock, NULL);
   balancer->picker = *picker;
+  balancer->chart = chart;
   balancer->clock = clock;
-  snprintf (balancer->service, sizeof balancer->service, "%s", service);
-  snprintf (balancer->failure_domain, sizeof balancer->failure_domain, "%s",
-            failure_domain);
+  g_strlcpy (balancer->service, service, sizeof balancer->service);
+  g_strlcpy (balancer->failure_domain, failure_domain,
+             sizeof balancer->failure_domain);
+  balancer->sequence = g_str_hash (failure_domain);
+  balancer->trial_sequence = balancer->sequence;
 }
 
 void
 cp_balancer_finish (struct cp_balancer *balancer)
 {
   free (balancer->targets);
+  free (balancer->eligible);
   pthread_mutex_destroy (&balancer->lock);
 }
 
+void
+cp_balancer_observe (struct cp_balancer *balancer,
+                     const struct cp_balancer_observer *observer)
+{
+  CP_LOCK_SCOPE (&balancer->lock);
+  balancer->observer = *observer;
+}
+
 static struct cp_target_state *
 find_target (struct cp_balancer *balancer, const char *name)
 {
@@ -62,31 +62,149 @@
   return NULL;
 }
 
+static unsigned
+list_those (struct cp_balancer *balancer,
+            bool (*takes_part) (const struct cp_health *health))
+{
+  unsigned count = 0;
+
+  for (unsigned i = 0; i < balancer->n_targets; i++)
+    if (takes_part (&balancer->targets[i].health))
+      balancer->eligible[count++] = &balancer->targets[i];
+  balancer->n_eligible = count;
+  return count;
+}
+
+static bool
+is_present (const struct cp_health *health)
+{
+  return health->state != CP_HEALTH_LEAVING && health->state != CP_HEALTH_GONE;
+}
+
+static bool
+is_not_leaving (const struct cp_health *health)
+{
+  return health->state != CP_HEALTH_LEAVING;
+}
+
+/* Lists the targets that take calls.  When more are bad than may be ejected,
+   the fault is the service's and calls are spread over all that are there;
+   when none is left, over those that seem gone too.  */
+static void
+list_eligible (struct cp_balancer *balancer, uint64_t now_us)
+{
+  unsigned bad = 0;
+
+  for (unsigned i = 0; i < balancer->n_targets; i++)
+    bad += cp_health_is_bad (&balancer->targets[i].health, now_us);
+  balancer->spread_over_all
+      = bad > balancer->eject_most_share * balancer->n_targets;
+  if (list_those (balancer, balancer->spread_over_all ? is_present
+                                                      : cp_health_takes_calls)
+      == 0)
+    list_those (balancer, is_not_leaving);
+}
+
+/* Returns whether one more target may be ejected.  */
+static bool
+may_eject (const struct cp_balancer *balancer)
+{
+  unsigned ejected = 0;
+
+  for (unsigned i = 0; i < balancer->n_targets; i++)
+    {
+      int state = balancer->targets[i].health.state;
+
+      ejected += state == CP_HEALTH_EJECTED || state == CP_HEALTH_PROBATION;
+    }
+  return ejected + 1
+         <= balancer->eject_most_share * (double)balancer->n_targets;
+}
+
+/* Acts on a changed state of health.  */
+static void
+health_changed (struct cp_balancer *balancer,
+                const struct cp_target_state *state, const char *cause)
+{
+  list_eligible (balancer, cp_clock_now_us (balancer->clock));
+  cp_balancer_record_health (balancer, state, cause);
+}
+
+static bool
+is_silent (const struct cp_balancer *balancer,
+           const struct cp_target_state *state, uint64_t now_us)
+{
+  uint64_t limit = (uint64_t)(SILENCE_FACTOR * balancer->mean_latency_us);
+
+  if (balancer->mean_latency_us <= 0)
+    return false;
+  return cp_pending_us (state, now_us)
+         > (limit > SILENCE_LEAST_US ? limit : SILENCE_LEAST_US);
+}
+
+static void
+tick (struct cp_balancer *balancer, uint64_t now_us)
+{
+  if (now_us < balancer->tick_us)
+    return;
+  balancer->tick_us = now_us + TICK_US;
+  for (unsigned i = 0; i < balancer->n_targets; i++)
+    {
+      struct cp_target_state *state = &balancer->targets[i];
+
+      if (cp_health_tick (&state->health, balancer->chart, now_us))
+        health_changed (balancer, state, "time passed");
+      if (state->health.state == CP_HEALTH_HEALTHY
+          && is_silent (balancer, state, now_us)
+          && cp_health_silence (&state->health, balancer->chart, now_us))
+        health_changed (balancer, state, "own calls stay unanswered");
+    }
+  list_eligible (balancer, now_us);
+}
+
 int
 cp_balancer_update (struct cp_balancer *balancer,
-                    const struct cp_service *service)
+                    const struct cp_service *service, uint64_t remote_us)
 {
+  uint64_t now_us = cp_clock_now_us (balancer->clock);
   struct cp_target_state *fresh
-      = calloc (service->n_targets, sizeof *balancer->targets);
+      = calloc (service->n_targets + 1, sizeof *balancer->targets);
+  struct cp_target_state **eligible
+      = calloc (service->n_targets + 1, sizeof (struct cp_target_state *));
 
-  if (fresh == NULL)
-    return -1;
+  if (fresh == NULL || eligible == NULL)
+    {
+      free (fresh);
+      free (eligible);
+      return -1;
+    }
   CP_LOCK_SCOPE (&balancer->lock);
   for (unsigned i = 0; i < service->n_targets; i++)
     {
       const struct cp_target *target = &service->targets[i];
-      struct cp_target_state *old = find_target (balancer, target->name);
+      const struct cp_target_state *old = find_target (balancer, target->name);
 
       if (old != NULL
           && strcmp (old->target.address.text, target->address.text) == 0)
         fresh[i] = *old;
+      else
+        {
+          cp_health_init (&fresh[i].health, balancer->chart, now_us);
+          fresh[i].load_drift = DRIFT_FIRST;
+        }
       fresh[i].target = *target;
       fresh[i].same_domain
           = strcmp (target->failure_domain, balancer->failure_domain) == 0;
     }
   free (balancer->targets);
+  free (balancer->eligible);
   balancer->targets = fresh;
+  balancer->eligible = eligible;
   balancer->n_targets = service->n_targets;
+  balancer->eject_most_share = service->eject_most_share;
+  balancer->slots = service->slots;
+  balancer->remote_us = remote_us;
+  list_eligible (balancer, now_us);
   return 0;
 }
 
@@ -99,38 +217,161 @@
   return false;
 }
 
+/* Returns a target that waits for a trial call, when one is due.  */
+static struct cp_target_state *
+due_trial (struct cp_balancer *balancer, const struct cp_tried *tried,
+           uint64_t now_us)
+{
+  if (tried->count > 0
+      || (balancer->sequence - balancer->trial_sequence < TRIAL_EVERY
+          && now_us - balancer->trial_us < TRIAL_IDLE_US))
+    return NULL;
+  for (unsigned i = 0; i < balancer->n_targets; i++)
+    {
+      struct cp_target_state *state
+          = &balancer->targets[(balancer->sequence + i) % balancer->n_targets];
+
+      if (!cp_health_wants_trial (&state->health, now_us))
+        continue;
+      state->health.trial_sent = true;
+      balancer->trial_sequence = balancer->sequence;
+      balancer->trial_us = now_us;
+      return state;
+    }
+  return NULL;
+}
+
+/* Removes the targets that were tried from the list; when only such take
+   calls, any other that has not left will do.  */
+static unsigned
+list_untried (const struct cp_balancer *balancer, const struct cp_tried *tried,
+              struct cp_target_state **list)
+{
+  unsigned count = 0;
+
+  for (unsigned i = 0; i < balancer->n_eligible; i++)
+    if (!was_tried (tried, balancer->eligible[i]->target.name))
+      list[count++] = balancer->eligible[i];
+  for (unsigned i = 0; i < balancer->n_targets && count == 0; i++)
+    if (balancer->targets[i].health.state != CP_HEALTH_LEAVING
+        && !was_tried (tried, balancer->targets[i].target.name))
+      list[count++] = &balancer->targets[i];
+  return count;
+}
+
+void
+cp_balancer_view (const struct cp_balancer *balancer,
+                  const struct cp_random *random, uint64_t now_us,
+                  struct cp_pick_view *view)
+{
+  view->targets = balancer->eligible;
+  view->n_targets = balancer->n_eligible;
+  view->now_us = now_us;
+  view->random = random;
+  view->sequence = balancer->sequence;
+  view->slots = balancer->slots;
+  view->remote_us = balancer->remote_us;
+  view->mean_load = balancer->mean_load;
+  view->load_variance = balancer->load_variance;
+  view->mean_latency_us = balancer->mean_latency_us;
+}
+
+static void
+count_send (struct cp_balancer *balancer, struct cp_target_state *state,
+            uint64_t now_us)
+{
+  state->own_in_flight++;
+  state->sent_since_report++;
+  if (state->n_started < CP_STARTED_MAX)
+    state->started_us[state->n_started++] = now_us;
+  balancer->sequence++;
+}
+
 bool
 cp_balancer_pick (struct cp_balancer *balancer, const struct cp_tried *tried,
                   const struct cp_random *random, struct cp_target *target,
                   uint64_t *incarnation)
 {
-  struct cp_pick_view view = { .random = random };
+  uint64_t now_us = cp_clock_now_us (balancer->clock);
+  struct cp_pick_view view;
   struct cp_target_state *state;
-  CP_LOCK_SCOPE (&balancer->lock);
-  CP_AUTO_FREE struct cp_target_state **targets
-      = calloc (balancer->n_targets + 1, sizeof (struct cp_target_state *));
+  const char *reason = "trial call";
+  CP_AUTO_FREE struct cp_target_state **untried = NULL;
 
-  if (targets == NULL)
-    return false;
-  for (unsigned i = 0; i < balancer->n_targets; i++)
-    if (!was_tried (tried, balancer->targets[i].target.name))
-      targets[view.n_targets++] = &balancer->targets[i];
-  if (view.n_targets == 0)
+  CP_LOCK_SCOPE (&balancer->lock);
+  tick (balancer, now_us);
+  cp_balancer_view (balancer, random, now_us, &view);
+  if (tried->count > 0)
+    {
+      untried = calloc (balancer->n_targets + 1, sizeof *untried);
+      if (untried == NULL)
+        return false;
+      view.targets = untried;
+      view.n_targets = list_untried (balancer, tried, untried);
+    }
+  state = due_trial (balancer, tried, now_us);
+  if (state == NULL && view.n_targets == 0)
     return false;
-  view.targets = targets;
-  view.now_us = cp_clock_now_us (balancer->clock);
-  state = targets[balancer->picker.pick (balancer->picker.context, &view)];
-  state->own_in_flight++;
-  state->sent_since_report++;
+  if (state == NULL)
+    state = view.targets[balancer->picker.pick (balancer->picker.context,
+                                                &view, &reason)];
+  cp_balancer_record_pick (balancer, &view, tried, state, reason);
+  count_send (balancer, state, now_us);
   *target = state->target;
   *incarnation = state->report_us == 0 ? 0 : state->report.incarnation;
   return true;
 }
 
+/* Forgets the start of the call in flight that fits best.  */
+static void
+remove_started (struct cp_target_state *state, uint64_t start_us)
+{
+  unsigned best = 0;
+  uint64_t best_off = UINT64_MAX;
+
+  for (unsigned i = 0; i < state->n_started; i++)
+    {
+      uint64_t at = state->started_us[i];
+      uint64_t off = at > start_us ? at - start_us : start_us - at;
+
+      if (off >= best_off)
+        continue;
+      best = i;
+      best_off = off;
+    }
+  if (state->n_started > 0)
+    state->started_us[best] = state->started_us[--state->n_started];
+}
+
+static void
+add_latency (struct cp_target_state *state, double latency_us, uint64_t now_us)
+{
+  if (state->latency_us <= 0)
+    state->latency_us = latency_us;
+  state->latency_us += (latency_us - state->latency_us) * LATENCY_WEIGHT;
+  state->latency_at_us = now_us;
+}
+
+static void
+add_service_latency (struct cp_balancer *balancer, double latency_us)
+{
+  if (balancer->mean_latency_us <= 0)
+    balancer->mean_latency_us = latency_us;
+  balancer->mean_latency_us
+      += (latency_us - balancer->mean_latency_us) * SERVICE_LATENCY_WEIGHT;
+}
+
+static const char *const result_names[]
+    = { [CP_CALL_ANSWERED] = "answered",
+        [CP_CALL_FAILED] = "failed calls",
+        [CP_CALL_REFUSED] = "refused",
+        [CP_CALL_NO_CONTACT] = "no connection" };
+
 void
 cp_balancer_done (struct cp_balancer *balancer, const char *target,
                   enum cp_call_result result, uint64_t latency_us)
 {
+  uint64_t now_us = cp_clock_now_us (balancer->clock);
   struct cp_target_state *state;
 
   CP_LOCK_SCOPE (&balancer->lock);
@@ -139,47 +380,100 @@
     return;
   if (state->own_in_flight > 0)
     state->own_in_flight--;
-  if (result != CP_CALL_ANSWERED)
+  remove_started (state, now_us > latency_us ? now_us - latency_us : 0);
+  if (result == CP_CALL_ANSWERED)
+    {
+      state->own_latency_us = latency_us;
+      add_latency (state, (double)latency_us, now_us);
+      add_service_latency (balancer, (double)latency_us);
+    }
+  if (cp_health_result (&state->health, balancer->chart, result, now_us,
+                        may_eject (balancer)))
+    health_changed (balancer, state, result_names[result]);
+}
+
+/* Returns whether REPORT can be true and is news of TARGET; counts it when it
+   is not.  */
+static bool
+check_report (struct cp_balancer *balancer,
+              const struct cp_target_state *state,
+              const struct cp_report *report, uint64_t time_us)
+{
+  if (state == NULL)
+    {
+      balancer->counts.unknown_target++;
+      return false;
+    }
+  if (report->age_us > AGE_MOST_US || report->in_flight > LOAD_MOST
+      || report->queued > LOAD_MOST || report->life >= CP_LIFE_COUNT
+      || time_us > cp_clock_now_us (balancer->clock))
+    {
+      balancer->counts.impossible++;
+      return false;
+    }
+  if (state->report_us != 0 && time_us < state->report_us
+      && report->incarnation == state->report.incarnation)
+    {
+      balancer->counts.overtaken++;
+      return false;
+    }
+  return true;
+}
+
+static void
+add_load (struct cp_balancer *balancer, struct cp_target_state *state,
+          const struct cp_report *report, uint64_t time_us)
+{
+  double load = report->in_flight + report->queued;
+  double off = load - balancer->mean_load;
+
+  balancer->mean_load += off * LOAD_WEIGHT;
+  balancer->load_variance
+      += (off * off - balancer->load_variance) * LOAD_WEIGHT;
+  if (state->report_us == 0 || time_us <= state->report_us)
     return;
-  if (state->own_latency_us == 0)
-    state->own_latency_us = latency_us;
-  state->own_latency_us
-      += (latency_us - state->own_latency_us) / LATENCY_WEIGHT;
+  off = load - (state->report.in_flight + state->report.queued);
+  double gap_s = (double)(time_us - state->report_us) / (double)CP_US_PER_S;
+  double drift = off * off / (gap_s < DRIFT_LEAST_S ? DRIFT_LEAST_S : gap_s);
+  state->load_drift += (drift - state->load_drift) * DRIFT_WEIGHT;
 }
 
 void
 cp_balancer_report (struct cp_balancer *balancer, const char *target,
                     const struct cp_report *report)
 {
+  uint64_t now_us = cp_clock_now_us (balancer->clock);
+  uint64_t time_us = now_us > report->age_us ? now_us - report->age_us : 1;
   struct cp_target_state *state;
 
   CP_LOCK_SCOPE (&balancer->lock);
   state = find_target (balancer, target);
-  if (state == NULL)
+  if (!check_report (balancer, state, report, time_us))
     return;
+  balancer->counts.taken++;
+  add_load (balancer, state, report, time_us);
   state->report = *report;
-  state->report_us = cp_clock_now_us (balancer->clock);
+  state->report_us = time_us;
   state->sent_since_report = 0;
+  if (report->latency_us > 0
+      && now_us > state->latency_at_us + REPORT_LATENCY_WAIT_US)
+    add_latency (state, (double)report->latency_us, now_us);
+  cp_balancer_record_report (balancer, state);
+  if (cp_health_life (&state->health, balancer->chart, report->life,
+                      report->incarnation, time_us, now_us))
+    health_changed (balancer, state, cp_life_names[report->life]);
 }
 
-json_t *
-cp_balancer_dump (struct cp_balancer *balancer)
+unsigned
+cp_balancer_unreported (struct cp_balancer *balancer,
+                        struct cp_target *targets, unsigned most)
 {
-  json_t *list = json_array ();
+  unsigned count = 0;
 
   CP_LOCK_SCOPE (&balancer->lock);
-  for (unsigned i = 0; i < balancer->n_targets; i++)
-    {
-      const struct cp_target_state *state = &balancer->targets[i];
-
-      json_array_append_new (
-          list, json_pack ("{s:s, s:s, s:I, s:I, s:I, s:I}", "name",
-                           state->target.name, "failure_domain",
-                           state->target.failure_domain, "own_in_flight",
-                           (json_int_t)state->own_in_flight, "in_flight",
-                           (json_int_t)state->report.in_flight, "report_us",
-                           (json_int_t)state->report_us, "own_latency_us",
-                           (json_int_t)state->own_latency_us));
-    }
-  return list;
+  for (unsigned i = 0; i < balancer->n_targets && count < most; i++)
+    if (balancer->targets[i].report_us == 0
+        && balancer->targets[i].target.has_daemon)
+      targets[count++] = balancer->targets[i].target;
+  return count;
 }
--- a/lib/balancer.h
+++ b/lib/balancer.h
@@ -1,86 +1,92 @@
 /* Choice of a target for one call, for one service.
 
    A balancer belongs to one outbound side.  It holds what that side knows of
-   each target and asks a picker.  All functions lock the balancer; none
-   waits.  */
+   each target, drives each target's health and asks a picker.  All functions
+   lock the balancer; none waits.  */
 #ifndef CP_BALANCER_H
 #define CP_BALANCER_H
 
 #include <pthread.h>
 
 #include "lib/clock.h"
+#include "lib/decision.h"
 #include "lib/document.h"
+#include "lib/picker.h"
 #include "lib/report.h"
 
-/* What an outbound side knows of one target.  */
-struct cp_target_state
+/* Takes the decision records of a balancer.  RECORD is called with the
+   balancer locked and must not call it; it may be NULL.  */
+struct cp_balancer_observer
 {
-  struct cp_target target;
-  uint32_t own_in_flight; /* own calls sent and not yet ended */
-  uint32_t sent_since_report;
-  uint64_t report_us; /* when the last report came; 0 for never */
-  struct cp_report report;
-  uint64_t own_latency_us; /* moving mean of own calls */
-  bool same_domain;
-};
-
-/* The targets that a picker may choose from.  */
-struct cp_pick_view
-{
-  struct cp_target_state *const *targets;
-  unsigned n_targets;
-  uint64_t now_us;
-  const struct cp_random *random;
+  void (*record) (void *context, struct cp_decision *decision);
+  void *context;
 };
 
-/* A rule for choosing.  PICK returns an index into the view, which has at
-   least one target.  */
-struct cp_picker
+/* What was counted of reports that were not taken.  */
+struct cp_report_counts
 {
-  const char *name;
-  unsigned (*pick) (void *context, const struct cp_pick_view *view);
-  void *context;
+  uint64_t taken;
+  uint64_t unknown_target;
+  uint64_t impossible; /* from the future or of a load that can't be */
+  uint64_t overtaken;  /* older than one of the same incarnation */
 };
 
 struct cp_balancer
 {
   pthread_mutex_t lock;
   const struct cp_clock *clock;
+  const struct cp_chart *chart; /* charts/target.json */
   struct cp_picker picker;
+  struct cp_balancer_observer observer;
   char failure_domain[CP_NAME_BYTES];
   char service[CP_NAME_BYTES];
   struct cp_target_state *targets;
   unsigned n_targets;
+  struct cp_target_state **eligible; /* those that take calls */
+  unsigned n_eligible;
+  bool spread_over_all; /* too few take calls */
+  double eject_most_share;
+  unsigned slots;
+  uint64_t remote_us;
+  uint64_t tick_us; /* when health must be looked at next */
+  uint64_t sequence;
+  uint64_t trial_sequence; /* SEQUENCE at the last trial call */
+  uint64_t trial_us;
+  double mean_load;
+  double load_variance;
+  double mean_latency_us;
+  struct cp_report_counts counts;
 };
 
-/* The targets that a call may not go to (again).  */
+/* The targets that a call may not go to (again), and the call's request ID for
+   the decision records.  */
 #define CP_TRIED_MAX 8
 
 struct cp_tried
 {
   char names[CP_TRIED_MAX][CP_NAME_BYTES];
   unsigned count;
+  struct cp_id request;
 };
 
-/* How a call at a target ended.  */
-enum cp_call_result
-{
-  CP_CALL_ANSWERED,  /* status below 500 */
-  CP_CALL_FAILED,    /* the target answered with an error, or cut its answer */
-  CP_CALL_REFUSED,   /* the inbound side refused; nothing ran */
-  CP_CALL_NO_CONTACT /* no connection */
-};
-
+/* CHART, from charts/target.json with cp_health_names, must outlive the
+   balancer.  */
 void cp_balancer_init (struct cp_balancer *balancer,
                        const struct cp_picker *picker,
+                       const struct cp_chart *chart,
                        const struct cp_clock *clock, const char *service,
                        const char *failure_domain);
 void cp_balancer_finish (struct cp_balancer *balancer);
 
+/* Sets who takes decision records; before the first pick.  */
+void cp_balancer_observe (struct cp_balancer *balancer,
+                          const struct cp_balancer_observer *observer);
+
 /* Takes the targets of SERVICE; keeps what is known of those that stay.
-   Returns 0, or -1 when memory ran out.  */
+   REMOTE_US is the way to another failure domain and back.  Returns 0, or -1
+   when memory ran out.  */
 int cp_balancer_update (struct cp_balancer *balancer,
-                        const struct cp_service *service);
+                        const struct cp_service *service, uint64_t remote_us);
 
 /* Chooses a target that is not in TRIED, copies it to TARGET and counts the
    call as in flight there.  *INCARNATION is that of the daemon beside it, 0
@@ -94,16 +100,18 @@
 void cp_balancer_done (struct cp_balancer *balancer, const char *target,
                        enum cp_call_result result, uint64_t latency_us);
 
-/* Takes a load report of TARGET.  */
+/* Takes a load report of TARGET.  One that can't be true is counted and
+   ignored.  */
 void cp_balancer_report (struct cp_balancer *balancer, const char *target,
                          const struct cp_report *report);
 
+/* Copies up to MOST targets of which no report has come, those with a daemon
+   beside them, to TARGETS and returns their number: the ones to ask before the
+   first call.  */
+unsigned cp_balancer_unreported (struct cp_balancer *balancer,
+                                 struct cp_target *targets, unsigned most);
+
 /* Returns an array that describes the targets.  */
 json_t *cp_balancer_dump (struct cp_balancer *balancer);
 
-/* Two random targets; the one with fewer calls in flight by report and own
-   count.  Source: M. Mitzenmacher, The Power of Two Choices in Randomized Load
-   Balancing, IEEE TPDS 12(10), 2001.  */
-extern const struct cp_picker cp_picker_two_choices;
-
 #endif
