--- a/cornelpick/cornelpick.h
+++ b/cornelpick/cornelpick.h
@@ -27,6 +27,8 @@
 int command_check (int argc, char **argv);
 int command_state (int argc, char **argv);
 int command_run (int argc, char **argv);
+int command_record (int argc, char **argv);
+int command_replay (int argc, char **argv);
 
 /* Prints the usage of all subcommands; returns STATUS_USAGE.  */
 int usage (void);
--- a/cornelpick/main.c
+++ b/cornelpick/main.c
@@ -6,6 +6,9 @@
 
 static const struct command commands[] = {
   { "check", "FILE", command_check },
+  { "record", "[--out FILE] [--from-us TIME] ADDRESS...", command_record },
+  { "replay", "[--picker NAME] [--seed N] [--seeds N] [--json] TRACE",
+    command_replay },
   { "run", "--document FILE SETTINGS", command_run },
   { "state", "[--json] [--wait-serving SECONDS] ADDRESS", command_state },
 };
--- a/cornelpickd/cornelpickd.h
+++ b/cornelpickd/cornelpickd.h
@@ -121,6 +121,11 @@
   pthread_mutex_t lock;
   struct cds_list_head balancers;
   struct cp_chart chart; /* of a target's health */
+  pthread_t asker;
+  pthread_mutex_t asking_lock;
+  pthread_cond_t asking_end;
+  bool asking;
+  bool stop_asking;
   struct cp_histogram latency;
   unsigned in_flight;
 };
@@ -135,6 +140,20 @@
                       const struct cp_document *document);
 json_t *outbound_dump (struct outbound *outbound);
 
+/* Returns the balancer number INDEX, or NULL after the last; balancers are
+   never removed while the daemon runs.  */
+struct cp_balancer *outbound_balancer_at (struct outbound *outbound,
+                                          unsigned index);
+
+/* outbound_ask.c: queries for load to inbound sides that send none.  */
+
+/* Asks those inbound sides that BALANCER names.  */
+void outbound_ask (struct cp_balancer *balancer);
+
+/* Starts and ends the thread that goes on asking.  */
+int outbound_start_asking (struct outbound *outbound, struct cp_error *error);
+void outbound_stop_asking (struct outbound *outbound);
+
 /* call.c: one call, with its retries and hedges.  */
 /* One call of a caller.  */
 struct call
--- a/cornelpickd/outbound.c
+++ b/cornelpickd/outbound.c
@@ -5,9 +5,6 @@
 #include "cornelpickd/cornelpickd.h"
 #include "lib/cleanup.h"
 
-#define ASK_MOST 8
-#define ASK_TIMEOUT_US (10 * CP_US_PER_MS)
-
 /* The balancer of one service.  */
 struct service_balancer
 {
@@ -26,7 +23,9 @@
   pthread_mutex_init (&outbound->lock, NULL);
   CDS_INIT_LIST_HEAD (&outbound->balancers);
   snprintf (path, sizeof path, "%s/target.json", daemon->settings.charts);
-  return cp_chart_load (&outbound->chart, path, &cp_health_names, error);
+  if (cp_chart_load (&outbound->chart, path, &cp_health_names, error) != 0)
+    return -1;
+  return outbound_start_asking (outbound, error);
 }
 
 void
@@ -34,6 +33,7 @@
 {
   struct service_balancer *entry, *next;
 
+  outbound_stop_asking (outbound);
   cds_list_for_each_entry_safe (entry, next, &outbound->balancers, node)
   {
     cds_list_del (&entry->node);
@@ -43,6 +43,20 @@
   pthread_mutex_destroy (&outbound->lock);
 }
 
+struct cp_balancer *
+outbound_balancer_at (struct outbound *outbound, unsigned index)
+{
+  struct service_balancer *entry;
+
+  CP_LOCK_SCOPE (&outbound->lock);
+  cds_list_for_each_entry (entry, &outbound->balancers, node)
+  {
+    if (index-- == 0)
+      return &entry->balancer;
+  }
+  return NULL;
+}
+
 /* Finds the balancer of a service; the lock is held.  */
 static struct cp_balancer *
 find_balancer (struct outbound *outbound, const char *service)
@@ -81,27 +95,10 @@
                     outbound->daemon->clock, service,
                     outbound->daemon->settings.failure_domain);
   cp_balancer_observe (&entry->balancer, &observer);
-  cds_list_add (&entry->node, &outbound->balancers);
+  cds_list_add_tail (&entry->node, &outbound->balancers);
   return &entry->balancer;
 }
 
-/* Asks the inbound sides of which nothing is known for their load, so that
-   the first calls are not sent blindly.  */
-static void
-ask_unreported (struct cp_balancer *balancer)
-{
-  struct cp_target targets[ASK_MOST];
-  unsigned count = cp_balancer_unreported (balancer, targets, ASK_MOST);
-
-  for (unsigned i = 0; i < count; i++)
-    {
-      struct cp_report report;
-
-      if (rpc_load (&targets[i].daemon, &report, ASK_TIMEOUT_US))
-        cp_balancer_report (balancer, targets[i].name, &report);
-    }
-}
-
 void
 outbound_update (struct outbound *outbound, const struct cp_document *document)
 {
@@ -112,7 +109,7 @@
 
       cp_balancer_update (balancer, &document->services[i],
                           2 * document->fleet.one_way_us);
-      ask_unreported (balancer);
+      outbound_ask (balancer);
     }
 }
 
--- a/lib/balancer.c
+++ b/lib/balancer.c
@@ -231,7 +231,10 @@
       struct cp_target_state *state
           = &balancer->targets[(balancer->sequence + i) % balancer->n_targets];
 
-      if (!cp_health_wants_trial (&state->health, now_us))
+      /* One with a daemon beside it is asked by RPC whether it is back.  */
+      if (!cp_health_wants_trial (&state->health, now_us)
+          || (state->health.state == CP_HEALTH_GONE
+              && state->target.has_daemon))
         continue;
       state->health.trial_sent = true;
       balancer->trial_sequence = balancer->sequence;
@@ -464,16 +467,34 @@
     health_changed (balancer, state, cp_life_names[report->life]);
 }
 
+static bool
+is_query_due (const struct cp_target_state *state, uint64_t now_us)
+{
+  if (!state->target.has_daemon
+      || (state->asked_us != 0
+          && now_us < state->asked_us + CP_QUERY_INTERVAL_US))
+    return false;
+  return state->report_us == 0 || state->health.state == CP_HEALTH_LEAVING
+         || (state->health.state == CP_HEALTH_GONE
+             && now_us >= state->health.until_us);
+}
+
 unsigned
-cp_balancer_unreported (struct cp_balancer *balancer,
-                        struct cp_target *targets, unsigned most)
+cp_balancer_due_queries (struct cp_balancer *balancer,
+                         struct cp_target *targets, unsigned most)
 {
+  uint64_t now_us = cp_clock_now_us (balancer->clock);
   unsigned count = 0;
 
   CP_LOCK_SCOPE (&balancer->lock);
   for (unsigned i = 0; i < balancer->n_targets && count < most; i++)
-    if (balancer->targets[i].report_us == 0
-        && balancer->targets[i].target.has_daemon)
-      targets[count++] = balancer->targets[i].target;
+    {
+      struct cp_target_state *state = &balancer->targets[i];
+
+      if (!is_query_due (state, now_us))
+        continue;
+      state->asked_us = now_us;
+      targets[count++] = state->target;
+    }
   return count;
 }
--- a/lib/balancer.h
+++ b/lib/balancer.h
@@ -105,11 +105,13 @@
 void cp_balancer_report (struct cp_balancer *balancer, const char *target,
                          const struct cp_report *report);
 
-/* Copies up to MOST targets of which no report has come, those with a daemon
-   beside them, to TARGETS and returns their number: the ones to ask before the
-   first call.  */
-unsigned cp_balancer_unreported (struct cp_balancer *balancer,
-                                 struct cp_target *targets, unsigned most);
+/* Copies up to MOST targets whose inbound side should be asked for its load
+   now, by RPC, to TARGETS and returns their number: those of which no report
+   has come, those that are leaving and those that seem gone.  Each is named
+   at most once in CP_QUERY_INTERVAL_US.  */
+#define CP_QUERY_INTERVAL_US (500 * CP_US_PER_MS)
+unsigned cp_balancer_due_queries (struct cp_balancer *balancer,
+                                  struct cp_target *targets, unsigned most);
 
 /* Returns an array that describes the targets.  */
 json_t *cp_balancer_dump (struct cp_balancer *balancer);
--- a/lib/picker.h
+++ b/lib/picker.h
@@ -24,9 +24,10 @@
   unsigned n_started;
   uint64_t report_us; /* the time that the report speaks of; 0 for none */
   struct cp_report report;
-  double load_drift;       /* mean square change of load, calls^2 per s */
-  double latency_us;       /* moving mean of answers; 0 for none */
-  uint64_t latency_at_us;  /* when it was last moved */
+  uint64_t asked_us;      /* when it was last named for a query; 0 for never */
+  double load_drift;      /* mean square change of load, calls^2 per s */
+  double latency_us;      /* moving mean of answers; 0 for none */
+  uint64_t latency_at_us; /* when it was last moved */
   uint64_t own_latency_us; /* the last own answer's */
 };
 
--- a/lib/picker_hot_cold.c
+++ b/lib/picker_hot_cold.c
@@ -129,9 +129,9 @@
 least_used (const struct cp_pick_view *view, struct options *options,
             unsigned draws)
 {
-  const struct option *best = NULL;
+  const struct option *best = &options->list[0];
 
-  for (unsigned i = 0; i < draws; i++)
+  for (unsigned i = 0; i < draws && i < options->count; i++)
     {
       unsigned left = options->count - i;
       unsigned at = i + (unsigned)cp_random_below (view->random, left);
@@ -139,7 +139,7 @@
 
       options->list[at] = options->list[i];
       options->list[i] = drawn;
-      if (best == NULL || key_of (&options->list[i]) < key_of (best))
+      if (i == 0 || key_of (&options->list[i]) < key_of (best))
         best = &options->list[i];
     }
   return best->index;
--- /dev/null
+++ b/lib/replay_outcome.c
@@ -0,0 +1,114 @@
+#include <string.h>
+
+#include "lib/replay.h"
+
+static const struct
+{
+  const char *outcome;
+  const char *picker;
+} baselines[] = { { "p99_of_random", "random" },
+                  { "p99_of_round_robin", "round-robin" },
+                  { "p99_of_least_in_flight", "least-in-flight" },
+                  { "p99_of_two_choices", "two-choices" } };
+
+/* What the outcomes are worked out from.  */
+struct inquiry
+{
+  const struct cp_trace *trace;
+  const struct cp_replay_options *options;
+  unsigned seeds;
+  const struct cp_replay_result *result;
+  struct cp_error *error;
+};
+
+/* Replays with other options; returns its p99, or -1.  */
+static double
+other_p99 (const struct inquiry *inquiry, const char *picker,
+           bool without_faults)
+{
+  struct cp_replay_options options = *inquiry->options;
+  struct cp_replay_result result;
+  double p99_us;
+
+  if (picker != NULL)
+    options.picker = cp_picker_find (picker);
+  options.without_faults = without_faults;
+  if (cp_replay_run_seeds (inquiry->trace, &options, inquiry->seeds, &result,
+                           inquiry->error)
+      != 0)
+    return -1;
+  p99_us = (double)result.p99_us;
+  cp_replay_result_finish (&result);
+  return p99_us;
+}
+
+static double
+share (uint64_t part, uint64_t whole)
+{
+  return whole == 0 ? 0 : (double)part / (double)whole;
+}
+
+static double
+best_blind (const struct inquiry *inquiry)
+{
+  double random = other_p99 (inquiry, "random", false);
+  double round_robin = other_p99 (inquiry, "round-robin", false);
+
+  return random < round_robin ? random : round_robin;
+}
+
+/* Works out the outcome NAME.  Returns false when there is none.  */
+static bool
+find_outcome (const struct inquiry *inquiry, const char *name, double *found)
+{
+  const struct cp_replay_result *result = inquiry->result;
+  double p99_us = (double)result->p99_us;
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (baselines); i++)
+    if (strcmp (name, baselines[i].outcome) == 0)
+      {
+        *found = p99_us / other_p99 (inquiry, baselines[i].picker, false);
+        return true;
+      }
+  if (strcmp (name, "p99_of_best_blind") == 0)
+    *found = p99_us / best_blind (inquiry);
+  else if (strcmp (name, "p99_of_no_fault") == 0)
+    *found = p99_us / other_p99 (inquiry, NULL, true);
+  else if (strcmp (name, "failing_first_s") == 0)
+    *found = share (result->first_s_at_failing, result->first_s_at_all);
+  else if (strcmp (name, "failing_after_2s") == 0)
+    *found = share (result->after_2s_at_failing, result->after_2s_at_all);
+  else if (strcmp (name, "leaving_after_3s") == 0)
+    *found = (double)result->after_3s_at_leaving;
+  else if (strcmp (name, "errors") == 0)
+    *found = share (result->errors, result->calls);
+  else
+    return false;
+  return true;
+}
+
+int
+cp_replay_check (const struct cp_trace *trace,
+                 const struct cp_replay_options *options, unsigned seeds,
+                 const struct cp_replay_result *result,
+                 struct cp_replay_finding findings[CP_TRACE_OUTCOMES_MAX],
+                 unsigned *count, struct cp_error *error)
+{
+  const struct inquiry inquiry = { trace, options, seeds, result, error };
+
+  *count = 0;
+  for (unsigned i = 0; i < trace->n_outcomes; i++)
+    {
+      struct cp_replay_finding *finding = &findings[*count];
+
+      g_strlcpy (finding->name, trace->outcomes[i].name, sizeof finding->name);
+      finding->bound = trace->outcomes[i].bound;
+      if (!find_outcome (&inquiry, finding->name, &finding->found))
+        return cp_error_set (error, CP_ERROR_TRACE, trace->name,
+                             "name an outcome that this version knows",
+                             "the outcome \"%s\" is unknown", finding->name);
+      finding->holds = finding->found >= 0 && finding->found <= finding->bound;
+      (*count)++;
+    }
+  return 0;
+}
--- /dev/null
+++ b/lib/replay_target.c
@@ -0,0 +1,310 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "lib/cleanup.h"
+#include "lib/clock.h"
+#include "lib/replay_target.h"
+
+#define WINDOW 33
+#define SAMPLES_LEAST 12
+#define HISTORY_MOST 4096
+
+static struct cp_replay_samples *
+find_samples (GArray *groups, unsigned factor, bool create)
+{
+  struct cp_replay_samples fresh = { .factor = factor };
+
+  for (guint i = 0; i < groups->len; i++)
+    if (g_array_index (groups, struct cp_replay_samples, i).factor == factor)
+      return &g_array_index (groups, struct cp_replay_samples, i);
+  if (!create)
+    return NULL;
+  fresh.list = g_array_new (FALSE, FALSE, sizeof (struct cp_replay_sample));
+  g_array_append_val (groups, fresh);
+  return &g_array_index (groups, struct cp_replay_samples, groups->len - 1);
+}
+
+/* Returns the value of "slow" that was in force at TARGET.  */
+static unsigned
+recorded_factor (const struct cp_trace *trace, unsigned target,
+                 uint64_t time_us)
+{
+  unsigned factor = 1;
+
+  for (guint i = 0; i < trace->faults->len; i++)
+    {
+      const struct cp_trace_fault *fault
+          = &g_array_index (trace->faults, struct cp_trace_fault, i);
+
+      if (fault->time_us > time_us)
+        break;
+      if (fault->kind == CP_FAULT_SLOW && fault->index == target)
+        factor = fault->value;
+    }
+  return factor;
+}
+
+static bool
+has_service (const struct cp_trace_call *call)
+{
+  return call->answer_us != 0 && call->status == 200;
+}
+
+static const struct cp_trace_call *
+call_at (const struct cp_trace *trace, unsigned index)
+{
+  return &g_array_index (trace->calls, struct cp_trace_call, index);
+}
+
+/* Finds the first sample that is not before TIME_US.  */
+static unsigned
+lower_bound (const GArray *list, uint64_t time_us)
+{
+  unsigned low = 0;
+  unsigned high = list->len;
+
+  while (low < high)
+    {
+      unsigned middle = (low + high) / 2;
+
+      if (g_array_index (list, struct cp_replay_sample, middle).time_us
+          < time_us)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low;
+}
+
+/* Copies the service times of the samples around TIME_US; returns how many. */
+static unsigned
+window_of (const GArray *list, uint64_t time_us, uint64_t window[WINDOW])
+{
+  unsigned first = lower_bound (list, time_us);
+  unsigned count = list->len < WINDOW ? list->len : WINDOW;
+
+  first = first > count / 2 ? first - count / 2 : 0;
+  if (first + count > list->len)
+    first = list->len - count;
+  for (unsigned i = 0; i < count; i++)
+    window[i]
+        = g_array_index (list, struct cp_replay_sample, first + i).service_us;
+  return count;
+}
+
+static int
+compare_times (const void *left, const void *right)
+{
+  uint64_t a = *(const uint64_t *)left;
+  uint64_t b = *(const uint64_t *)right;
+
+  return a < b ? -1 : a > b;
+}
+
+/* Returns the share of calls around CALL at its target that were faster.  */
+static double
+rank_of (const struct cp_replay_targets *targets,
+         const struct cp_trace_call *call)
+{
+  unsigned factor
+      = recorded_factor (targets->trace, call->target, call->time_us);
+  const struct cp_replay_samples *samples
+      = find_samples (targets->own[call->target], factor, false);
+  uint64_t window[WINDOW];
+  unsigned count;
+  double below = 0.5;
+
+  if (samples == NULL || !has_service (call))
+    return 0.5;
+  count = window_of (samples->list, call->time_us, window);
+  for (unsigned i = 0; i < count; i++)
+    below += window[i] < call->service_us;
+  return below / (count + 1);
+}
+
+void
+cp_replay_targets_init (struct cp_replay_targets *targets,
+                        const struct cp_trace *trace)
+{
+  memset (targets, 0, sizeof *targets);
+  targets->trace = trace;
+  targets->all = g_array_new (FALSE, FALSE, sizeof (struct cp_replay_samples));
+  targets->ranks = g_new0 (double, trace->calls->len + 1);
+  for (unsigned i = 0; i < trace->n_targets; i++)
+    {
+      struct cp_replay_target *target = &targets->list[i];
+
+      target->slots = trace->slots;
+      target->incarnation = i + 1;
+      target->values[CP_FAULT_SLOW] = 1;
+      g_queue_init (&target->queue);
+      target->history
+          = g_array_new (FALSE, FALSE, sizeof (struct cp_replay_load));
+      targets->own[i]
+          = g_array_new (FALSE, FALSE, sizeof (struct cp_replay_samples));
+    }
+  for (unsigned i = 0; i < trace->calls->len; i++)
+    {
+      const struct cp_trace_call *call = call_at (trace, i);
+      struct cp_replay_sample sample = { call->time_us, call->service_us };
+      unsigned factor = recorded_factor (trace, call->target, call->time_us);
+
+      if (!has_service (call))
+        continue;
+      g_array_append_val (
+          find_samples (targets->own[call->target], factor, true)->list,
+          sample);
+      g_array_append_val (find_samples (targets->all, factor, true)->list,
+                          sample);
+    }
+  for (unsigned i = 0; i < trace->calls->len; i++)
+    targets->ranks[i] = rank_of (targets, call_at (trace, i));
+}
+
+static void
+free_groups (GArray *groups)
+{
+  for (guint i = 0; i < groups->len; i++)
+    g_array_unref (g_array_index (groups, struct cp_replay_samples, i).list);
+  g_array_unref (groups);
+}
+
+void
+cp_replay_targets_finish (struct cp_replay_targets *targets)
+{
+  for (unsigned i = 0; i < targets->trace->n_targets; i++)
+    {
+      free_groups (targets->own[i]);
+      g_array_unref (targets->list[i].history);
+      g_queue_clear (&targets->list[i].queue);
+    }
+  free_groups (targets->all);
+  g_free (targets->ranks);
+}
+
+void
+cp_replay_target_fault (struct cp_replay_targets *targets,
+                        const struct cp_trace_fault *fault)
+{
+  struct cp_replay_target *target = &targets->list[fault->index];
+
+  /* What comes back from the dead is another incarnation.  */
+  if ((fault->kind == CP_FAULT_GONE || fault->kind == CP_FAULT_DRAIN)
+      && fault->value == 0)
+    target->incarnation += CP_TRACE_MEMBERS_MAX;
+  if (target->values[fault->kind] == 0)
+    target->since_us[fault->kind] = fault->time_us;
+  target->values[fault->kind] = fault->value;
+}
+
+static double
+service_at_rank (const struct cp_replay_targets *targets, unsigned target,
+                 unsigned factor, uint64_t now_us, double rank)
+{
+  const struct cp_replay_samples *samples
+      = find_samples (targets->own[target], factor, false);
+  uint64_t window[WINDOW];
+  unsigned count;
+
+  if (samples == NULL || samples->list->len < SAMPLES_LEAST)
+    samples = find_samples (targets->all, factor, false);
+  if (samples == NULL || samples->list->len < SAMPLES_LEAST)
+    return -1;
+  count = window_of (samples->list, now_us, window);
+  qsort (window, count, sizeof window[0], compare_times);
+  return (double)window[(unsigned)(rank * count)];
+}
+
+uint64_t
+cp_replay_service_us (const struct cp_replay_targets *targets, unsigned call,
+                      unsigned target, uint64_t now_us)
+{
+  const struct cp_trace_call *recorded = call_at (targets->trace, call);
+  unsigned factor = targets->list[target].values[CP_FAULT_SLOW];
+  double rank = targets->ranks[call];
+  double service_us;
+
+  if (recorded->target == target && has_service (recorded)
+      && recorded_factor (targets->trace, target, recorded->time_us) == factor)
+    return recorded->service_us;
+  service_us = service_at_rank (targets, target, factor, now_us, rank);
+  if (service_us < 0)
+    service_us = service_at_rank (targets, target, 1, now_us, rank) * factor;
+  return service_us < 0 ? CP_US_PER_MS : (uint64_t)service_us;
+}
+
+void
+cp_replay_target_changed (struct cp_replay_target *target, uint64_t now_us)
+{
+  struct cp_replay_load load
+      = { now_us, target->in_flight, target->queue.length };
+
+  if (target->history->len >= HISTORY_MOST)
+    g_array_remove_range (target->history, 0, HISTORY_MOST / 2);
+  g_array_append_val (target->history, load);
+}
+
+void
+cp_replay_target_ended (struct cp_replay_target *target, uint64_t latency_us)
+{
+  target->recent_us[target->n_recent++ % CP_REPLAY_RECENT] = latency_us;
+}
+
+static uint64_t
+median_of_recent (const struct cp_replay_target *target)
+{
+  uint64_t sorted[CP_REPLAY_RECENT];
+  unsigned count = target->n_recent < CP_REPLAY_RECENT ? target->n_recent
+                                                       : CP_REPLAY_RECENT;
+
+  if (count == 0)
+    return 0;
+  memcpy (sorted, target->recent_us, sizeof sorted);
+  qsort (sorted, count, sizeof sorted[0], compare_times);
+  return sorted[count / 2];
+}
+
+/* Replaces the load by that of LAG_US ago.  */
+static void
+set_old_load (const struct cp_replay_target *target, uint64_t now_us,
+              uint64_t lag_us, struct cp_report *report)
+{
+  report->in_flight = 0;
+  report->queued = 0;
+  for (guint i = target->history->len; i > 0; i--)
+    {
+      const struct cp_replay_load *load
+          = &g_array_index (target->history, struct cp_replay_load, i - 1);
+
+      if (load->time_us + lag_us > now_us)
+        continue;
+      report->in_flight = load->in_flight;
+      report->queued = load->queued;
+      return;
+    }
+}
+
+bool
+cp_replay_target_report (const struct cp_replay_target *target,
+                         uint64_t now_us, struct cp_report *report)
+{
+  memset (report, 0, sizeof *report);
+  if (target->values[CP_FAULT_HANG] != 0)
+    return false;
+  report->incarnation = target->incarnation;
+  report->life = target->values[CP_FAULT_DRAIN] != 0 ? CP_LIFE_DRAINING
+                                                     : CP_LIFE_SERVING;
+  report->limit = target->slots;
+  report->in_flight = target->in_flight;
+  report->queued = target->queue.length;
+  report->latency_us = median_of_recent (target);
+  if (target->values[CP_FAULT_LAG] != 0)
+    set_old_load (target, now_us, target->values[CP_FAULT_LAG] * CP_US_PER_MS,
+                  report);
+  if (target->values[CP_FAULT_LIE] != 0)
+    {
+      report->in_flight = 0;
+      report->queued = 0;
+    }
+  return true;
+}
