--- a/cornelpickd/outbound.c
+++ b/cornelpickd/outbound.c
@@ -13,14 +13,20 @@
 };
 
 int
-outbound_init (struct outbound *outbound, struct daemon *daemon)
+outbound_init (struct outbound *outbound, struct daemon *daemon,
+               struct cp_error *error)
 {
+  char path[320];
+
   memset (outbound, 0, sizeof *outbound);
   outbound->daemon = daemon;
   pthread_mutex_init (&outbound->lock, NULL);
   CDS_INIT_LIST_HEAD (&outbound->balancers);
   cp_peer_clocks_init (&outbound->peers, daemon->clock);
-  return 0;
+  snprintf (path, sizeof path, "%s/target.json", daemon->settings.charts);
+  if (cp_chart_load (&outbound->chart, path, &cp_health_names, error) != 0)
+    return -1;
+  return outbound_start_asking (outbound, error);
 }
 
 void
@@ -28,6 +34,7 @@
 {
   struct service_balancer *entry, *next;
 
+  outbound_stop_asking (outbound);
   cds_list_for_each_entry_safe (entry, next, &outbound->balancers, node)
   {
     cds_list_del (&entry->node);
@@ -38,6 +45,20 @@
   pthread_mutex_destroy (&outbound->lock);
 }
 
+struct cp_balancer *
+outbound_balancer_at (struct outbound *outbound, unsigned index)
+{
+  struct service_balancer *entry;
+
+  CP_LOCK_SCOPE (&outbound->lock);
+  cds_list_for_each_entry (entry, &outbound->balancers, node)
+  {
+    if (index-- == 0)
+      return &entry->balancer;
+  }
+  return NULL;
+}
+
 /* Finds the balancer of a service; the lock is held.  */
 static struct cp_balancer *
 find_balancer (struct outbound *outbound, const char *service)
@@ -52,9 +73,16 @@
   return NULL;
 }
 
+static void
+record (void *context, struct cp_decision *decision)
+{
+  daemon_record (context, decision);
+}
+
 static struct cp_balancer *
 get_balancer (struct outbound *outbound, const char *service)
 {
+  const struct cp_balancer_observer observer = { record, outbound->daemon };
   struct cp_balancer *balancer;
   struct service_balancer *entry;
 
@@ -65,10 +93,11 @@
   entry = calloc (1, sizeof *entry);
   if (entry == NULL)
     abort ();
-  cp_balancer_init (&entry->balancer, &cp_picker_two_choices,
+  cp_balancer_init (&entry->balancer, &cp_picker_hot_cold, &outbound->chart,
                     outbound->daemon->clock, service,
                     outbound->daemon->settings.failure_domain);
-  cds_list_add (&entry->node, &outbound->balancers);
+  cp_balancer_observe (&entry->balancer, &observer);
+  cds_list_add_tail (&entry->node, &outbound->balancers);
   return &entry->balancer;
 }
 
@@ -76,8 +105,14 @@
 outbound_update (struct outbound *outbound, const struct cp_document *document)
 {
   for (unsigned i = 0; i < document->n_services; i++)
-    cp_balancer_update (get_balancer (outbound, document->services[i].name),
-                        &document->services[i]);
+    {
+      struct cp_balancer *balancer
+          = get_balancer (outbound, document->services[i].name);
+
+      cp_balancer_update (balancer, &document->services[i],
+                          2 * document->fleet.one_way_us);
+      outbound_ask (balancer);
+    }
 }
 
 /* Sets deadline, idempotency and retry right: the document's, which the
@@ -134,6 +169,7 @@
     }
   set_limits (&call);
   cp_id_create (&call.id, cp_random_thread ());
+  call.tried.request = call.id;
   call.answer.request = request;
   call.balancer = get_balancer (outbound, call.route->service->name);
   call.body = g_byte_array_new ();
