--- a/cornelpickd/inbound.c
+++ b/cornelpickd/inbound.c
@@ -296,10 +296,19 @@
   finish_visit (visit, result);
 }
 
+static bool
+caller_gone (void *context)
+{
+  const struct visit *visit = context;
+
+  return request_caller_gone (visit->request);
+}
+
 static void
 admit (struct visit *visit)
 {
   struct daemon *daemon = visit->inbound->daemon;
+  const struct cp_presence presence = { caller_gone, visit };
   enum cp_admission_result result;
 
   if (!step (visit, CP_ATTEMPT_ARRIVE))
@@ -309,7 +318,7 @@
       return;
     }
   result = cp_admission_enter (&visit->inbound->admission, visit->priority,
-                               visit->from, visit->deadline_us);
+                               visit->from, visit->deadline_us, &presence);
   if (result == CP_ADMITTED)
     {
       call_target (visit);
