Read the target's pages within the budget

Cause: nothing read the load and health pages, so a leaving target went unnoticed, and load queries of other daemons were not counted. Change: one thread on the inbound side reads them when that is worth it, reserves before, settles after and records both; reports carry what the pages tell; a call after a quiet time waits for the word. Calls that never reached the target no longer count as latency, and answers of 500 and above count as failed. The stand-in counts its readings and can let its pages hang.

--- a/cornelpickd/cornelpickd.h
+++ b/cornelpickd/cornelpickd.h
@@ -10,6 +10,7 @@
 #include <stdint.h>
 #include <urcu/list.h>
 
+#include "cornelpickd/measure.h"
 #include "http/http.h"
 #include "lib/admission.h"
 #include "lib/balancer.h"
@@ -75,6 +76,10 @@
   COUNT_CONFIGURATION_OLDER,
   COUNT_PAUSES,
   COUNT_LATE_STARTS,
+  COUNT_PROBES,
+  COUNT_PROBES_HUNG,
+  COUNT_BUDGET_REFUSED,
+  COUNT_QUERIES_REFUSED,
   COUNT_END
 };
 
@@ -307,6 +312,7 @@
   struct upstream_pool upstreams;
   struct outbound outbound;
   struct inbound inbound;
+  struct measure measure;
   struct configuration configuration;
   struct members members;
   struct rpc_server rpc;
--- a/cornelpickd/daemon.c
+++ b/cornelpickd/daemon.c
@@ -67,6 +67,7 @@
 
   if (load_life_chart (daemon, error) != 0)
     return -1;
+  measure_init (&daemon->measure, daemon);
   if (inbound_init (&daemon->inbound, daemon, error) != 0)
     return -1;
   outbound_init (&daemon->outbound, daemon);
@@ -84,7 +85,8 @@
       || rpc_start (&daemon->rpc, daemon, error) != 0)
     return -1;
   daemon_step (daemon, CP_LIFE_LISTENING);
-  if (members_start (&daemon->members, daemon, error) != 0)
+  if (members_start (&daemon->members, daemon, error) != 0
+      || measure_start (&daemon->measure, error) != 0)
     return -1;
   return configuration_start (&daemon->configuration, daemon, error);
 }
@@ -143,6 +145,7 @@
   listener_stop (&daemon->calls);
   listener_stop (&daemon->peers);
   upstream_pool_stop (&daemon->upstreams);
+  measure_stop (&daemon->measure);
   configuration_stop (&daemon->configuration);
   members_stop (&daemon->members);
   rpc_stop (&daemon->rpc);
@@ -180,6 +183,7 @@
   json_object_set_new (dump, "members", members_dump (&daemon->members));
   json_object_set_new (dump, "outbound", outbound_dump (&daemon->outbound));
   json_object_set_new (dump, "inbound", inbound_dump (&daemon->inbound));
+  json_object_set_new (dump, "measuring", measure_dump (&daemon->measure));
   json_object_set_new (dump, "connections",
                        upstream_dump (&daemon->upstreams));
   return dump;
--- a/cornelpickd/inbound.c
+++ b/cornelpickd/inbound.c
@@ -76,9 +76,13 @@
 void
 inbound_update (struct inbound *inbound, const struct cp_document *document)
 {
-  const struct cp_service *service;
+  const struct cp_service *service = NULL;
+  const struct cp_target *target
+      = own_target (inbound->daemon, document, &service);
 
-  if (own_target (inbound->daemon, document, &service) != NULL)
+  measure_update (&inbound->daemon->measure, &document->fleet, service,
+                  target);
+  if (target != NULL)
     cp_admission_set_slots (&inbound->admission, service->slots);
 }
 
@@ -88,8 +92,8 @@
   memset (report, 0, sizeof *report);
   report->incarnation = inbound->daemon->incarnation;
   report->life = daemon_life (inbound->daemon);
-  report->latency_us = cp_histogram_quantile (&inbound->latency, 0.5);
   cp_admission_report (&inbound->admission, report);
+  measure_report (&inbound->daemon->measure, report);
 }
 
 /* Composes the header lines that go with each answer to a daemon.  */
@@ -285,14 +289,17 @@
                                 .on_head = on_head,
                                 .on_body = on_body };
   enum upstream_result result;
+  uint64_t latency_us = 0;
 
   visit->answer.request = visit->request;
   visit->refused_as = COUNT_REFUSED_FULL;
   result = upstream_perform (&daemon->upstreams, &call);
   curl_slist_free_all (headers);
-  cp_admission_leave (&visit->inbound->admission, visit->from,
-                      cp_clock_now_us (daemon->clock) - visit->sent_us,
-                      result != UPSTREAM_COMPLETE);
+  if (visit->sent_us != 0)
+    latency_us = cp_clock_now_us (daemon->clock) - visit->sent_us;
+  cp_admission_leave (&visit->inbound->admission, visit->from, latency_us,
+                      result != UPSTREAM_COMPLETE
+                          || visit->answer.status >= 500);
   finish_visit (visit, result);
 }
 
@@ -370,6 +377,12 @@
       refuse (visit, 503, "not-run", "this daemon is not serving\n");
       return;
     }
+  if (measure_leaving (&daemon->measure, visit->deadline_us))
+    {
+      daemon_count (daemon, COUNT_REFUSED_LEAVING);
+      refuse (visit, 503, "not-run", "the target is leaving\n");
+      return;
+    }
   if (!right_incarnation (visit))
     {
       daemon_count (daemon, COUNT_REFUSED_INCARNATION);
--- /dev/null
+++ b/cornelpickd/measure.c
@@ -0,0 +1,392 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "cornelpickd/cornelpickd.h"
+#include "lib/cleanup.h"
+
+#define TICK_MS 100
+#define REFUSED_WAIT_US (250 * CP_US_PER_MS)
+#define SETTLE_MARGIN_US 500 /* between the time limit and the reservation */
+#define PAGE_BYTES_MAX 1024
+#define HEAD_BYTES_MAX 512    /* of the request, and again of the answer */
+#define PACKET_BYTES 40       /* headers of IP and TCP */
+#define PAGE_PACKETS 8        /* of one reading on a kept connection */
+#define QUERY_BYTES 240       /* a load query and its answer on the wire */
+#define IN_FLIGHT_MAX 1000000 /* more can not be true */
+
+/* One reading of a page.  */
+struct reading
+{
+  struct measure *measure;
+  enum cp_page page;
+  enum cp_measuring_reason reason;
+  struct cp_target target;
+  char path[128];
+  uint64_t reserved_us;
+  unsigned grant;
+  uint64_t started_us;
+  uint64_t took_us;
+  uint64_t bytes;
+  int status;
+  GString *body;
+};
+
+static void
+init_condition (pthread_cond_t *condition)
+{
+  pthread_condattr_t attributes;
+
+  pthread_condattr_init (&attributes);
+  pthread_condattr_setclock (&attributes, CLOCK_MONOTONIC);
+  pthread_cond_init (condition, &attributes);
+  pthread_condattr_destroy (&attributes);
+}
+
+/* Waits for at most TIME_US; the lock is held.  */
+static void
+wait_for (struct measure *measure, pthread_cond_t *condition, uint64_t time_us)
+{
+  const uint64_t ns_per_s = CP_US_PER_S * CP_NS_PER_US;
+  struct timespec until;
+  uint64_t ns;
+
+  clock_gettime (CLOCK_MONOTONIC, &until);
+  ns = (uint64_t)until.tv_nsec + time_us * CP_NS_PER_US;
+  until.tv_sec += (time_t)(ns / ns_per_s);
+  until.tv_nsec = (long)(ns % ns_per_s);
+  pthread_cond_timedwait (condition, &measure->lock, &until);
+}
+
+void
+measure_init (struct measure *measure, struct daemon *daemon)
+{
+  memset (measure, 0, sizeof *measure);
+  measure->daemon = daemon;
+  pthread_mutex_init (&measure->lock, NULL);
+  init_condition (&measure->changed);
+  init_condition (&measure->told);
+  cp_budget_init (&measure->budget, 0, 0);
+  cp_measuring_init (&measure->measuring);
+}
+
+void
+measure_update (struct measure *measure, const struct cp_fleet *fleet,
+                const struct cp_service *service,
+                const struct cp_target *target)
+{
+  CP_LOCK_SCOPE (&measure->lock);
+  measure->has_target = target != NULL;
+  if (target == NULL)
+    return;
+  if (strcmp (measure->target.address.text, target->address.text) != 0)
+    cp_measuring_init (&measure->measuring);
+  measure->target = *target;
+  g_strlcpy (measure->service, service->name, sizeof measure->service);
+  g_strlcpy (measure->paths[CP_PAGE_LOAD], service->load.path,
+             sizeof measure->paths[0]);
+  g_strlcpy (measure->paths[CP_PAGE_HEALTH], service->health.path,
+             sizeof measure->paths[0]);
+  measure->probe_us = fleet->probe_us;
+  measure->within_us = service->drain_within_us;
+  cp_budget_set_limits (&measure->budget, (uint64_t)fleet->target_us_per_s,
+                        (uint64_t)fleet->bytes_per_s);
+  cp_measuring_set (&measure->measuring, service->load.interval_us,
+                    service->health.interval_us);
+}
+
+static void
+record (const struct measure *measure, enum cp_decision_kind kind,
+        const char *reason, uint64_t duration_us, uint64_t value)
+{
+  struct cp_decision decision
+      = { .kind = kind, .duration_us = duration_us, .value = value };
+
+  g_strlcpy (decision.service, measure->service, sizeof decision.service);
+  g_strlcpy (decision.target, measure->target.name, sizeof decision.target);
+  g_strlcpy (decision.reason, reason, sizeof decision.reason);
+  daemon_record (measure->daemon, &decision);
+}
+
+/* Reserves the cost of reading PAGE; the lock is held.  */
+static bool
+reserve (struct measure *measure, struct reading *reading)
+{
+  const uint64_t bytes
+      = PAGE_BYTES_MAX + 2 * HEAD_BYTES_MAX + PAGE_PACKETS * PACKET_BYTES;
+  uint64_t now_us = cp_clock_now_us (measure->daemon->clock);
+  enum cp_budget_result result;
+  char reason[CP_REASON_BYTES];
+
+  reading->reserved_us
+      = cp_measuring_cost (&measure->measuring, reading->page,
+                           measure->probe_us, measure->budget.work_us_limit);
+  result = cp_budget_reserve (&measure->budget, now_us, reading->reserved_us,
+                              bytes, &reading->grant);
+  if (result == CP_BUDGET_GRANTED)
+    return true;
+  daemon_count (measure->daemon, COUNT_BUDGET_REFUSED);
+  snprintf (reason, sizeof reason, "%s: %s", cp_page_names[reading->page],
+            cp_budget_result_names[result]);
+  record (measure, CP_DECISION_BUDGET, reason, reading->reserved_us, bytes);
+  measure->retry_us[reading->page] = now_us + REFUSED_WAIT_US;
+  return false;
+}
+
+static bool
+take_head (void *context, const struct upstream_head *head)
+{
+  struct reading *reading = context;
+
+  reading->status = head->status;
+  for (const struct curl_slist *line = head->headers; line != NULL;
+       line = line->next)
+    reading->bytes += strlen (line->data) + 2;
+  return head->length <= PAGE_BYTES_MAX;
+}
+
+static bool
+take_body (void *context, const char *data, size_t size)
+{
+  struct reading *reading = context;
+
+  reading->bytes += size;
+  if (reading->body->len + size > PAGE_BYTES_MAX)
+    return false;
+  g_string_append_len (reading->body, data, (gssize)size);
+  return true;
+}
+
+/* Fills in WORD from the answer.  */
+static void
+understand (const struct reading *reading, struct cp_page_word *word)
+{
+  CP_AUTO_JSON json_t *root
+      = json_loadb (reading->body->str, reading->body->len, 0, NULL);
+  json_t *in_flight = json_object_get (root, "in_flight");
+  json_int_t value = json_integer_value (in_flight);
+
+  word->result = CP_PAGE_ANSWERED;
+  word->draining = json_is_true (json_object_get (root, "draining"));
+  if (!json_is_integer (in_flight))
+    return;
+  word->impossible = value < 0 || value > IN_FLIGHT_MAX;
+  word->has_in_flight = !word->impossible;
+  word->in_flight = word->impossible ? 0 : (uint32_t)value;
+}
+
+/* Reads the page.  The target is told when to give up, so that a page that
+   hangs costs it no more than was reserved.  */
+static void
+read_page (struct reading *reading, struct cp_page_word *word)
+{
+  struct daemon *daemon = reading->measure->daemon;
+  uint64_t limit_us = reading->reserved_us - SETTLE_MARGIN_US;
+  struct curl_slist *headers = NULL;
+  struct upstream_call call = { .address = &reading->target.address,
+                                .method = "GET",
+                                .path = reading->path,
+                                .caller_fd = -1,
+                                .background = true,
+                                .context = reading,
+                                .on_head = take_head,
+                                .on_body = take_body };
+  enum upstream_result result;
+
+  append_header (&headers, HEADER_REMAINING, "%" PRIu64,
+                 (limit_us + CP_US_PER_MS - 1) / CP_US_PER_MS);
+  call.headers = headers;
+  reading->started_us = cp_clock_now_us (daemon->clock);
+  call.deadline_us = reading->started_us + limit_us;
+  result = upstream_perform (&daemon->upstreams, &call);
+  reading->took_us = cp_clock_now_us (daemon->clock) - reading->started_us;
+  curl_slist_free_all (headers);
+  if (result == UPSTREAM_COMPLETE)
+    understand (reading, word);
+  else if (result == UPSTREAM_DEADLINE)
+    word->result = CP_PAGE_HUNG;
+  else
+    word->result = CP_PAGE_UNREADABLE;
+}
+
+/* Settles the reading with the budget and takes its word; the lock is
+   held.  */
+static void
+settle (struct reading *reading, const struct cp_page_word *word,
+        const struct cp_own_view *own)
+{
+  struct measure *measure = reading->measure;
+  uint64_t now_us = cp_clock_now_us (measure->daemon->clock);
+  uint64_t work_us = reading->took_us;
+  char reason[CP_REASON_BYTES];
+
+  /* What passes the reservation is this process waking late: the target was
+     told to give up before.  */
+  if (work_us > reading->reserved_us)
+    work_us = reading->reserved_us;
+  if (work_us < measure->probe_us && word->result == CP_PAGE_ANSWERED)
+    work_us = measure->probe_us;
+  reading->bytes += HEAD_BYTES_MAX + PAGE_PACKETS * PACKET_BYTES;
+  cp_budget_settle (&measure->budget, reading->grant, now_us, work_us,
+                    reading->bytes);
+  cp_measuring_take (&measure->measuring, reading->page, word, own, work_us,
+                     now_us);
+  snprintf (reason, sizeof reason, "%s: %s%s", cp_page_names[reading->page],
+            cp_measuring_reason_names[reading->reason],
+            word->result == CP_PAGE_ANSWERED ? ""
+            : word->result == CP_PAGE_HUNG   ? ", hung"
+                                             : ", unreadable");
+  record (measure, CP_DECISION_PROBE, reason, reading->took_us, work_us);
+  daemon_count (measure->daemon, COUNT_PROBES);
+  if (word->result == CP_PAGE_HUNG)
+    daemon_count (measure->daemon, COUNT_PROBES_HUNG);
+}
+
+/* Reads PAGE when that is worth it; the lock is held, but not while
+   reading.  */
+static void
+consider (struct measure *measure, enum cp_page page)
+{
+  struct daemon *daemon = measure->daemon;
+  struct reading reading = { .measure = measure, .page = page };
+  struct cp_page_word word = { 0 };
+  struct cp_own_view own;
+  uint64_t now_us = cp_clock_now_us (daemon->clock);
+
+  if (now_us < measure->retry_us[page])
+    return;
+  cp_admission_view (&daemon->inbound.admission, &own);
+  own.arrivals += __atomic_load_n (&measure->refused, __ATOMIC_RELAXED);
+  if (!cp_measuring_worth (&measure->measuring, page, &own,
+                           measure->asking > 0, now_us, &reading.reason)
+      || !reserve (measure, &reading))
+    return;
+  reading.target = measure->target;
+  g_strlcpy (reading.path, measure->paths[page], sizeof reading.path);
+  pthread_mutex_unlock (&measure->lock);
+  reading.body = g_string_new (NULL);
+  read_page (&reading, &word);
+  g_string_free (reading.body, TRUE);
+  pthread_mutex_lock (&measure->lock);
+  settle (&reading, &word, &own);
+}
+
+/* Whether the calls that wait still need a reading; the lock is held.  */
+static bool
+must_ask (struct measure *measure)
+{
+  return measure->has_target
+         && cp_measuring_must_ask (&measure->measuring, measure->within_us,
+                                   cp_clock_now_us (measure->daemon->clock));
+}
+
+static void *
+run_reader (void *context)
+{
+  struct measure *measure = context;
+
+  CP_LOCK_SCOPE (&measure->lock);
+  while (!measure->stop)
+    {
+      /* The health page comes first: calls wait for it.  */
+      if (measure->has_target)
+        consider (measure, CP_PAGE_HEALTH);
+      pthread_cond_broadcast (&measure->told);
+      if (measure->has_target && !measure->stop)
+        consider (measure, CP_PAGE_LOAD);
+      if (!measure->stop)
+        wait_for (measure, &measure->changed, TICK_MS * CP_US_PER_MS);
+    }
+  return NULL;
+}
+
+int
+measure_start (struct measure *measure, struct cp_error *error)
+{
+  if (pthread_create (&measure->reader, NULL, run_reader, measure) != 0)
+    return cp_error_set (error, CP_ERROR_MEMORY, "measure",
+                         "raise the limit of threads",
+                         "cannot start a thread");
+  measure->running = true;
+  return 0;
+}
+
+void
+measure_stop (struct measure *measure)
+{
+  if (!measure->running)
+    return;
+  pthread_mutex_lock (&measure->lock);
+  measure->stop = true;
+  pthread_cond_broadcast (&measure->changed);
+  pthread_cond_broadcast (&measure->told);
+  pthread_mutex_unlock (&measure->lock);
+  pthread_join (measure->reader, NULL);
+  measure->running = false;
+}
+
+bool
+measure_leaving (struct measure *measure, uint64_t deadline_us)
+{
+  const struct cp_clock *clock = measure->daemon->clock;
+  uint64_t now_us = cp_clock_now_us (clock);
+  uint64_t until_us;
+  bool leaving;
+
+  CP_LOCK_SCOPE (&measure->lock);
+  until_us = MIN (deadline_us, now_us + measure->budget.work_us_limit);
+  if (measure->running && must_ask (measure))
+    {
+      measure->asking++;
+      pthread_cond_signal (&measure->changed);
+      while (must_ask (measure) && now_us < until_us && !measure->stop)
+        {
+          wait_for (measure, &measure->told, until_us - now_us);
+          now_us = cp_clock_now_us (clock);
+        }
+      measure->asking--;
+    }
+  leaving
+      = cp_measuring_draining (&measure->measuring, cp_clock_now_us (clock));
+  if (leaving)
+    __atomic_fetch_add (&measure->refused, 1, __ATOMIC_RELAXED);
+  return leaving;
+}
+
+void
+measure_report (struct measure *measure, struct cp_report *report)
+{
+  uint64_t now_us = cp_clock_now_us (measure->daemon->clock);
+
+  CP_LOCK_SCOPE (&measure->lock);
+  report->in_flight += cp_measuring_hidden (&measure->measuring, now_us);
+  if (report->life == CP_LIFE_SERVING
+      && cp_measuring_draining (&measure->measuring, now_us))
+    report->life = CP_LIFE_DRAINING;
+}
+
+bool
+measure_query (struct measure *measure)
+{
+  uint64_t now_us = cp_clock_now_us (measure->daemon->clock);
+
+  CP_LOCK_SCOPE (&measure->lock);
+  /* Without a document there is no budget yet, and no target to measure.  */
+  if (!measure->has_target
+      || cp_budget_spend_bytes (&measure->budget, now_us, QUERY_BYTES))
+    return true;
+  daemon_count (measure->daemon, COUNT_QUERIES_REFUSED);
+  return false;
+}
+
+json_t *
+measure_dump (struct measure *measure)
+{
+  uint64_t now_us = cp_clock_now_us (measure->daemon->clock);
+
+  CP_LOCK_SCOPE (&measure->lock);
+  return json_pack ("{s:b, s:s, s:o, s:o}", "has_target",
+                    (int)measure->has_target, "target", measure->target.name,
+                    "budget", cp_budget_dump (&measure->budget, now_us),
+                    "pages", cp_measuring_dump (&measure->measuring, now_us));
+}
--- a/cornelpickd/metrics.c
+++ b/cornelpickd/metrics.c
@@ -48,6 +48,13 @@
   [COUNT_PAUSES] = { "pauses_total", "Pauses of this process noticed." },
   [COUNT_LATE_STARTS]
   = { "late_starts_total", "Attempts started after their deadline." },
+  [COUNT_PROBES] = { "probes_total", "Readings of the target's pages." },
+  [COUNT_PROBES_HUNG]
+  = { "probes_hung_total", "Readings cut off at their time limit." },
+  [COUNT_BUDGET_REFUSED]
+  = { "budget_refused_total", "Readings that the budget refused." },
+  [COUNT_QUERIES_REFUSED]
+  = { "queries_refused_total", "Load queries that the budget refused." },
 };
 
 char *
--- a/cornelpickd/rpc.c
+++ b/cornelpickd/rpc.c
@@ -28,6 +28,9 @@
   (void)unused;
   (void)request;
   daemon_count (served, COUNT_RPC_CALLS);
+  memset (reply, 0, sizeof *reply);
+  if (!measure_query (&served->measure))
+    return FALSE;
   inbound_report (&served->inbound, &report);
   reply->incarnation = report.incarnation;
   reply->life = strdup (cp_life_names[report.life]);
--- a/fakes/fakes.h
+++ b/fakes/fakes.h
@@ -22,6 +22,8 @@
   FAKE_MODE_COUNT
 };
 
+#define FAKE_PROBES_KEPT 256
+
 /* A target: serves calls within its slots and keeps a journal.  */
 struct fake_target
 {
@@ -40,7 +42,9 @@
   bool stopping;
   bool lie_idle; /* the load page always says idle */
   uint64_t load_lag_us;
+  bool hang_pages; /* the load and health pages never answer */
   uint64_t probes; /* reads of the load and health pages */
+  uint64_t probe_times_us[FAKE_PROBES_KEPT]; /* of the last ones */
   struct cds_list_head journal;
   unsigned journal_count;
 };
--- a/fakes/target.c
+++ b/fakes/target.c
@@ -207,15 +207,44 @@
   unsigned in_flight;
 
   pthread_mutex_lock (&target->lock);
-  target->probes++;
+  target->probe_times_us[target->probes++ % FAKE_PROBES_KEPT]
+      = request->arrived_us;
   in_flight = target->lie_idle ? 0 : target->in_flight + target->waiting;
   pthread_mutex_unlock (&target->lock);
+  if (target->hang_pages)
+    {
+      stay_silent (target, request);
+      return;
+    }
   snprintf (body, sizeof body, "{\"in_flight\": %u, \"draining\": %s}\n",
             in_flight, target->draining ? "true" : "false");
   request_answer (request, target->draining ? 503 : 200, NULL,
                   "application/json", body);
 }
 
+/* Tells how often, and when last, the load and health pages were read.  */
+static void
+answer_probes (struct fake_target *target, struct request *request)
+{
+  CP_AUTO_JSON json_t *times = json_array ();
+  CP_AUTO_JSON json_t *root = NULL;
+  CP_AUTO_FREE char *text = NULL;
+  uint64_t first;
+
+  pthread_mutex_lock (&target->lock);
+  first = target->probes > FAKE_PROBES_KEPT ? target->probes - FAKE_PROBES_KEPT
+                                            : 0;
+  for (uint64_t i = first; i < target->probes; i++)
+    json_array_append_new (
+        times, json_integer (
+                   (json_int_t)target->probe_times_us[i % FAKE_PROBES_KEPT]));
+  root = json_pack ("{s:I, s:O}", "count", (json_int_t)target->probes,
+                    "times_us", times);
+  pthread_mutex_unlock (&target->lock);
+  text = json_dumps (root, JSON_COMPACT);
+  request_answer (request, 200, NULL, "application/json", text);
+}
+
 static void
 answer_journal (struct fake_target *target, struct request *request)
 {
@@ -254,6 +283,8 @@
 
   if (strcmp (path, "/fake/journal") == 0)
     answer_journal (target, request);
+  else if (strcmp (path, "/fake/probes") == 0)
+    answer_probes (target, request);
   else if (strcmp (path, "/fake/control") == 0)
     answer_control (target, request);
   else if (strcmp (path, "/load") == 0 || strcmp (path, "/health") == 0)
@@ -283,6 +314,8 @@
     target->draining = json_is_true (value);
   else if (strcmp (key, "lie_idle") == 0)
     target->lie_idle = json_is_true (value);
+  else if (strcmp (key, "hang_pages") == 0)
+    target->hang_pages = json_is_true (value);
   else if (strcmp (key, "mode") == 0 && text != NULL)
     {
       for (unsigned i = 0; i < FAKE_MODE_COUNT; i++)
