--- a/cornelpickd/inbound.c
+++ b/cornelpickd/inbound.c
@@ -80,9 +80,13 @@
 void
 inbound_update (struct inbound *inbound, const struct cp_document *document)
 {
-  const struct cp_service *service;
+  const struct cp_service *service = NULL;
+  const struct cp_target *target
+      = own_target (inbound->daemon, document, &service);
 
-  if (own_target (inbound->daemon, document, &service) != NULL)
+  measure_update (&inbound->daemon->measure, &document->fleet, service,
+                  target);
+  if (target != NULL)
     cp_admission_set_slots (&inbound->admission, service->slots);
 }
 
@@ -92,8 +96,8 @@
   memset (report, 0, sizeof *report);
   report->incarnation = inbound->daemon->incarnation;
   report->life = daemon_life (inbound->daemon);
-  report->latency_us = cp_histogram_quantile (&inbound->latency, 0.5);
   cp_admission_report (&inbound->admission, report);
+  measure_report (&inbound->daemon->measure, report);
 }
 
 /* Composes the header lines that go with each answer to a daemon.  */
@@ -366,14 +370,17 @@
           .on_head = on_head,
           .on_body = on_body };
   enum upstream_result result;
+  uint64_t latency_us = 0;
 
   visit->answer.request = visit->request;
   visit->refused_as = COUNT_REFUSED_FULL;
   result = upstream_perform (&daemon->upstreams, &call);
   curl_slist_free_all (headers);
-  cp_admission_leave (&visit->inbound->admission, visit->from,
-                      cp_clock_now_us (daemon->clock) - visit->sent_us,
-                      result != UPSTREAM_COMPLETE);
+  if (visit->sent_us != 0)
+    latency_us = cp_clock_now_us (daemon->clock) - visit->sent_us;
+  cp_admission_leave (&visit->inbound->admission, visit->from, latency_us,
+                      result != UPSTREAM_COMPLETE
+                          || visit->answer.status >= 500);
   finish_visit (visit, result);
 }
 
@@ -406,14 +413,23 @@
     }
 }
 
+static bool
+caller_gone (void *context)
+{
+  const struct visit *visit = context;
+
+  return request_caller_gone (visit->request);
+}
+
 static void
 admit (struct visit *visit)
 {
   struct daemon *daemon = visit->inbound->daemon;
+  const struct cp_presence presence = { caller_gone, visit };
   enum cp_admission_result result;
 
   result = cp_admission_enter (&visit->inbound->admission, visit->priority,
-                               visit->from, visit->deadline_us);
+                               visit->from, visit->deadline_us, &presence);
   if (result == CP_ADMITTED)
     {
       visit_record (visit, CP_DECISION_ADMIT, visit->from, 0,
@@ -479,6 +495,13 @@
       refuse (visit, 503, "not-run", "this daemon is not serving\n");
       return;
     }
+  if (measure_leaving (&daemon->measure, visit->deadline_us))
+    {
+      step (visit, CP_ATTEMPT_REFUSE);
+      daemon_count (daemon, COUNT_REFUSED_LEAVING);
+      refuse (visit, 503, "not-run", "the target is leaving\n");
+      return;
+    }
   if (!find_own_target (visit))
     {
       step (visit, CP_ATTEMPT_REFUSE);
--- a/cornelpickd/metrics.c
+++ b/cornelpickd/metrics.c
@@ -51,6 +51,13 @@
   [COUNT_LEAVING_STARTS]
   = { "leaving_starts_total",
       "Attempts started later after the begin of the drain than allowed." },
+  [COUNT_PROBES] = { "probes_total", "Readings of the target's pages." },
+  [COUNT_PROBES_HUNG]
+  = { "probes_hung_total", "Readings cut off at their time limit." },
+  [COUNT_BUDGET_REFUSED]
+  = { "budget_refused_total", "Readings that the budget refused." },
+  [COUNT_QUERIES_REFUSED]
+  = { "queries_refused_total", "Load queries that the budget refused." },
 };
 
 char *
