--- /dev/null
+++ b/lib/sections.c
@@ -0,0 +1,397 @@
+#include <glib.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "lib/cleanup.h"
+#include "lib/compose.h"
+#include "lib/sections.h"
+
+void
+cp_sections_init (struct cp_sections *sections)
+{
+  memset (sections, 0, sizeof *sections);
+}
+
+static void
+free_list (struct cp_section *list, unsigned count)
+{
+  for (unsigned i = 0; i < count; i++)
+    free (list[i].text);
+  free (list);
+}
+
+void
+cp_sections_finish (struct cp_sections *sections)
+{
+  free_list (sections->list, sections->count);
+  cp_sections_init (sections);
+}
+
+static int
+compare_entries (const void *a, const void *b)
+{
+  return strcmp (((const struct cp_digest_entry *)a)->name,
+                 ((const struct cp_digest_entry *)b)->name);
+}
+
+/* Orders the entries first; the texts are made from the sorted entries.  */
+static int
+fill_offer (struct cp_offer *offer, const char *name, json_t *list,
+            struct cp_error *error)
+{
+  struct cp_digest *digest = &offer->digest;
+  const char *key;
+  json_t *body;
+
+  json_object_foreach (list, key, body)
+  {
+    struct cp_digest_entry *entry = &digest->entries[digest->count];
+
+    if (strlen (key) >= sizeof entry->name || *key == '\0')
+      return cp_error_set (error, CP_ERROR_DOCUMENT, name,
+                           "use 1 to 63 bytes for the name of a section",
+                           "a section's name is empty or too long");
+    g_strlcpy (entry->name, key, sizeof entry->name);
+    digest->count++;
+  }
+  qsort (digest->entries, digest->count, sizeof digest->entries[0],
+         compare_entries);
+  for (unsigned i = 0; i < digest->count; i++)
+    {
+      struct cp_digest_entry *entry = &digest->entries[i];
+
+      body = json_object_get (list, entry->name);
+      offer->texts[i]
+          = json_dumps (body, JSON_COMPACT | JSON_SORT_KEYS | JSON_ENCODE_ANY);
+      if (offer->texts[i] == NULL)
+        return cp_error_set (error, CP_ERROR_MEMORY, name, "free memory",
+                             "no memory for the sections");
+      entry->version = digest->version;
+      entry->since = digest->version;
+      entry->hash = XXH3_64bits (offer->texts[i], strlen (offer->texts[i]));
+    }
+  return 0;
+}
+
+int
+cp_offer_parse (struct cp_offer *offer, const char *name, const char *text,
+                size_t length, struct cp_error *error)
+{
+  json_error_t fault;
+  CP_AUTO_JSON json_t *root
+      = json_loadb (text, length, JSON_REJECT_DUPLICATES, &fault);
+  json_t *list = json_object_get (root, "sections");
+  json_int_t version = json_integer_value (json_object_get (root, "version"));
+  char place[192];
+
+  memset (offer, 0, sizeof *offer);
+  snprintf (place, sizeof place, "%s:%d", name, root == NULL ? fault.line : 1);
+  if (root == NULL)
+    return cp_error_set (error, CP_ERROR_DOCUMENT, place, "correct the JSON",
+                         "%s", fault.text);
+  if (json_integer_value (json_object_get (root, "format")) != 1)
+    return cp_error_set (error, CP_ERROR_DOCUMENT, place, "write format 1",
+                         "the document is of another format");
+  if (version <= 0)
+    return cp_error_set (error, CP_ERROR_DOCUMENT, place,
+                         "raise \"version\" with every change",
+                         "the version is missing or not above 0");
+  if (json_object_size (list) == 0
+      || json_object_size (list) > CP_SECTIONS_MAX)
+    return cp_error_set (error, CP_ERROR_DOCUMENT, place,
+                         "write 1 to 256 sections",
+                         "there are no sections, or too many");
+  offer->digest.version = (uint64_t)version;
+  if (fill_offer (offer, place, list, error) == 0)
+    return 0;
+  cp_offer_finish (offer);
+  return -1;
+}
+
+void
+cp_offer_finish (struct cp_offer *offer)
+{
+  for (unsigned i = 0; i < CP_SECTIONS_MAX; i++)
+    free (offer->texts[i]);
+  memset (offer, 0, sizeof *offer);
+}
+
+void
+cp_sections_digest (const struct cp_sections *sections,
+                    struct cp_digest *digest)
+{
+  digest->version = sections->version;
+  digest->count = sections->count;
+  for (unsigned i = 0; i < sections->count; i++)
+    digest->entries[i] = sections->list[i].entry;
+}
+
+const struct cp_section *
+cp_sections_find (const struct cp_sections *sections, const char *name)
+{
+  for (unsigned i = 0; i < sections->count; i++)
+    if (strcmp (sections->list[i].entry.name, name) == 0)
+      return &sections->list[i];
+  return NULL;
+}
+
+bool
+cp_sections_wants (const struct cp_sections *sections,
+                   const struct cp_digest *held, const struct cp_digest *other,
+                   const struct cp_digest_entry *entry)
+{
+  const struct cp_section *section = cp_sections_find (sections, entry->name);
+
+  if (entry->hash == 0
+      || cp_digest_compare (held, other, entry->name) != CP_DIGEST_FETCH)
+    return false;
+  return section == NULL || section->refusal.hash != entry->hash
+         || other->version > sections->version;
+}
+
+/* A take in progress.  */
+struct taking
+{
+  const struct cp_sections *sections;
+  const struct cp_offer *offer;
+  struct cp_digest held;
+  struct cp_section next[CP_SECTIONS_MAX];
+  struct cp_choice choices[CP_SECTIONS_MAX]; /* beside NEXT */
+  unsigned count;
+  uint64_t version;
+  bool incomplete; /* a text that is needed was not received */
+  bool moved;      /* a version or a refusal changed */
+  bool changed;    /* the texts in force change */
+};
+
+static void
+take_refusal (struct taking *taking, struct cp_section *next,
+              const struct cp_refusal *refusal)
+{
+  if (refusal->version <= next->refusal.version
+      || refusal->version <= next->entry.version)
+    return;
+  next->refusal = *refusal;
+  taking->moved = true;
+}
+
+/* Considers one section that the offer has.  */
+static void
+consider_offered (struct taking *taking, unsigned offered,
+                  struct cp_section *next, struct cp_choice *choice)
+{
+  const struct cp_digest *other = &taking->offer->digest;
+  const struct cp_digest_entry *entry = &other->entries[offered];
+  enum cp_digest_step step
+      = cp_digest_compare (&taking->held, other, entry->name);
+
+  if (step == CP_DIGEST_CONFIRM)
+    {
+      next->entry.version = MAX (next->entry.version, entry->version);
+      next->entry.since = MIN (next->entry.since, entry->since);
+      taking->moved = true;
+    }
+  if (step == CP_DIGEST_FETCH && entry->hash != 0)
+    {
+      choice->candidate = taking->offer->texts[offered];
+      choice->since = entry->since;
+    }
+  take_refusal (taking, next, &taking->offer->refusals[offered]);
+}
+
+static bool
+is_incomplete (const struct taking *taking)
+{
+  const struct cp_offer *offer = taking->offer;
+
+  for (unsigned i = 0; i < offer->digest.count; i++)
+    if (offer->texts[i] == NULL
+        && cp_sections_wants (taking->sections, &taking->held, &offer->digest,
+                              &offer->digest.entries[i]))
+      return true;
+  return false;
+}
+
+/* Returns whether the section NAME is left out of the next list.  */
+static bool
+is_dropped (const struct taking *taking, const char *name, bool held)
+{
+  enum cp_digest_step step
+      = cp_digest_compare (&taking->held, &taking->offer->digest, name);
+
+  if (!held)
+    return step == CP_DIGEST_KEEP;
+  return step == CP_DIGEST_REMOVE && !taking->incomplete;
+}
+
+/* Makes the list of all sections that stay or come.  */
+static void
+consider (struct taking *taking)
+{
+  const struct cp_sections *sections = taking->sections;
+  const struct cp_digest *other = &taking->offer->digest;
+  unsigned held = 0;
+  unsigned offered = 0;
+
+  while ((held < sections->count || offered < other->count)
+         && taking->count < CP_SECTIONS_MAX)
+    {
+      struct cp_section *next = &taking->next[taking->count];
+      struct cp_choice *choice = &taking->choices[taking->count];
+      int order = held == sections->count ? 1
+                  : offered == other->count
+                      ? -1
+                      : strcmp (sections->list[held].entry.name,
+                                other->entries[offered].name);
+      const char *name = order <= 0 ? sections->list[held].entry.name
+                                    : other->entries[offered].name;
+      bool dropped = is_dropped (taking, name, order <= 0);
+
+      if (order <= 0)
+        *next = sections->list[held++];
+      else
+        g_strlcpy (next->entry.name, name, sizeof next->entry.name);
+      choice->held = next->text;
+      choice->name = next->entry.name;
+      if (order >= 0)
+        consider_offered (taking, offered++, next, choice);
+      if (dropped)
+        {
+          taking->changed |= next->text != NULL;
+          taking->moved |= order <= 0;
+          memset (next, 0, sizeof *next);
+          memset (choice, 0, sizeof *choice);
+          continue;
+        }
+      taking->moved |= order > 0;
+      taking->count++;
+    }
+}
+
+/* Settles the sections after the choice was made.  */
+static unsigned
+settle (struct taking *taking, uint64_t now_us)
+{
+  const struct cp_digest *other = &taking->offer->digest;
+  unsigned refused = 0;
+
+  for (unsigned i = 0; i < taking->count; i++)
+    {
+      struct cp_section *next = &taking->next[i];
+      struct cp_choice *choice = &taking->choices[i];
+      const struct cp_digest_entry *entry
+          = cp_digest_find (other, next->entry.name);
+
+      if (choice->candidate != NULL && choice->chosen)
+        {
+          next->entry = *entry;
+          next->accepted_us = now_us;
+          memset (&next->refusal, 0, sizeof next->refusal);
+          taking->changed = true;
+        }
+      else if (choice->candidate != NULL)
+        {
+          next->refusal.version = entry->version;
+          next->refusal.hash = entry->hash;
+          cp_error_text (&choice->error, next->refusal.text,
+                         sizeof next->refusal.text);
+          taking->moved = true;
+          refused++;
+        }
+      else if (next->refusal.version <= next->entry.version)
+        memset (&next->refusal, 0, sizeof next->refusal);
+    }
+  return refused;
+}
+
+/* Puts the settled list into the store; texts that stay are moved.  */
+static void
+commit (struct cp_sections *sections, struct taking *taking)
+{
+  struct cp_section *list
+      = calloc (taking->count == 0 ? 1 : taking->count, sizeof *list);
+
+  if (list == NULL)
+    abort ();
+  for (unsigned i = 0; i < taking->count; i++)
+    {
+      const struct cp_choice *choice = &taking->choices[i];
+
+      list[i] = taking->next[i];
+      if (choice->chosen)
+        list[i].text = g_strdup (choice->candidate);
+      else if (list[i].text != NULL)
+        list[i].text = g_strdup (list[i].text);
+    }
+  free_list (sections->list, sections->count);
+  sections->list = list;
+  sections->count = taking->count;
+  sections->version = taking->version;
+}
+
+enum cp_take
+cp_sections_take (struct cp_sections *sections, const struct cp_offer *offer,
+                  uint64_t now_us, struct cp_document **document,
+                  unsigned *refused, struct cp_error *error)
+{
+  CP_AUTO_FREE struct taking *taking = calloc (1, sizeof *taking);
+  uint64_t before = sections->version;
+
+  *document = NULL;
+  *refused = 0;
+  if (taking == NULL)
+    return CP_TAKE_FAILED;
+  taking->sections = sections;
+  taking->offer = offer;
+  cp_sections_digest (sections, &taking->held);
+  if (!cp_digest_newer (&taking->held, &offer->digest))
+    return CP_TAKE_NOTHING;
+  taking->incomplete = is_incomplete (taking);
+  consider (taking);
+  taking->version = taking->incomplete || offer->digest.version < before
+                        ? before
+                        : offer->digest.version;
+  if (taking->version == 0)
+    return CP_TAKE_FAILED;
+  *document
+      = cp_compose (taking->choices, taking->count, taking->version, error);
+  if (*document == NULL)
+    return CP_TAKE_FAILED;
+  *refused = settle (taking, now_us);
+  commit (sections, taking);
+  if (taking->changed)
+    return CP_TAKE_CHANGED;
+  if (taking->version > before)
+    return CP_TAKE_CONFIRMED;
+  cp_document_unref (*document);
+  *document = NULL;
+  return taking->moved ? CP_TAKE_CONFIRMED : CP_TAKE_NOTHING;
+}
+
+json_t *
+cp_sections_dump (const struct cp_sections *sections, uint64_t now_us)
+{
+  json_t *dump = json_object ();
+
+  for (unsigned i = 0; i < sections->count; i++)
+    {
+      const struct cp_section *section = &sections->list[i];
+      char hash[20];
+
+      snprintf (hash, sizeof hash, "%016" PRIx64, section->entry.hash);
+      json_object_set_new (
+          dump, section->entry.name,
+          json_pack ("{s:I, s:s, s:I, s:I, s:I, s:s}", "version",
+                     (json_int_t)section->entry.version, "hash", hash, "since",
+                     (json_int_t)section->entry.since, "age_us",
+                     (json_int_t)(section->text == NULL
+                                      ? 0
+                                      : now_us - section->accepted_us),
+                     "refused_version", (json_int_t)section->refusal.version,
+                     "refused", section->refusal.text));
+    }
+  return dump;
+}
