Spread sections among daemons instead of watching from each

Cause: every daemon held a watch, which at 4,400 daemons is nine times the share of reads, and took whole documents. Change: elected watchers read the service within the allowance; the others learn by digests over UDP and take changed sections over TCP; a fresh daemon asks peers before it serves; a pause makes the view unverified until a peer or the service confirms it; the VM list is under the budget and makes the inbound side of a leaving VM refuse.

--- a/cornelpickd/call.c
+++ b/cornelpickd/call.c
@@ -66,8 +66,10 @@
       struct attempt attempt = { .call = call };
       enum upstream_result result = UPSTREAM_NOT_SENT;
 
-      if (!cp_balancer_pick (call->balancer, &call->tried, cp_random_thread (),
-                             &attempt.target, &attempt.incarnation))
+      if (!configuration_usable (&daemon->configuration)
+          || !cp_balancer_pick (call->balancer, &call->tried,
+                                cp_random_thread (), &attempt.target,
+                                &attempt.incarnation))
         break;
       cp_id_create (&attempt.id, cp_random_thread ());
       attempt.outcome = ATTEMPT_NOT_RUN;
--- a/cornelpickd/configuration.c
+++ b/cornelpickd/configuration.c
@@ -6,9 +6,11 @@
 #include "cornelpickd/cornelpickd.h"
 #include "lib/cleanup.h"
 
-#define WATCH_MS 10000
-#define READ_TIMEOUT_US (2 * CP_US_PER_S)
-#define RETRY_MS 500
+static const char *const state_names[CONFIGURATION_STATE_COUNT]
+    = { "empty", "unconfigured", "current", "unverified" };
+
+static const char *const event_names[CONFIGURATION_EVENT_COUNT]
+    = { "accept", "refuse", "timeout", "pause", "verify" };
 
 struct cp_document *
 configuration_get (struct configuration *configuration)
@@ -23,6 +25,29 @@
   return document;
 }
 
+enum configuration_state
+configuration_state (struct configuration *configuration)
+{
+  return (enum configuration_state)__atomic_load_n (&configuration->state,
+                                                    __ATOMIC_ACQUIRE);
+}
+
+bool
+configuration_step (struct configuration *configuration,
+                    enum configuration_event event)
+{
+  int state = configuration->state;
+
+  if (!cp_chart_step (&configuration->chart, &state, (int)event))
+    return false;
+  if (state != configuration->state)
+    cp_log (CP_LOG_INFO, CP_PART_CONFIGURATION, "The configuration is %s.",
+            state_names[state]);
+  __atomic_store_n (&configuration->state, state, __ATOMIC_RELEASE);
+  worker_wake (&configuration->watch);
+  return true;
+}
+
 /* Puts DOCUMENT in force; the lock is held.  */
 static void
 publish (struct configuration *configuration, struct cp_document *document)
@@ -32,163 +57,182 @@
 
   outbound_update (&daemon->outbound, document);
   inbound_update (&daemon->inbound, document);
+  members_take_document (&daemon->members, document);
   rcu_assign_pointer (configuration->current, document);
   urcu_bp_synchronize_rcu ();
   cp_document_unref (old);
   configuration->accepted_us = cp_clock_now_us (daemon->clock);
-  configuration->refused[0] = '\0';
   daemon_count (daemon, COUNT_CONFIGURATION_ACCEPTED);
-  daemon_step (daemon, CP_LIFE_CONFIGURED);
+  configuration_step (configuration, CONFIGURATION_ACCEPT);
+  if (configuration->peers_asked)
+    daemon_step (daemon, CP_LIFE_CONFIGURED);
   cp_log (CP_LOG_INFO, CP_PART_CONFIGURATION,
           "Version %" PRIu64 " is in force.", document->version);
 }
 
-void
-configuration_offer (struct configuration *configuration, const char *source,
-                     const char *text, size_t length)
+static void
+record (struct configuration *configuration, const char *source,
+        const char *section, const char *reason, uint64_t version)
 {
-  struct cp_error error;
-  struct cp_document *document
-      = cp_document_compile (source, text, length, &error);
+  struct cp_decision decision = { .kind = CP_DECISION_CONFIGURATION };
 
-  CP_LOCK_SCOPE (&configuration->lock);
-  if (document == NULL)
-    {
-      cp_error_text (&error, configuration->refused,
-                     sizeof configuration->refused);
-      daemon_count (configuration->daemon, COUNT_CONFIGURATION_REFUSED);
-      cp_log (CP_LOG_WARNING, CP_PART_CONFIGURATION, "Refused: %s.",
-              configuration->refused);
-      return;
-    }
-  if (configuration->current != NULL
-      && document->version <= configuration->current->version)
-    {
-      if (document->version < configuration->current->version)
-        daemon_count (configuration->daemon, COUNT_CONFIGURATION_OLDER);
-      cp_document_unref (document);
-      return;
-    }
-  publish (configuration, document);
+  g_strlcpy (decision.service, source, sizeof decision.service);
+  g_strlcpy (decision.target, section, sizeof decision.target);
+  g_strlcpy (decision.reason, reason, sizeof decision.reason);
+  decision.value = version;
+  daemon_record (configuration->daemon, &decision);
 }
 
-static uint64_t
-version_in_force (struct configuration *configuration)
+/* Tells each section that OFFER would have changed and that was refused.  */
+static void
+tell_refused (struct configuration *configuration, const char *source,
+              const struct cp_offer *offer)
 {
-  struct cp_document *document = configuration_get (configuration);
-  uint64_t version = document == NULL ? 0 : document->version;
-
-  cp_document_unref (document);
-  return version;
+  for (unsigned i = 0; i < offer->digest.count; i++)
+    {
+      const struct cp_section *section = cp_sections_find (
+          &configuration->sections, offer->digest.entries[i].name);
+
+      if (section == NULL || section->refusal.version != offer->digest.version)
+        continue;
+      record (configuration, source, section->entry.name, "refused",
+              section->refusal.version);
+      cp_log (CP_LOG_WARNING, CP_PART_CONFIGURATION, "Refused from %s: %s.",
+              source, section->refusal.text);
+    }
 }
 
-/* Waits for TIME_MS or for the stop.  Returns whether to go on.  */
-static bool
-pause_watch (struct configuration *configuration, unsigned time_ms)
+/* Notes what came of an offer; the lock is held.  */
+static void
+note (struct configuration *configuration, const char *source,
+      const struct cp_offer *offer, enum cp_take result, unsigned refused,
+      const struct cp_error *error)
 {
-  struct timespec until;
+  struct daemon *daemon = configuration->daemon;
 
-  clock_gettime (CLOCK_REALTIME, &until);
-  until.tv_sec += time_ms / 1000;
-  until.tv_nsec += (long)(time_ms % 1000) * 1000000;
-  if (until.tv_nsec >= 1000000000)
+  if (refused > 0 || result == CP_TAKE_FAILED)
     {
-      until.tv_sec++;
-      until.tv_nsec -= 1000000000;
+      daemon_count (daemon, COUNT_CONFIGURATION_REFUSED);
+      configuration_step (configuration, CONFIGURATION_REFUSE);
     }
-  CP_LOCK_SCOPE (&configuration->lock);
-  if (!configuration->stop)
-    pthread_cond_timedwait (&configuration->changed, &configuration->lock,
-                            &until);
-  return !configuration->stop;
+  if (refused > 0)
+    {
+      tell_refused (configuration, source, offer);
+      snprintf (configuration->refused, sizeof configuration->refused,
+                "version %" PRIu64 ": %u sections were refused, see each",
+                offer->digest.version, refused);
+    }
+  else if (result == CP_TAKE_FAILED)
+    cp_error_text (error, configuration->refused,
+                   sizeof configuration->refused);
+  else if (result != CP_TAKE_NOTHING)
+    configuration->refused[0] = '\0';
+  if (result == CP_TAKE_CHANGED)
+    record (configuration, source, "", "accepted", offer->digest.version);
 }
 
-static bool
-stopped (struct configuration *configuration)
+enum cp_take
+configuration_take (struct configuration *configuration, const char *source,
+                    const struct cp_offer *offer)
 {
-  CP_LOCK_SCOPE (&configuration->lock);
-  return configuration->stop;
+  struct cp_document *document;
+  struct cp_error error = { .kind = CP_ERROR_NONE };
+  unsigned refused;
+  enum cp_take result;
+
+  CP_LOCK_SCOPE (&configuration->watch.lock);
+  result = cp_sections_take (&configuration->sections, offer,
+                             cp_clock_now_us (configuration->daemon->clock),
+                             &document, &refused, &error);
+  note (configuration, source, offer, result, refused, &error);
+  if (document != NULL)
+    publish (configuration, document);
+  if (result == CP_TAKE_CHANGED || result == CP_TAKE_CONFIRMED)
+    spread_push (&configuration->daemon->spread);
+  return result;
 }
 
-static void *
-watch (void *context)
+void
+configuration_peers_asked (struct configuration *configuration)
 {
-  struct configuration *configuration = context;
-  struct daemon *daemon = configuration->daemon;
-  const struct cp_settings *settings = &daemon->settings;
-  GString *body = g_string_new (NULL);
+  CP_LOCK_SCOPE (&configuration->watch.lock);
+  configuration->peers_asked = true;
+  worker_wake (&configuration->watch);
+  if (configuration->current != NULL)
+    daemon_step (configuration->daemon, CP_LIFE_CONFIGURED);
+}
 
-  while (!stopped (configuration))
-    {
-      char path[192];
-      int status;
-
-      snprintf (path, sizeof path, "%s?after=%" PRIu64 "&wait_ms=%d",
-                settings->configuration_key, version_in_force (configuration),
-                WATCH_MS);
-      daemon_count (daemon, COUNT_CONFIGURATION_READS);
-      status
-          = upstream_get (&daemon->upstreams, &settings->configuration_service,
-                          path, CP_DOCUMENT_BYTES_MAX,
-                          WATCH_MS * CP_US_PER_MS + READ_TIMEOUT_US, body);
-      if (status == 200)
-        configuration_offer (configuration, "configuration service", body->str,
-                             body->len);
-      else if (status != 304 && !pause_watch (configuration, RETRY_MS))
-        break;
-    }
-  g_string_free (body, TRUE);
-  return NULL;
+void
+configuration_verified (struct configuration *configuration)
+{
+  CP_LOCK_SCOPE (&configuration->watch.lock);
+  if (configuration->state == CONFIGURATION_UNVERIFIED)
+    configuration_step (configuration, CONFIGURATION_VERIFY);
 }
 
 int
-configuration_start (struct configuration *configuration,
-                     struct daemon *daemon, struct cp_error *error)
+configuration_init (struct configuration *configuration, struct daemon *daemon,
+                    struct cp_error *error)
 {
+  static const struct cp_chart_names names
+      = { state_names, CONFIGURATION_STATE_COUNT, event_names,
+          CONFIGURATION_EVENT_COUNT };
+  char path[320];
+
   memset (configuration, 0, sizeof *configuration);
   configuration->daemon = daemon;
-  pthread_mutex_init (&configuration->lock, NULL);
-  pthread_cond_init (&configuration->changed, NULL);
-  if (pthread_create (&configuration->watcher, NULL, watch, configuration)
-      != 0)
-    return cp_error_set (error, CP_ERROR_MEMORY, "configuration",
-                         "raise the limit of threads",
-                         "cannot start a thread");
-  configuration->watching = true;
+  configuration->pulse_us = cp_clock_now_us (daemon->clock);
+  worker_init (&configuration->watch, daemon->clock);
+  worker_init (&configuration->pulse, daemon->clock);
+  cp_sections_init (&configuration->sections);
+  snprintf (path, sizeof path, "%s/configuration.json",
+            daemon->settings.charts);
+  if (cp_chart_load (&configuration->chart, path, &names, error) != 0)
+    return -1;
+  configuration->state = configuration->chart.initial;
   return 0;
 }
 
+int
+configuration_start (struct configuration *configuration,
+                     struct cp_error *error)
+{
+  if (worker_start (&configuration->pulse, "configuration",
+                    configuration_pulse, configuration, error)
+      != 0)
+    return -1;
+  return worker_start (&configuration->watch, "configuration",
+                       configuration_watch, configuration, error);
+}
+
 void
 configuration_stop (struct configuration *configuration)
 {
-  if (!configuration->watching)
-    return;
-  pthread_mutex_lock (&configuration->lock);
-  configuration->stop = true;
-  pthread_cond_broadcast (&configuration->changed);
-  pthread_mutex_unlock (&configuration->lock);
-  pthread_join (configuration->watcher, NULL);
-  configuration->watching = false;
+  worker_stop (&configuration->watch);
+  worker_stop (&configuration->pulse);
   cp_document_unref (configuration->current);
   configuration->current = NULL;
+  cp_sections_finish (&configuration->sections);
 }
 
 json_t *
 configuration_dump (struct configuration *configuration)
 {
   struct cp_document *document = configuration_get (configuration);
+  uint64_t now = cp_clock_now_us (configuration->daemon->clock);
   char hash[20] = "";
   json_t *dump;
 
-  CP_LOCK_SCOPE (&configuration->lock);
+  CP_LOCK_SCOPE (&configuration->watch.lock);
   if (document != NULL)
     snprintf (hash, sizeof hash, "%016" PRIx64, document->hash);
-  dump = json_pack ("{s:I, s:s, s:I, s:s}", "version",
-                    (json_int_t)(document == NULL ? 0 : document->version),
-                    "hash", hash, "age_us",
-                    (json_int_t)(cp_clock_now_us (configuration->daemon->clock)
-                                 - configuration->accepted_us),
-                    "refused", configuration->refused);
+  dump = json_pack (
+      "{s:s, s:I, s:s, s:I, s:s, s:b, s:o}", "state",
+      state_names[configuration->state], "version",
+      (json_int_t)(document == NULL ? 0 : document->version), "hash", hash,
+      "age_us", (json_int_t)(now - configuration->accepted_us), "refused",
+      configuration->refused, "watching", (int)configuration->watching,
+      "sections", cp_sections_dump (&configuration->sections, now));
   cp_document_unref (document);
   return dump;
 }
--- /dev/null
+++ b/cornelpickd/configuration_watch.c
@@ -0,0 +1,195 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "cornelpickd/cornelpickd.h"
+#include "lib/cleanup.h"
+
+#define READ_TIMEOUT_US (2 * CP_US_PER_S)
+
+/* Used until the document states the limits of the service.  */
+#define READS_PER_S_DEFAULT 2000
+#define MOST_SHARE_DEFAULT 0.25
+
+/* The election is looked at so often.  */
+#define ELECTION_US CP_US_PER_S
+
+/* Nothing was taken for so long: the state shows it.  */
+#define TIMEOUT_US (5 * CP_US_PER_S)
+
+/* Bytes of an HTTP exchange beside the body, with those of TCP and IP.  */
+#define HTTP_OVERHEAD_BYTES 700
+
+void
+configuration_reads (struct configuration *configuration,
+                     struct cp_reads *reads)
+{
+  struct daemon *daemon = configuration->daemon;
+  struct cp_document *document = configuration_get (configuration);
+
+  reads->reads_per_s = READS_PER_S_DEFAULT;
+  reads->most_share = MOST_SHARE_DEFAULT;
+  if (document != NULL)
+    {
+      reads->reads_per_s = document->fleet.reads_per_s;
+      reads->most_share = document->fleet.reads_most_share;
+    }
+  cp_document_unref (document);
+  CP_LOCK_SCOPE (&daemon->members.reader.lock);
+  reads->daemons = cp_members_count (&daemon->members.table,
+                                     daemon->settings.daemons_most);
+}
+
+/* Returns the mean time between reads: a daemon that is not elected reads
+   seldom, one that holds nothing as often as a watcher.  */
+static uint64_t
+read_interval (struct configuration *configuration)
+{
+  struct daemon *daemon = configuration->daemon;
+  struct cp_document *document = configuration_get (configuration);
+  unsigned n_domains = document == NULL ? 1 : document->fleet.n_domains;
+  bool empty = document == NULL;
+  struct cp_reads reads;
+  bool watching;
+
+  cp_document_unref (document);
+  configuration_reads (configuration, &reads);
+  pthread_mutex_lock (&daemon->members.reader.lock);
+  watching = cp_members_watches (&daemon->members.table,
+                                 daemon->settings.failure_domain,
+                                 cp_watchers_per_domain (&reads, n_domains),
+                                 cp_clock_now_us (daemon->clock));
+  pthread_mutex_unlock (&daemon->members.reader.lock);
+  CP_LOCK_SCOPE (&configuration->watch.lock);
+  configuration->watching = watching;
+  return cp_reads_document_us (&reads)
+         * (watching || empty ? 1 : CP_BYSTANDER_FACTOR);
+}
+
+/* Takes the document that the service gave.  Returns whether it was of use. */
+static bool
+take_document (struct configuration *configuration, const GString *body)
+{
+  CP_AUTO_FREE struct cp_offer *offer = calloc (1, sizeof *offer);
+  struct daemon *daemon = configuration->daemon;
+  struct cp_error error;
+  uint64_t held;
+  enum cp_take result = CP_TAKE_FAILED;
+
+  if (offer == NULL)
+    return false;
+  if (cp_offer_parse (offer, "configuration service", body->str, body->len,
+                      &error)
+      != 0)
+    {
+      CP_LOCK_SCOPE (&configuration->watch.lock);
+      cp_error_text (&error, configuration->refused,
+                     sizeof configuration->refused);
+      configuration_step (configuration, CONFIGURATION_REFUSE);
+      daemon_count (daemon, COUNT_CONFIGURATION_REFUSED);
+      cp_log (CP_LOG_WARNING, CP_PART_CONFIGURATION, "Refused: %s.",
+              configuration->refused);
+      return false;
+    }
+  spread_root (&daemon->spread, &held);
+  if (offer->digest.version < held)
+    daemon_count (daemon, COUNT_CONFIGURATION_OLDER);
+  else if (offer->digest.version > held)
+    result
+        = configuration_take (configuration, "configuration service", offer);
+  cp_offer_finish (offer);
+  return result != CP_TAKE_FAILED;
+}
+
+/* Reads the service once.  */
+static void
+read_service (struct configuration *configuration, GString *body)
+{
+  struct daemon *daemon = configuration->daemon;
+  const struct cp_settings *settings = &daemon->settings;
+  uint64_t held;
+  char path[192];
+  int status;
+  bool done;
+
+  spread_root (&daemon->spread, &held);
+  snprintf (path, sizeof path, "%s?after=%" PRIu64,
+            settings->configuration_key, held);
+  daemon_count (daemon, COUNT_CONFIGURATION_READS);
+  status = upstream_get (&daemon->upstreams, &settings->configuration_service,
+                         path, CP_DOCUMENT_BYTES_MAX, READ_TIMEOUT_US, body);
+  cp_counters_add (&daemon->counters, COUNT_CONTROL_MESSAGES, 2);
+  cp_counters_add (&daemon->counters, COUNT_CONTROL_BYTES,
+                   HTTP_OVERHEAD_BYTES + body->len);
+  done = status == 304
+         || (status == 200 && take_document (configuration, body));
+  if (done)
+    configuration_verified (configuration);
+  CP_LOCK_SCOPE (&configuration->watch.lock);
+  configuration->read_failures = done ? 0 : configuration->read_failures + 1;
+}
+
+/* Waits until peers were asked.  Returns whether to go on.  */
+static bool
+wait_for_peers (struct configuration *configuration)
+{
+  uint64_t hour = 3600 * CP_US_PER_S;
+  bool go_on = true;
+
+  CP_LOCK_SCOPE (&configuration->watch.lock);
+  while (go_on && !configuration->peers_asked)
+    go_on
+        = worker_wait (&configuration->watch,
+                       cp_clock_now_us (configuration->daemon->clock) + hour);
+  return go_on;
+}
+
+/* Waits a while of the time until DUE_US.  */
+static bool
+wait_for_turn (struct configuration *configuration, uint64_t due_us)
+{
+  struct daemon *daemon = configuration->daemon;
+  uint64_t now = cp_clock_now_us (daemon->clock);
+
+  CP_LOCK_SCOPE (&configuration->watch.lock);
+  if (now - daemon->started_us > TIMEOUT_US
+      && configuration->state == CONFIGURATION_EMPTY)
+    configuration_step (configuration, CONFIGURATION_TIMEOUT);
+  return worker_wait (&configuration->watch, MIN (due_us, now + ELECTION_US));
+}
+
+void *
+configuration_watch (void *context)
+{
+  struct configuration *configuration = context;
+  const struct cp_clock *clock = configuration->daemon->clock;
+  GString *body = g_string_new (NULL);
+  uint64_t interval = 0;
+  uint64_t due = 0;
+
+  if (wait_for_peers (configuration))
+    do
+      {
+        uint64_t fresh = read_interval (configuration);
+
+        if (fresh != interval)
+          {
+            uint64_t soonest
+                = cp_clock_now_us (clock)
+                  + cp_reads_next_us (fresh, configuration->read_failures,
+                                      cp_random_thread ());
+
+            due = due == 0 || soonest < due ? soonest : due;
+            interval = fresh;
+          }
+        if (cp_clock_now_us (clock) < due)
+          continue;
+        read_service (configuration, body);
+        due = cp_clock_now_us (clock)
+              + cp_reads_next_us (interval, configuration->read_failures,
+                                  cp_random_thread ());
+      }
+    while (wait_for_turn (configuration, due));
+  g_string_free (body, TRUE);
+  return NULL;
+}
--- a/cornelpickd/cornelpickd.h
+++ b/cornelpickd/cornelpickd.h
@@ -10,6 +10,7 @@
 #include <stdint.h>
 #include <urcu/list.h>
 
+#include "cornelpickd/fleet.h"
 #include "http/http.h"
 #include "lib/admission.h"
 #include "lib/balancer.h"
@@ -67,6 +68,7 @@
   COUNT_REFUSED_DUPLICATE,
   COUNT_REFUSED_FULL,
   COUNT_REFUSED_DEADLINE,
+  COUNT_REFUSED_UNVERIFIED,
   COUNT_RPC_CALLS,
   COUNT_RPC_REFUSED,
   COUNT_CONFIGURATION_READS,
@@ -75,6 +77,11 @@
   COUNT_CONFIGURATION_OLDER,
   COUNT_PAUSES,
   COUNT_LATE_STARTS,
+  COUNT_LIST_READS,
+  COUNT_DIGESTS_SENT,
+  COUNT_SECTIONS_FETCHED,
+  COUNT_CONTROL_MESSAGES,
+  COUNT_CONTROL_BYTES,
   COUNT_END
 };
 
@@ -206,53 +213,6 @@
 void inbound_report (struct inbound *inbound, struct cp_report *report);
 json_t *inbound_dump (struct inbound *inbound);
 
-/* configuration.c: the document in force and how it is learnt.  */
-struct configuration
-{
-  struct daemon *daemon;
-  struct cp_document *current; /* through RCU */
-  pthread_t watcher;
-  bool watching;
-  bool stop;
-  pthread_mutex_t lock;
-  pthread_cond_t changed;
-  uint64_t accepted_us;
-  char refused[512]; /* why a newer document is not in force */
-};
-
-int configuration_start (struct configuration *configuration,
-                         struct daemon *daemon, struct cp_error *error);
-void configuration_stop (struct configuration *configuration);
-
-/* Returns the document in force with a reference that the caller owns, or
-   NULL before the first.  */
-struct cp_document *configuration_get (struct configuration *configuration);
-
-/* Puts a document in force when it is valid and newer.  */
-void configuration_offer (struct configuration *configuration,
-                          const char *source, const char *text, size_t length);
-json_t *configuration_dump (struct configuration *configuration);
-
-/* members.c: which VMs are known.  */
-struct members
-{
-  struct daemon *daemon;
-  pthread_t reader;
-  bool reading;
-  bool stop;
-  pthread_mutex_t lock;
-  pthread_cond_t changed;
-  struct cds_list_head vms;
-};
-
-int members_start (struct members *members, struct daemon *daemon,
-                   struct cp_error *error);
-void members_stop (struct members *members);
-
-/* Returns whether the IP number belongs to the document or the VM list.  */
-bool members_known (struct members *members, const char *ip);
-json_t *members_dump (struct members *members);
-
 /* rpc.c: ONC RPC between daemons.  */
 struct rpc_server
 {
@@ -309,6 +269,7 @@
   struct inbound inbound;
   struct configuration configuration;
   struct members members;
+  struct spread spread;
   struct rpc_server rpc;
   struct listener calls;
   struct listener peers;
--- a/cornelpickd/daemon.c
+++ b/cornelpickd/daemon.c
@@ -67,6 +67,11 @@
 
   if (load_life_chart (daemon, error) != 0)
     return -1;
+  if (configuration_init (&daemon->configuration, daemon, error) != 0)
+    return -1;
+  members_init (&daemon->members, daemon);
+  spread_init (&daemon->spread, daemon);
+  spread_serve (daemon);
   if (inbound_init (&daemon->inbound, daemon, error) != 0)
     return -1;
   outbound_init (&daemon->outbound, daemon);
@@ -84,9 +89,10 @@
       || rpc_start (&daemon->rpc, daemon, error) != 0)
     return -1;
   daemon_step (daemon, CP_LIFE_LISTENING);
-  if (members_start (&daemon->members, daemon, error) != 0)
+  if (members_start (&daemon->members, error) != 0
+      || spread_start (&daemon->spread, error) != 0)
     return -1;
-  return configuration_start (&daemon->configuration, daemon, error);
+  return configuration_start (&daemon->configuration, error);
 }
 
 int
@@ -100,9 +106,6 @@
   daemon->incarnation
       = cp_random_thread ()->next (cp_random_thread ()->context) | 1;
   pthread_mutex_init (&daemon->life_lock, NULL);
-  pthread_mutex_init (&daemon->members.lock, NULL);
-  CDS_INIT_LIST_HEAD (&daemon->members.vms);
-  daemon->members.daemon = daemon;
   if (cp_counters_init (&daemon->counters, COUNT_END) != 0
       || cp_decisions_init (&daemon->decisions) != 0)
     return cp_error_set (error, CP_ERROR_MEMORY, settings->vm, "free memory",
@@ -119,6 +122,7 @@
 daemon_drain (struct daemon *daemon)
 {
   daemon_step (daemon, CP_LIFE_DRAIN);
+  spread_push (&daemon->spread);
 }
 
 bool
@@ -143,13 +147,15 @@
   listener_stop (&daemon->calls);
   listener_stop (&daemon->peers);
   upstream_pool_stop (&daemon->upstreams);
-  configuration_stop (&daemon->configuration);
+  spread_stop (&daemon->spread);
   members_stop (&daemon->members);
   rpc_stop (&daemon->rpc);
+  configuration_stop (&daemon->configuration);
   daemon_step (daemon, CP_LIFE_STOP);
   listener_stop (&daemon->admin);
   outbound_finish (&daemon->outbound);
   inbound_finish (&daemon->inbound);
+  members_finish (&daemon->members);
   upstream_pool_finish (&daemon->upstreams);
   cp_counters_finish (&daemon->counters);
   cp_decisions_finish (&daemon->decisions);
--- a/cornelpickd/inbound.c
+++ b/cornelpickd/inbound.c
@@ -87,7 +87,9 @@
 {
   memset (report, 0, sizeof *report);
   report->incarnation = inbound->daemon->incarnation;
-  report->life = daemon_life (inbound->daemon);
+  report->life = members_leaving (&inbound->daemon->members)
+                     ? CP_LIFE_DRAINING
+                     : daemon_life (inbound->daemon);
   report->latency_us = cp_histogram_quantile (&inbound->latency, 0.5);
   cp_admission_report (&inbound->admission, report);
 }
@@ -173,8 +175,14 @@
 before_send (void *context)
 {
   struct visit *visit = context;
-  uint64_t now = cp_clock_now_us (visit->inbound->daemon->clock);
+  uint64_t now;
 
+  if (!configuration_usable (&visit->inbound->daemon->configuration))
+    {
+      visit->refused_as = COUNT_REFUSED_UNVERIFIED;
+      return false;
+    }
+  now = cp_clock_now_us (visit->inbound->daemon->clock);
   if (now >= visit->deadline_us)
     {
       visit->refused_as = COUNT_REFUSED_DEADLINE;
@@ -343,6 +351,12 @@
 {
   struct daemon *daemon = visit->inbound->daemon;
 
+  if (!configuration_usable (&daemon->configuration))
+    {
+      daemon_count (daemon, COUNT_REFUSED_UNVERIFIED);
+      refuse (visit, 503, "not-run", "this daemon has no verified view\n");
+      return;
+    }
   if (!members_known (&daemon->members, visit->request->info->remote_addr))
     {
       daemon_count (daemon, COUNT_REFUSED_PEERS);
@@ -355,7 +369,8 @@
       refuse (visit, 400, "not-run", "a header of the attempt is missing\n");
       return;
     }
-  if (daemon_life (daemon) != CP_LIFE_SERVING)
+  if (daemon_life (daemon) != CP_LIFE_SERVING
+      || members_leaving (&daemon->members))
     {
       daemon_count (daemon, COUNT_REFUSED_LEAVING);
       refuse (visit, 503, "not-run", "this daemon is not serving\n");
--- a/cornelpickd/members.c
+++ b/cornelpickd/members.c
@@ -1,191 +1,156 @@
-#include <arpa/inet.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "cornelpickd/cornelpickd.h"
 #include "lib/cleanup.h"
 
-#define LIST_BYTES_MAX 1048576
-#define READ_INTERVAL_S 2
+#define LIST_BYTES_MAX 4194304
 #define READ_TIMEOUT_US (2 * CP_US_PER_S)
+#define HTTP_OVERHEAD_BYTES 700
 
-/* One VM of the platform's list.  */
-struct vm
-{
-  struct cds_list_head node;
-  char name[CP_NAME_BYTES];
-  char ip[INET6_ADDRSTRLEN];
-  bool leaving;
-};
-
-static void
-clear_vms (struct cds_list_head *vms)
-{
-  struct vm *vm, *next;
-
-  cds_list_for_each_entry_safe (vm, next, vms, node)
-  {
-    cds_list_del (&vm->node);
-    free (vm);
-  }
-}
-
-/* Takes a list as the platform gives it.  */
+/* Takes a list as the platform gives it; the lock is held.  */
 static void
 take_list (struct members *members, const char *text, size_t length)
 {
   CP_AUTO_JSON json_t *root = json_loadb (text, length, 0, NULL);
-  json_t *list = json_object_get (root, "vms");
-  size_t i;
-  json_t *body;
+  const struct cp_member *own;
 
-  if (!json_is_array (list))
+  if (!cp_members_take_list (&members->table, json_object_get (root, "vms")))
     {
       cp_log (CP_LOG_WARNING, CP_PART_MEMBERS, "The VM list is no list.");
       return;
     }
-  CP_LOCK_SCOPE (&members->lock);
-  clear_vms (&members->vms);
-  json_array_foreach (list, i, body)
-  {
-    const char *name = json_string_value (json_object_get (body, "name"));
-    const char *ip = json_string_value (json_object_get (body, "ip"));
-    const char *state = json_string_value (json_object_get (body, "state"));
-    struct vm *vm;
-
-    if (name == NULL || ip == NULL)
-      continue;
-    vm = calloc (1, sizeof *vm);
-    if (vm == NULL)
-      return;
-    g_strlcpy (vm->name, name, sizeof vm->name);
-    g_strlcpy (vm->ip, ip, sizeof vm->ip);
-    vm->leaving = state != NULL && strcmp (state, "leaving") == 0;
-    cds_list_add (&vm->node, &members->vms);
-  }
+  own = cp_members_find (&members->table, members->table.own_ip);
+  __atomic_store_n (&members->leaving, own != NULL && own->listed_leaving,
+                    __ATOMIC_RELEASE);
+}
+
+static void
+read_once (struct members *members, GString *body)
+{
+  struct daemon *daemon = members->daemon;
+  bool done;
+
+  daemon_count (daemon, COUNT_LIST_READS);
+  done = upstream_get (&daemon->upstreams, &daemon->settings.vm_list, "/vms",
+                       LIST_BYTES_MAX, READ_TIMEOUT_US, body)
+         == 200;
+  cp_counters_add (&daemon->counters, COUNT_CONTROL_MESSAGES, 2);
+  cp_counters_add (&daemon->counters, COUNT_CONTROL_BYTES,
+                   HTTP_OVERHEAD_BYTES + body->len);
+  CP_LOCK_SCOPE (&members->reader.lock);
+  if (done)
+    {
+      members->list_bytes = body->len;
+      take_list (members, body->str, body->len);
+    }
+  members->read_failures = done ? 0 : members->read_failures + 1;
+  members->list_asked = true;
+}
+
+static uint64_t
+next_read_us (struct members *members)
+{
+  struct cp_reads reads;
+
+  configuration_reads (&members->daemon->configuration, &reads);
+  return cp_reads_next_us (cp_reads_list_us (&reads, members->list_bytes),
+                           members->read_failures, cp_random_thread ());
 }
 
 static bool
-wait_for_next (struct members *members)
+wait_until_us (struct members *members, uint64_t until_us)
 {
-  struct timespec until;
-
-  clock_gettime (CLOCK_REALTIME, &until);
-  until.tv_sec += READ_INTERVAL_S;
-  CP_LOCK_SCOPE (&members->lock);
-  if (!members->stop)
-    pthread_cond_timedwait (&members->changed, &members->lock, &until);
-  return !members->stop;
+  bool go_on;
+
+  CP_LOCK_SCOPE (&members->reader.lock);
+  do
+    go_on = worker_wait (&members->reader, until_us);
+  while (go_on && cp_clock_now_us (members->daemon->clock) < until_us);
+  return go_on;
 }
 
+/* The first read comes at a random time, since all may have just started; the
+   second not before a whole interval after it.  */
 static void *
 read_list (void *context)
 {
   struct members *members = context;
-  struct daemon *daemon = members->daemon;
+  const struct cp_clock *clock = members->daemon->clock;
   GString *body = g_string_new (NULL);
+  struct cp_reads reads;
+  uint64_t due = cp_clock_now_us (clock);
 
-  do
+  configuration_reads (&members->daemon->configuration, &reads);
+  due += cp_reads_first_us (&reads, cp_random_thread ());
+  if (wait_until_us (members, due))
     {
-      if (upstream_get (&daemon->upstreams, &daemon->settings.vm_list, "/vms",
-                        LIST_BYTES_MAX, READ_TIMEOUT_US, body)
-          == 200)
-        take_list (members, body->str, body->len);
+      read_once (members, body);
+      configuration_reads (&members->daemon->configuration, &reads);
+      due = cp_clock_now_us (clock)
+            + cp_reads_list_us (&reads, members->list_bytes);
+      while (wait_until_us (members, due + next_read_us (members)))
+        {
+          read_once (members, body);
+          due = cp_clock_now_us (clock);
+        }
     }
-  while (wait_for_next (members));
   g_string_free (body, TRUE);
   return NULL;
 }
 
 int
-members_start (struct members *members, struct daemon *daemon,
-               struct cp_error *error)
+members_init (struct members *members, struct daemon *daemon)
 {
   memset (members, 0, sizeof *members);
   members->daemon = daemon;
-  pthread_mutex_init (&members->lock, NULL);
-  pthread_cond_init (&members->changed, NULL);
-  CDS_INIT_LIST_HEAD (&members->vms);
-  if (pthread_create (&members->reader, NULL, read_list, members) != 0)
-    return cp_error_set (error, CP_ERROR_MEMORY, "members",
-                         "raise the limit of threads",
-                         "cannot start a thread");
-  members->reading = true;
+  worker_init (&members->reader, daemon->clock);
+  cp_members_init (&members->table, &daemon->settings.peers);
   return 0;
 }
 
+int
+members_start (struct members *members, struct cp_error *error)
+{
+  return worker_start (&members->reader, "members", read_list, members, error);
+}
+
 void
 members_stop (struct members *members)
 {
-  if (!members->reading)
-    return;
-  pthread_mutex_lock (&members->lock);
-  members->stop = true;
-  pthread_cond_broadcast (&members->changed);
-  pthread_mutex_unlock (&members->lock);
-  pthread_join (members->reader, NULL);
-  members->reading = false;
-  clear_vms (&members->vms);
+  worker_stop (&members->reader);
 }
 
-static bool
-in_list (struct members *members, const char *ip)
+void
+members_finish (struct members *members)
 {
-  struct vm *vm;
-
-  CP_LOCK_SCOPE (&members->lock);
-  cds_list_for_each_entry (vm, &members->vms, node)
-  {
-    if (strcmp (vm->ip, ip) == 0)
-      return true;
-  }
-  return false;
+  cp_members_finish (&members->table);
 }
 
-static bool
-in_document (const struct cp_document *document, const char *ip)
+bool
+members_known (struct members *members, const char *ip)
 {
-  struct cp_address address;
-  char text[INET6_ADDRSTRLEN + 8];
-
-  g_snprintf (text, sizeof text, strchr (ip, ':') ? "[%s]:1" : "%s:1", ip);
-  if (!cp_address_parse (&address, text))
-    return false;
-  for (unsigned s = 0; s < document->n_services; s++)
-    for (unsigned t = 0; t < document->services[s].n_targets; t++)
-      {
-        const struct cp_target *target = &document->services[s].targets[t];
-
-        if (target->has_daemon
-            && cp_address_same_host (&address, &target->daemon))
-          return true;
-      }
-  return false;
+  CP_LOCK_SCOPE (&members->reader.lock);
+  return cp_members_find (&members->table, ip) != NULL;
 }
 
 bool
-members_known (struct members *members, const char *ip)
+members_leaving (struct members *members)
+{
+  return __atomic_load_n (&members->leaving, __ATOMIC_ACQUIRE);
+}
+
+void
+members_take_document (struct members *members,
+                       const struct cp_document *document)
 {
-  struct cp_document *document;
-  bool known;
-
-  if (in_list (members, ip))
-    return true;
-  document = configuration_get (&members->daemon->configuration);
-  known = document != NULL && in_document (document, ip);
-  cp_document_unref (document);
-  return known;
+  CP_LOCK_SCOPE (&members->reader.lock);
+  cp_members_take_document (&members->table, document);
 }
 
 json_t *
 members_dump (struct members *members)
 {
-  json_t *list = json_array ();
-  struct vm *vm;
-
-  CP_LOCK_SCOPE (&members->lock);
-  cds_list_for_each_entry (vm, &members->vms, node) json_array_append_new (
-      list, json_pack ("{s:s, s:s, s:b}", "name", vm->name, "ip", vm->ip,
-                       "leaving", (int)vm->leaving));
-  return list;
+  CP_LOCK_SCOPE (&members->reader.lock);
+  return cp_members_dump (&members->table,
+                          cp_clock_now_us (members->daemon->clock));
 }
--- a/cornelpickd/metrics.c
+++ b/cornelpickd/metrics.c
@@ -35,6 +35,8 @@
   = { "refused_full_total", "Attempts refused for lack of room." },
   [COUNT_REFUSED_DEADLINE]
   = { "refused_deadline_total", "Attempts whose time had run out." },
+  [COUNT_REFUSED_UNVERIFIED]
+  = { "refused_unverified_total", "Attempts refused for an unverified view." },
   [COUNT_RPC_CALLS] = { "rpc_calls_total", "RPC calls served." },
   [COUNT_RPC_REFUSED] = { "rpc_refused_total", "RPC calls refused." },
   [COUNT_CONFIGURATION_READS]
@@ -48,6 +50,16 @@
   [COUNT_PAUSES] = { "pauses_total", "Pauses of this process noticed." },
   [COUNT_LATE_STARTS]
   = { "late_starts_total", "Attempts started after their deadline." },
+  [COUNT_LIST_READS] = { "list_reads_total", "Reads of the VM list." },
+  [COUNT_DIGESTS_SENT] = { "digests_sent_total", "Digests sent to peers." },
+  [COUNT_SECTIONS_FETCHED]
+  = { "sections_fetched_total", "Sections taken from peers." },
+  [COUNT_CONTROL_MESSAGES]
+  = { "control_messages_total",
+      "Messages for configuration and membership, both ways." },
+  [COUNT_CONTROL_BYTES]
+  = { "control_bytes_total",
+      "Bytes of these messages with their headers, both ways." },
 };
 
 char *
--- a/cornelpickd/outbound.c
+++ b/cornelpickd/outbound.c
@@ -147,11 +147,12 @@
 {
   struct outbound *outbound = context;
   struct daemon *daemon = outbound->daemon;
-  struct cp_document *document;
+  struct cp_document *document = NULL;
 
   __atomic_fetch_add (&outbound->in_flight, 1, __ATOMIC_RELAXED);
   daemon_count (daemon, COUNT_CALLS);
-  document = configuration_get (&daemon->configuration);
+  if (configuration_usable (&daemon->configuration))
+    document = configuration_get (&daemon->configuration);
   if (document == NULL || daemon_life (daemon) != CP_LIFE_SERVING)
     {
       daemon_count (daemon, COUNT_NOT_RUN);
--- a/cornelpickd/rpc.c
+++ b/cornelpickd/rpc.c
@@ -73,31 +73,6 @@
   return TRUE;
 }
 
-bool_t
-cp_rpc_digest_1_svc (cp_rpc_digest *args, cp_rpc_digest *reply,
-                     struct svc_req *request)
-{
-  (void)args;
-  (void)request;
-  daemon_count (served, COUNT_RPC_CALLS);
-  memset (reply, 0, sizeof *reply);
-  reply->sender = strdup (served->settings.vm);
-  reply->incarnation = served->incarnation;
-  reply->life = strdup (cp_life_names[daemon_life (served)]);
-  return TRUE;
-}
-
-bool_t
-cp_rpc_section_1_svc (cp_rpc_section_args *args, cp_rpc_section *reply,
-                      struct svc_req *request)
-{
-  (void)request;
-  daemon_count (served, COUNT_RPC_CALLS);
-  memset (reply, 0, sizeof *reply);
-  reply->section = strdup (args->section);
-  return TRUE;
-}
-
 int
 cp_rpc_program_1_freeresult (SVCXPRT *transport, xdrproc_t routine,
                              caddr_t result)
--- a/lib/settings.c
+++ b/lib/settings.c
@@ -7,7 +7,8 @@
 
 #define CALL_THREADS_DEFAULT 64
 #define PEER_THREADS_DEFAULT 300
-#define THREADS_MAX 4096
+#define DAEMONS_MOST_DEFAULT 5000
+#define COUNT_MAX 16384
 #define CHARTS_DEFAULT "/usr/local/share/cornelpick/charts"
 
 enum setting_type
@@ -44,6 +45,7 @@
   { "charts", SETTING_TEXT, false, FIELD (charts) },
   { "call_threads", SETTING_COUNT, false, FIELD (call_threads) },
   { "peer_threads", SETTING_COUNT, false, FIELD (peer_threads) },
+  { "daemons_most", SETTING_COUNT, false, FIELD (daemons_most) },
   { "log_level", SETTING_LOG_LEVEL, false, FIELD (log_level) },
   { "log_format", SETTING_LOG_FORMAT, false, FIELD (log_format) },
 };
@@ -84,9 +86,9 @@
 {
   json_int_t count = json_integer_value (value);
 
-  if (!json_is_integer (value) || count < 1 || count > THREADS_MAX)
+  if (!json_is_integer (value) || count < 1 || count > COUNT_MAX)
     return fail (file, setting->key, "is out of range",
-                 "write a whole number from 1 to 4096", error);
+                 "write a whole number from 1 to 16384", error);
   *field = (unsigned)count;
   return 0;
 }
@@ -133,6 +135,7 @@
   g_strlcpy (settings->charts, CHARTS_DEFAULT, sizeof settings->charts);
   settings->call_threads = CALL_THREADS_DEFAULT;
   settings->peer_threads = PEER_THREADS_DEFAULT;
+  settings->daemons_most = DAEMONS_MOST_DEFAULT;
   settings->log_level = CP_LOG_INFO;
   settings->log_format = CP_LOG_TEXT;
 }
--- a/lib/settings.h
+++ b/lib/settings.h
@@ -12,6 +12,9 @@
    charts                 folder with the state charts
    call_threads           threads for calls; default 64
    peer_threads           threads for forwarded calls; default 300
+   daemons_most           most daemons that the fleet may have; default 5000.
+                          It spreads the first reads of the platform while the
+                          size of the fleet is not known
    log_level, log_format  default info, text  */
 #ifndef CP_SETTINGS_H
 #define CP_SETTINGS_H
@@ -35,6 +38,7 @@
   char charts[256];
   unsigned call_threads;
   unsigned peer_threads;
+  unsigned daemons_most;
   enum cp_log_level log_level;
   enum cp_log_format log_format;
 };
--- a/regress/harness/harness.c
+++ b/regress/harness/harness.c
@@ -250,16 +250,16 @@
   snprintf (name, sizeof name, "vm-%u.json", vm);
   write_file (
       fleet, name,
-      json_pack ("{s:s#, s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:s}", "vm",
-                 name, (int)(strlen (name) - strlen (".json")),
-                 "failure_domain", domain, "calls",
-                 fleet_address (fleet, vm, PORT_CALLS, calls), "peers",
-                 fleet_address (fleet, vm, PORT_PEERS, peers), "admin",
-                 fleet_address (fleet, vm, PORT_ADMIN, admin),
-                 "configuration_service",
-                 fleet_address (fleet, PLATFORM_VM, PORT_PLATFORM, platform),
-                 "charts", charts, "call_threads", 32, "peer_threads", 64,
-                 "log_level", "debug"));
+      json_pack (
+          "{s:s#, s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:s}", "vm",
+          name, (int)(strlen (name) - strlen (".json")), "failure_domain",
+          domain, "calls", fleet_address (fleet, vm, PORT_CALLS, calls),
+          "peers", fleet_address (fleet, vm, PORT_PEERS, peers), "admin",
+          fleet_address (fleet, vm, PORT_ADMIN, admin),
+          "configuration_service",
+          fleet_address (fleet, PLATFORM_VM, PORT_PLATFORM, platform),
+          "charts", charts, "call_threads", 32, "peer_threads", 64,
+          "daemons_most", (int)MAX (fleet->n_vms, 10), "log_level", "debug"));
   process_start (&fleet->daemons[vm], log, "cornelpickd/cornelpickd",
                  "--settings", path, NULL);
 }
--- a/rpc/cornelpick.h
+++ b/rpc/cornelpick.h
@@ -17,6 +17,7 @@
 #define CP_RPC_NAME_MAX 128
 #define CP_RPC_DIGEST_MAX 256
 #define CP_RPC_SECTION_MAX 1048576
+#define CP_RPC_REASON_MAX 320
 
 typedef char cp_rpc_id[16];
 
@@ -57,19 +58,29 @@
 };
 typedef struct cp_rpc_fence_reply cp_rpc_fence_reply;
 
+typedef char *cp_rpc_reason;
+
 struct cp_rpc_digest_entry {
 	cp_rpc_name section;
 	u_quad_t section_version;
+	u_quad_t since;
 	u_quad_t hash;
+	u_quad_t refused_version;
+	u_quad_t refused_hash;
+	cp_rpc_reason refused;
 };
 typedef struct cp_rpc_digest_entry cp_rpc_digest_entry;
 
 struct cp_rpc_digest {
 	cp_rpc_name sender;
+	cp_rpc_name failure_domain;
+	u_int peers_port;
 	u_quad_t incarnation;
 	cp_rpc_name life;
+	bool_t current;
 	u_quad_t document_version;
-	u_quad_t document_hash;
+	u_quad_t root;
+	bool_t whole;
 	struct {
 		u_int entries_len;
 		cp_rpc_digest_entry *entries_val;
@@ -79,14 +90,11 @@
 
 struct cp_rpc_section_args {
 	cp_rpc_name section;
-	u_quad_t newer_than;
+	u_quad_t hash;
 };
 typedef struct cp_rpc_section_args cp_rpc_section_args;
 
 struct cp_rpc_section {
-	cp_rpc_name section;
-	u_quad_t section_version;
-	u_quad_t hash;
 	struct {
 		u_int text_len;
 		char *text_val;
@@ -137,6 +145,7 @@
 extern  bool_t xdr_cp_rpc_fence_args (XDR *, cp_rpc_fence_args*);
 extern  bool_t xdr_cp_rpc_fence_status (XDR *, cp_rpc_fence_status*);
 extern  bool_t xdr_cp_rpc_fence_reply (XDR *, cp_rpc_fence_reply*);
+extern  bool_t xdr_cp_rpc_reason (XDR *, cp_rpc_reason*);
 extern  bool_t xdr_cp_rpc_digest_entry (XDR *, cp_rpc_digest_entry*);
 extern  bool_t xdr_cp_rpc_digest (XDR *, cp_rpc_digest*);
 extern  bool_t xdr_cp_rpc_section_args (XDR *, cp_rpc_section_args*);
@@ -149,6 +158,7 @@
 extern bool_t xdr_cp_rpc_fence_args ();
 extern bool_t xdr_cp_rpc_fence_status ();
 extern bool_t xdr_cp_rpc_fence_reply ();
+extern bool_t xdr_cp_rpc_reason ();
 extern bool_t xdr_cp_rpc_digest_entry ();
 extern bool_t xdr_cp_rpc_digest ();
 extern bool_t xdr_cp_rpc_section_args ();
--- a/rpc/cornelpick.x
+++ b/rpc/cornelpick.x
@@ -7,6 +7,7 @@
 const CP_RPC_NAME_MAX = 128;
 const CP_RPC_DIGEST_MAX = 256;
 const CP_RPC_SECTION_MAX = 1048576;
+const CP_RPC_REASON_MAX = 320;
 
 typedef opaque cp_rpc_id[16];
 typedef string cp_rpc_name<CP_RPC_NAME_MAX>;
@@ -44,31 +45,43 @@
 	unsigned hyper incarnation;
 };
 
+typedef string cp_rpc_reason<CP_RPC_REASON_MAX>;
+
 struct cp_rpc_digest_entry {
 	cp_rpc_name section;
 	unsigned hyper section_version;
+	unsigned hyper since;
 	unsigned hyper hash;
+	unsigned hyper refused_version;
+	unsigned hyper refused_hash;
+	cp_rpc_reason refused;
 };
 
-/* The digest of all sections that a daemon holds, and who it is. */
+/*
+ * What a daemon says of itself and of the sections that it holds.  The entries
+ * are there only in an answer to a call that asked for the whole digest, which
+ * is made over TCP.
+ */
 struct cp_rpc_digest {
 	cp_rpc_name sender;
+	cp_rpc_name failure_domain;
+	unsigned int peers_port;
 	unsigned hyper incarnation;
 	cp_rpc_name life;
+	bool current;
 	unsigned hyper document_version;
-	unsigned hyper document_hash;
+	unsigned hyper root;
+	bool whole;
 	cp_rpc_digest_entry entries<CP_RPC_DIGEST_MAX>;
 };
 
 struct cp_rpc_section_args {
 	cp_rpc_name section;
-	unsigned hyper newer_than;
+	unsigned hyper hash;
 };
 
+/* The text is empty when this daemon does not hold it. */
 struct cp_rpc_section {
-	cp_rpc_name section;
-	unsigned hyper section_version;
-	unsigned hyper hash;
 	opaque text<CP_RPC_SECTION_MAX>;
 };
 
--- a/rpc/cornelpick_xdr.c
+++ b/rpc/cornelpick_xdr.c
@@ -142,6 +142,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_cp_rpc_reason (XDR *xdrs, cp_rpc_reason *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, objp, CP_RPC_REASON_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_cp_rpc_digest_entry (XDR *xdrs, cp_rpc_digest_entry *objp)
 {
@@ -151,8 +161,16 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->section_version))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->since))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->hash))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->refused_version))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->refused_hash))
+		 return FALSE;
+	 if (!xdr_cp_rpc_reason (xdrs, &objp->refused))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -163,13 +181,21 @@
 
 	 if (!xdr_cp_rpc_name (xdrs, &objp->sender))
 		 return FALSE;
+	 if (!xdr_cp_rpc_name (xdrs, &objp->failure_domain))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->peers_port))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 		 return FALSE;
 	 if (!xdr_cp_rpc_name (xdrs, &objp->life))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->current))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->document_version))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->document_hash))
+	 if (!xdr_u_quad_t (xdrs, &objp->root))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->whole))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, CP_RPC_DIGEST_MAX,
 		sizeof (cp_rpc_digest_entry), (xdrproc_t) xdr_cp_rpc_digest_entry))
@@ -184,7 +210,7 @@
 
 	 if (!xdr_cp_rpc_name (xdrs, &objp->section))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->newer_than))
+	 if (!xdr_u_quad_t (xdrs, &objp->hash))
 		 return FALSE;
 	return TRUE;
 }
@@ -194,12 +220,6 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_cp_rpc_name (xdrs, &objp->section))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->section_version))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->hash))
-		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, CP_RPC_SECTION_MAX))
 		 return FALSE;
 	return TRUE;
