--- a/cornelpickd/daemon.c
+++ b/cornelpickd/daemon.c
@@ -68,6 +68,11 @@
   if (load_life_chart (daemon, error) != 0)
     return -1;
   measure_init (&daemon->measure, daemon);
+  if (configuration_init (&daemon->configuration, daemon, error) != 0)
+    return -1;
+  members_init (&daemon->members, daemon);
+  spread_init (&daemon->spread, daemon);
+  spread_serve (daemon);
   if (inbound_init (&daemon->inbound, daemon, error) != 0)
     return -1;
   if (outbound_init (&daemon->outbound, daemon, error) != 0)
@@ -86,10 +91,11 @@
       || rpc_start (&daemon->rpc, daemon, error) != 0)
     return -1;
   daemon_step (daemon, CP_LIFE_LISTENING);
-  if (members_start (&daemon->members, daemon, error) != 0
-      || measure_start (&daemon->measure, error) != 0)
+  if (members_start (&daemon->members, error) != 0
+      || measure_start (&daemon->measure, error) != 0
+      || spread_start (&daemon->spread, error) != 0)
     return -1;
-  return configuration_start (&daemon->configuration, daemon, error);
+  return configuration_start (&daemon->configuration, error);
 }
 
 int
@@ -103,9 +109,6 @@
   daemon->incarnation
       = cp_random_thread ()->next (cp_random_thread ()->context) | 1;
   pthread_mutex_init (&daemon->life_lock, NULL);
-  pthread_mutex_init (&daemon->members.lock, NULL);
-  CDS_INIT_LIST_HEAD (&daemon->members.vms);
-  daemon->members.daemon = daemon;
   if (cp_counters_init (&daemon->counters, COUNT_END) != 0
       || cp_decisions_init (&daemon->decisions) != 0)
     return cp_error_set (error, CP_ERROR_MEMORY, settings->vm, "free memory",
@@ -125,6 +128,7 @@
 
   if (daemon_step (daemon, CP_LIFE_DRAIN))
     __atomic_store_n (&daemon->drained_us, now, __ATOMIC_RELEASE);
+  spread_push (&daemon->spread);
 }
 
 bool
@@ -170,13 +174,15 @@
   stop_listeners (daemon);
   upstream_pool_stop (&daemon->upstreams);
   measure_stop (&daemon->measure);
-  configuration_stop (&daemon->configuration);
+  spread_stop (&daemon->spread);
   members_stop (&daemon->members);
   rpc_stop (&daemon->rpc);
+  configuration_stop (&daemon->configuration);
   daemon_step (daemon, CP_LIFE_STOP);
   listener_stop (&daemon->admin);
   outbound_finish (&daemon->outbound);
   inbound_finish (&daemon->inbound);
+  members_finish (&daemon->members);
   upstream_pool_finish (&daemon->upstreams);
   cp_counters_finish (&daemon->counters);
   cp_decisions_finish (&daemon->decisions);
--- a/regress/harness/harness.c
+++ b/regress/harness/harness.c
@@ -271,11 +271,11 @@
   write_file (
       fleet, name,
       json_pack (
-          "{s:s#, s:s, s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:s}", "vm",
-          name, (int)(strlen (name) - strlen (".json")), "failure_domain",
-          domain, "calls", fleet_address (fleet, vm, PORT_CALLS, calls),
-          "peers", fleet_address (fleet, vm, PORT_PEERS, peers),
-          "peers_listen",
+          "{s:s#, s:s, s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:s}",
+          "vm", name, (int)(strlen (name) - strlen (".json")),
+          "failure_domain", domain, "calls",
+          fleet_address (fleet, vm, PORT_CALLS, calls), "peers",
+          fleet_address (fleet, vm, PORT_PEERS, peers), "peers_listen",
           fleet_address (fleet, vm,
                          fleet->relayed_vm == vm ? PORT_RELAYED : PORT_PEERS,
                          listen),
@@ -283,7 +283,8 @@
           "configuration_service",
           fleet_address (fleet, PLATFORM_VM, PORT_PLATFORM, platform),
           "charts", charts, "call_threads", fleet_call_threads, "peer_threads",
-          fleet_peer_threads, "log_level", "debug"));
+          fleet_peer_threads, "daemons_most", (int)MAX (fleet->n_vms, 10),
+          "log_level", "debug"));
   process_start (&fleet->daemons[vm], log, "cornelpickd/cornelpickd",
                  "--settings", path, NULL);
 }
