--- a/cornelpickd/attempt.c
+++ b/cornelpickd/attempt.c
@@ -26,6 +26,11 @@
                                              [ATTEMPT_NOT_RUN] = "not-run",
                                              [ATTEMPT_UNKNOWN] = "unknown" };
 
+static const char *const fence_names[] = { [FENCE_FENCED] = "fenced",
+                                           [FENCE_STARTED] = "started",
+                                           [FENCE_ANSWERED] = "answered",
+                                           [FENCE_NO_PROOF] = "no proof" };
+
 /* Records a step of the attempt.  */
 static void
 attempt_record (const struct attempt *attempt, enum cp_decision_kind kind,
@@ -299,13 +304,16 @@
 {
   const struct call *call = attempt->call;
   struct daemon *daemon = call->outbound->daemon;
+  enum fence_result result;
 
   if (!attempt->target.has_daemon || attempt->start_by_us == 0)
     return ATTEMPT_UNKNOWN;
   daemon_count (daemon, COUNT_FENCES);
-  if (rpc_fence (&attempt->target.daemon, &attempt->id, attempt->incarnation,
-                 attempt->start_by_us, true, FENCE_TIMEOUT_US)
-      == FENCE_FENCED)
+  result
+      = rpc_fence (&attempt->target.daemon, &attempt->id, attempt->incarnation,
+                   attempt->start_by_us, true, FENCE_TIMEOUT_US);
+  attempt_record (attempt, CP_DECISION_FENCE, fence_names[result], 0);
+  if (result == FENCE_FENCED)
     return ATTEMPT_NOT_RUN;
   return ATTEMPT_UNKNOWN;
 }
--- a/cornelpickd/cornelpickd.h
+++ b/cornelpickd/cornelpickd.h
@@ -10,6 +10,8 @@
 #include <stdint.h>
 #include <urcu/list.h>
 
+#include "cornelpickd/fleet.h"
+#include "cornelpickd/measure.h"
 #include "http/http.h"
 #include "lib/admission.h"
 #include "lib/balancer.h"
@@ -70,6 +72,7 @@
   COUNT_REFUSED_DUPLICATE,
   COUNT_REFUSED_FULL,
   COUNT_REFUSED_DEADLINE,
+  COUNT_REFUSED_UNVERIFIED,
   COUNT_RPC_CALLS,
   COUNT_RPC_REFUSED,
   COUNT_CONFIGURATION_READS,
@@ -79,6 +82,16 @@
   COUNT_PAUSES,
   COUNT_LATE_STARTS,
   COUNT_MIXED_ANSWERS,
+  COUNT_LEAVING_STARTS,
+  COUNT_PROBES,
+  COUNT_PROBES_HUNG,
+  COUNT_BUDGET_REFUSED,
+  COUNT_QUERIES_REFUSED,
+  COUNT_LIST_READS,
+  COUNT_DIGESTS_SENT,
+  COUNT_SECTIONS_FETCHED,
+  COUNT_CONTROL_MESSAGES,
+  COUNT_CONTROL_BYTES,
   COUNT_END
 };
 
@@ -124,12 +137,19 @@
   struct daemon *daemon;
   pthread_mutex_t lock;
   struct cds_list_head balancers;
+  struct cp_chart chart; /* of a target's health */
+  pthread_t asker;
+  pthread_mutex_t asking_lock;
+  pthread_cond_t asking_end;
+  bool asking;
+  bool stop_asking;
   struct cp_histogram latency;
   struct cp_peer_clocks peers;
   unsigned in_flight;
 };
 
-int outbound_init (struct outbound *outbound, struct daemon *daemon);
+int outbound_init (struct outbound *outbound, struct daemon *daemon,
+                   struct cp_error *error);
 void outbound_finish (struct outbound *outbound);
 void outbound_handle (void *context, struct request *request);
 
@@ -138,6 +158,20 @@
                       const struct cp_document *document);
 json_t *outbound_dump (struct outbound *outbound);
 
+/* Returns the balancer number INDEX, or NULL after the last; balancers are
+   never removed while the daemon runs.  */
+struct cp_balancer *outbound_balancer_at (struct outbound *outbound,
+                                          unsigned index);
+
+/* outbound_ask.c: queries for load to inbound sides that send none.  */
+
+/* Asks those inbound sides that BALANCER names.  */
+void outbound_ask (struct cp_balancer *balancer);
+
+/* Starts and ends the thread that goes on asking.  */
+int outbound_start_asking (struct outbound *outbound, struct cp_error *error);
+void outbound_stop_asking (struct outbound *outbound);
+
 /* call.c: one call, with its retries and hedges.  */
 /* One call of a caller.  */
 struct call
@@ -218,53 +252,6 @@
 void inbound_report (struct inbound *inbound, struct cp_report *report);
 json_t *inbound_dump (struct inbound *inbound);
 
-/* configuration.c: the document in force and how it is learnt.  */
-struct configuration
-{
-  struct daemon *daemon;
-  struct cp_document *current; /* through RCU */
-  pthread_t watcher;
-  bool watching;
-  bool stop;
-  pthread_mutex_t lock;
-  pthread_cond_t changed;
-  uint64_t accepted_us;
-  char refused[512]; /* why a newer document is not in force */
-};
-
-int configuration_start (struct configuration *configuration,
-                         struct daemon *daemon, struct cp_error *error);
-void configuration_stop (struct configuration *configuration);
-
-/* Returns the document in force with a reference that the caller owns, or
-   NULL before the first.  */
-struct cp_document *configuration_get (struct configuration *configuration);
-
-/* Puts a document in force when it is valid and newer.  */
-void configuration_offer (struct configuration *configuration,
-                          const char *source, const char *text, size_t length);
-json_t *configuration_dump (struct configuration *configuration);
-
-/* members.c: which VMs are known.  */
-struct members
-{
-  struct daemon *daemon;
-  pthread_t reader;
-  bool reading;
-  bool stop;
-  pthread_mutex_t lock;
-  pthread_cond_t changed;
-  struct cds_list_head vms;
-};
-
-int members_start (struct members *members, struct daemon *daemon,
-                   struct cp_error *error);
-void members_stop (struct members *members);
-
-/* Returns whether the IP number belongs to the document or the VM list.  */
-bool members_known (struct members *members, const char *ip);
-json_t *members_dump (struct members *members);
-
 /* rpc.c: ONC RPC between daemons.  */
 struct rpc_server
 {
@@ -306,6 +293,9 @@
 void admin_handle (void *context, struct request *request);
 char *metrics_text (struct daemon *daemon);
 
+/* metrics_gauges.c: appends gauges and histograms to TEXT.  */
+void metrics_gauges (struct daemon *daemon, GString *text);
+
 /* daemon.c */
 struct daemon
 {
@@ -318,11 +308,14 @@
   int life;
   uint64_t incarnation;
   uint64_t started_us;
+  uint64_t drained_us; /* when the drain began, 0 for not yet */
   struct upstream_pool upstreams;
   struct outbound outbound;
   struct inbound inbound;
+  struct measure measure;
   struct configuration configuration;
   struct members members;
+  struct spread spread;
   struct rpc_server rpc;
   struct listener calls;
   struct listener peers;
--- a/cornelpickd/daemon.c
+++ b/cornelpickd/daemon.c
@@ -67,9 +67,16 @@
 
   if (load_life_chart (daemon, error) != 0)
     return -1;
+  measure_init (&daemon->measure, daemon);
+  if (configuration_init (&daemon->configuration, daemon, error) != 0)
+    return -1;
+  members_init (&daemon->members, daemon);
+  spread_init (&daemon->spread, daemon);
+  spread_serve (daemon);
   if (inbound_init (&daemon->inbound, daemon, error) != 0)
     return -1;
-  outbound_init (&daemon->outbound, daemon);
+  if (outbound_init (&daemon->outbound, daemon, error) != 0)
+    return -1;
   if (start_listener (daemon, &daemon->admin, admin_handle, daemon,
                       &settings->admin, ADMIN_THREADS, error)
           != 0
@@ -84,9 +91,11 @@
       || rpc_start (&daemon->rpc, daemon, error) != 0)
     return -1;
   daemon_step (daemon, CP_LIFE_LISTENING);
-  if (members_start (&daemon->members, daemon, error) != 0)
+  if (members_start (&daemon->members, error) != 0
+      || measure_start (&daemon->measure, error) != 0
+      || spread_start (&daemon->spread, error) != 0)
     return -1;
-  return configuration_start (&daemon->configuration, daemon, error);
+  return configuration_start (&daemon->configuration, error);
 }
 
 int
@@ -100,9 +109,6 @@
   daemon->incarnation
       = cp_random_thread ()->next (cp_random_thread ()->context) | 1;
   pthread_mutex_init (&daemon->life_lock, NULL);
-  pthread_mutex_init (&daemon->members.lock, NULL);
-  CDS_INIT_LIST_HEAD (&daemon->members.vms);
-  daemon->members.daemon = daemon;
   if (cp_counters_init (&daemon->counters, COUNT_END) != 0
       || cp_decisions_init (&daemon->decisions) != 0)
     return cp_error_set (error, CP_ERROR_MEMORY, settings->vm, "free memory",
@@ -118,7 +124,11 @@
 void
 daemon_drain (struct daemon *daemon)
 {
-  daemon_step (daemon, CP_LIFE_DRAIN);
+  uint64_t now = cp_clock_now_us (daemon->clock);
+
+  if (daemon_step (daemon, CP_LIFE_DRAIN))
+    __atomic_store_n (&daemon->drained_us, now, __ATOMIC_RELEASE);
+  spread_push (&daemon->spread);
 }
 
 bool
@@ -163,13 +173,16 @@
 {
   stop_listeners (daemon);
   upstream_pool_stop (&daemon->upstreams);
-  configuration_stop (&daemon->configuration);
+  measure_stop (&daemon->measure);
+  spread_stop (&daemon->spread);
   members_stop (&daemon->members);
   rpc_stop (&daemon->rpc);
+  configuration_stop (&daemon->configuration);
   daemon_step (daemon, CP_LIFE_STOP);
   listener_stop (&daemon->admin);
   outbound_finish (&daemon->outbound);
   inbound_finish (&daemon->inbound);
+  members_finish (&daemon->members);
   upstream_pool_finish (&daemon->upstreams);
   cp_counters_finish (&daemon->counters);
   cp_decisions_finish (&daemon->decisions);
@@ -183,6 +196,30 @@
   cp_decisions_add (&daemon->decisions, decision);
 }
 
+/* Describes the ring of decision records.  */
+static json_t *
+decisions_dump (struct daemon *daemon)
+{
+  uint64_t oldest_us = cp_decisions_oldest_us (&daemon->decisions);
+  uint64_t now = cp_clock_now_us (daemon->clock);
+
+  return json_pack ("{s:i, s:I, s:I}", "capacity", CP_DECISIONS, "added",
+                    (json_int_t)cp_decisions_added (&daemon->decisions),
+                    "oldest_age_us",
+                    (json_int_t)(oldest_us == 0 ? 0 : now - oldest_us));
+}
+
+/* Describes the listeners.  */
+static json_t *
+addresses_dump (const struct cp_settings *settings)
+{
+  return json_pack ("{s:s, s:s, s:s, s:s, s:s}", "calls", settings->calls.text,
+                    "peers", settings->peers.text, "admin",
+                    settings->admin.text, "configuration_service",
+                    settings->configuration_service.text, "vm_list",
+                    settings->vm_list.text);
+}
+
 json_t *
 daemon_dump (struct daemon *daemon)
 {
@@ -195,11 +232,18 @@
                     "failure_domain", daemon->settings.failure_domain,
                     "version", CORNELPICK_VERSION, "incarnation", incarnation,
                     "life", cp_life_names[daemon_life (daemon)]);
+  json_object_set_new (
+      dump, "uptime_us",
+      json_integer (
+          (json_int_t)(cp_clock_now_us (daemon->clock) - daemon->started_us)));
+  json_object_set_new (dump, "addresses", addresses_dump (&daemon->settings));
+  json_object_set_new (dump, "decisions", decisions_dump (daemon));
   json_object_set_new (dump, "configuration",
                        configuration_dump (&daemon->configuration));
   json_object_set_new (dump, "members", members_dump (&daemon->members));
   json_object_set_new (dump, "outbound", outbound_dump (&daemon->outbound));
   json_object_set_new (dump, "inbound", inbound_dump (&daemon->inbound));
+  json_object_set_new (dump, "measuring", measure_dump (&daemon->measure));
   json_object_set_new (dump, "connections",
                        upstream_dump (&daemon->upstreams));
   return dump;
--- a/cornelpickd/rpc.c
+++ b/cornelpickd/rpc.c
@@ -29,6 +29,9 @@
   (void)unused;
   (void)request;
   daemon_count (served, COUNT_RPC_CALLS);
+  memset (reply, 0, sizeof *reply);
+  if (!measure_query (&served->measure))
+    return FALSE;
   inbound_report (&served->inbound, &report);
   reply->incarnation = report.incarnation;
   reply->life = strdup (cp_life_names[report.life]);
@@ -42,6 +45,18 @@
   return TRUE;
 }
 
+/* Records how a fence was answered.  */
+static void
+record_fence (const struct cp_id *attempt, enum cp_attempt_state state)
+{
+  struct cp_decision decision
+      = { .kind = CP_DECISION_FENCED, .attempt = *attempt };
+
+  g_strlcpy (decision.reason, cp_attempt_names.states[state],
+             sizeof decision.reason);
+  daemon_record (served, &decision);
+}
+
 bool_t
 cp_rpc_fence_1_svc (cp_rpc_fence_args *args, cp_rpc_fence_reply *reply,
                     struct svc_req *request)
@@ -69,6 +84,7 @@
       = cp_register_step (&served->inbound.attempts, &id,
                           args->cancel ? CP_ATTEMPT_FENCE : CP_ATTEMPT_QUERY,
                           args->start_by_us, &state);
+  record_fence (&id, state);
   if (result == CP_REGISTER_FULL)
     reply->status = CP_RPC_FENCE_FULL;
   else if (result == CP_REGISTER_LATE)
@@ -82,31 +98,6 @@
   return TRUE;
 }
 
-bool_t
-cp_rpc_digest_1_svc (cp_rpc_digest *args, cp_rpc_digest *reply,
-                     struct svc_req *request)
-{
-  (void)args;
-  (void)request;
-  daemon_count (served, COUNT_RPC_CALLS);
-  memset (reply, 0, sizeof *reply);
-  reply->sender = strdup (served->settings.vm);
-  reply->incarnation = served->incarnation;
-  reply->life = strdup (cp_life_names[daemon_life (served)]);
-  return TRUE;
-}
-
-bool_t
-cp_rpc_section_1_svc (cp_rpc_section_args *args, cp_rpc_section *reply,
-                      struct svc_req *request)
-{
-  (void)request;
-  daemon_count (served, COUNT_RPC_CALLS);
-  memset (reply, 0, sizeof *reply);
-  reply->section = strdup (args->section);
-  return TRUE;
-}
-
 int
 cp_rpc_program_1_freeresult (SVCXPRT *transport, xdrproc_t routine,
                              caddr_t result)
