--- a/cornelpickd/daemon.c
+++ b/cornelpickd/daemon.c
@@ -7,7 +7,15 @@
 
 #define ADMIN_THREADS 4
 #define IDLE_POLL_US 2000
+/* How long hanging calls may take when the document does not say.  */
 #define DRAIN_LIMIT_US (30 * CP_US_PER_S)
+/* New calls are answered with not-run for so long before they are refused, so
+   that kept connections end with an answer.  */
+#define DRAIN_NOTICE_US (500 * CP_US_PER_MS)
+/* Calls that were cut have this long to be fenced and answered.  */
+#define DRAIN_CUT_US (2 * CP_US_PER_S)
+/* Connections that were taken just before are served for so long.  */
+#define DRAIN_LAST_US (50 * CP_US_PER_MS)
 
 static int
 load_life_chart (struct daemon *daemon, struct cp_error *error)
@@ -128,23 +136,65 @@
 
   if (daemon_step (daemon, CP_LIFE_DRAIN))
     __atomic_store_n (&daemon->drained_us, now, __ATOMIC_RELEASE);
+  listener_close_kept (&daemon->calls);
+  listener_close_kept (&daemon->peers);
   spread_push (&daemon->spread);
 }
 
+static bool
+is_idle (struct daemon *daemon)
+{
+  return __atomic_load_n (&daemon->outbound.in_flight, __ATOMIC_ACQUIRE) == 0
+         && __atomic_load_n (&daemon->inbound.in_flight, __ATOMIC_ACQUIRE)
+                == 0;
+}
+
+static bool
+wait_idle_until (struct daemon *daemon, uint64_t limit_us)
+{
+  while (!is_idle (daemon))
+    {
+      if (cp_clock_now_us (daemon->clock) >= limit_us)
+        return false;
+      usleep (IDLE_POLL_US);
+    }
+  return true;
+}
+
+/* Returns the longest time that a service of the document gives its calls.  */
+static uint64_t
+drain_limit_us (struct daemon *daemon)
+{
+  struct cp_document *document = configuration_get (&daemon->configuration);
+  uint64_t limit_us = 0;
+
+  if (document == NULL)
+    return DRAIN_LIMIT_US;
+  for (unsigned i = 0; i < document->n_services; i++)
+    if (document->services[i].drain_finish_us > limit_us)
+      limit_us = document->services[i].drain_finish_us;
+  cp_document_unref (document);
+  return limit_us == 0 ? DRAIN_LIMIT_US : limit_us;
+}
+
 bool
 daemon_wait_idle (struct daemon *daemon)
 {
-  uint64_t limit = cp_clock_now_us (daemon->clock) + DRAIN_LIMIT_US;
+  uint64_t began = cp_clock_now_us (daemon->clock);
+  bool idle;
 
-  while (cp_clock_now_us (daemon->clock) < limit)
+  usleep (DRAIN_NOTICE_US);
+  idle = wait_idle_until (daemon, began + drain_limit_us (daemon));
+  if (!idle)
     {
-      if (__atomic_load_n (&daemon->outbound.in_flight, __ATOMIC_ACQUIRE) == 0
-          && __atomic_load_n (&daemon->inbound.in_flight, __ATOMIC_ACQUIRE)
-                 == 0)
-        return true;
-      usleep (IDLE_POLL_US);
+      upstream_pool_cut (&daemon->upstreams);
+      wait_idle_until (daemon, cp_clock_now_us (daemon->clock) + DRAIN_CUT_US);
     }
-  return false;
+  listener_refuse (&daemon->calls);
+  listener_refuse (&daemon->peers);
+  usleep (DRAIN_LAST_US);
+  wait_idle_until (daemon, cp_clock_now_us (daemon->clock) + DRAIN_CUT_US);
+  return idle;
 }
 
 static void *
--- a/cornelpickd/forward.c
+++ b/cornelpickd/forward.c
@@ -173,7 +173,8 @@
   if (head->length < 0 && !answer->without_body && !answer->chunked)
     mg_disable_connection_keep_alive (connection);
   compose_head (answer, head, text);
-  g_string_append_printf (text, "%s\r\n", own);
+  g_string_append_printf (text, "%s%s\r\n", request_closing (answer->request),
+                          own);
   written = mg_write (connection, text->str, text->len);
   g_string_free (text, TRUE);
   return written > 0;
@@ -201,6 +202,8 @@
     mg_disable_connection_keep_alive (connection);
   if (whole && answer->chunked)
     mg_send_chunk (connection, "", 0);
+  if (whole)
+    request_linger (answer->request);
   /* Without length and chunks, the end of the connection ends the answer.  */
   if (!whole && !answer->chunked && answer->length < 0
       && !answer->without_body)
--- a/http/http.h
+++ b/http/http.h
@@ -24,6 +24,7 @@
 struct request
 {
   struct mg_connection *connection;
+  const struct listener *listener;
   const struct mg_request_info *info;
   uint64_t arrived_us;
   int caller_fd;     /* socket of the caller, or -1 when not found */
@@ -39,6 +40,8 @@
   const struct cp_clock *clock;
   struct cp_counters *counters; /* NULL for none */
   unsigned bad_requests;        /* counter of malformed requests */
+  bool closing;                 /* each answer ends its connection */
+  struct cp_address address;
   void (*handle) (void *context, struct request *request);
   void *context;
 };
@@ -47,7 +50,14 @@
                     const struct cp_address *address, unsigned threads,
                     struct cp_error *error);
 
-/* Takes no more connections, waits for those that are served.  */
+/* Ends each connection with the answer to its next request, and tells so.  */
+void listener_close_kept (struct listener *listener);
+
+/* Takes no more connections: they are refused from now on.  Those that were
+   taken are served.  */
+void listener_refuse (struct listener *listener);
+
+/* Ends the connections and the threads.  */
 void listener_stop (struct listener *listener);
 
 /* Returns the value of a header, or NULL.  */
@@ -62,6 +72,16 @@
 void request_answer (struct request *request, int status, const char *headers,
                      const char *type, const char *body);
 
+/* Returns the header line that tells the caller that this connection ends with
+   the answer, or an empty text; the connection is marked.  */
+const char *request_closing (const struct request *request);
+
+/* Reads and drops what the caller still sends, for a bounded time, when the
+   answer was sent before the whole body was read.  Closing at once would reset
+   the connection and the caller could lose the answer (RFC 9112, section
+   9.6).  */
+void request_linger (struct request *request);
+
 /* Ends the caller's connection by a reset, so that the answer sent so far can
    not be taken for a whole one.  */
 void request_reset (const struct request *request);
@@ -76,6 +96,7 @@
   const struct cp_clock *clock;
   char local_ip[64]; /* IP number to call from; empty for any */
   int stop_fd;       /* readable once the pool is stopping */
+  int cut_fd;        /* readable once all calls must end */
   GHashTable *addresses;
 };
 
@@ -134,6 +155,9 @@
                         const struct cp_clock *clock,
                         const struct cp_address *local);
 
+/* Ends all calls, now and later, with UPSTREAM_STOPPED.  */
+void upstream_pool_cut (struct upstream_pool *pool);
+
 /* Ends all background calls, now and later.  */
 void upstream_pool_stop (struct upstream_pool *pool);
 void upstream_pool_finish (struct upstream_pool *pool);
--- a/http/listener.c
+++ b/http/listener.c
@@ -13,6 +13,7 @@
 #define KEEP_ALIVE_MS 30000
 #define READ_TIMEOUT_MS 30000
 #define UNREAD_BYTES_MAX 65536
+#define LINGER_US (2 * CP_US_PER_S)
 #define DESCRIPTORS_SCANNED_MAX 8192
 
 static bool
@@ -222,6 +223,15 @@
       }
 }
 
+const char *
+request_closing (const struct request *request)
+{
+  if (!__atomic_load_n (&request->listener->closing, __ATOMIC_ACQUIRE))
+    return "";
+  mg_disable_connection_keep_alive (request->connection);
+  return "Connection: close\r\n";
+}
+
 void
 request_answer (struct request *request, int status, const char *headers,
                 const char *type, const char *body)
@@ -231,10 +241,26 @@
   skip_body (request);
   mg_printf (request->connection,
              "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %zu\r\n"
-             "%s\r\n%s",
+             "%s%s\r\n%s",
              status, mg_get_response_code_text (request->connection, status),
-             type, strlen (body), headers == NULL ? "" : headers,
-             head ? "" : body);
+             type, strlen (body), request_closing (request),
+             headers == NULL ? "" : headers, head ? "" : body);
+  request_linger (request);
+}
+
+void
+request_linger (struct request *request)
+{
+  uint64_t until = cp_clock_now_us (request->listener->clock) + LINGER_US;
+  char buffer[4096];
+  ssize_t count = 1;
+
+  if (request->body_ended
+      || (request->body_read == 0 && expects_continue (request)))
+    return;
+  mg_disable_connection_keep_alive (request->connection);
+  while (count > 0 && cp_clock_now_us (request->listener->clock) < until)
+    count = request_read (request, buffer, sizeof buffer);
 }
 
 void
@@ -262,8 +288,8 @@
 static int
 begin_request (struct mg_connection *connection)
 {
-  struct request request = { .connection = connection };
   struct listener *listener = mg_get_user_data (mg_get_context (connection));
+  struct request request = { .connection = connection, .listener = listener };
   const char *fault;
 
   request.info = mg_get_request_info (connection);
@@ -358,6 +384,7 @@
   snprintf (keep_alive, sizeof keep_alive, "%d", KEEP_ALIVE_MS);
   snprintf (read_timeout, sizeof read_timeout, "%d", READ_TIMEOUT_MS);
   snprintf (header_bytes, sizeof header_bytes, "%d", HEADER_BYTES_MAX);
+  listener->address = *address;
   if (probe_port (address, error) != 0)
     return -1;
   listener->server = mg_start (&callbacks, listener, options);
@@ -368,6 +395,40 @@
                        "cannot start the HTTP server");
 }
 
+void
+listener_close_kept (struct listener *listener)
+{
+  __atomic_store_n (&listener->closing, true, __ATOMIC_RELEASE);
+}
+
+/* Whether FD listens on ADDRESS.  */
+static bool
+listens_on (int fd, const struct cp_address *address)
+{
+  struct sockaddr_storage own = { 0 };
+  socklen_t own_length = sizeof own;
+  int listens = 0;
+  socklen_t listens_length = sizeof listens;
+
+  return getsockopt (fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &listens_length)
+             == 0
+         && listens != 0
+         && getsockname (fd, (struct sockaddr *)&own, &own_length) == 0
+         && own_length == address->length
+         && memcmp (&own, &address->socket, own_length) == 0;
+}
+
+/* CivetWeb closes its listening sockets only after its threads have ended, so
+   that connections taken meanwhile would be lost.  */
+void
+listener_refuse (struct listener *listener)
+{
+  for (int fd = 0; listener->server != NULL && fd < DESCRIPTORS_SCANNED_MAX;
+       fd++)
+    if (listens_on (fd, &listener->address))
+      shutdown (fd, SHUT_RD);
+}
+
 void
 listener_stop (struct listener *listener)
 {
--- a/http/upstream.c
+++ b/http/upstream.c
@@ -86,7 +86,8 @@
   if (local != NULL)
     cp_address_host (local, pool->local_ip, sizeof pool->local_ip);
   pool->stop_fd = eventfd (0, EFD_CLOEXEC | EFD_NONBLOCK);
-  if (pool->stop_fd < 0)
+  pool->cut_fd = eventfd (0, EFD_CLOEXEC | EFD_NONBLOCK);
+  if (pool->stop_fd < 0 || pool->cut_fd < 0)
     return -1;
   pool->addresses
       = g_hash_table_new_full (g_str_hash, g_str_equal, free, free_address);
@@ -99,10 +100,17 @@
   eventfd_write (pool->stop_fd, 1);
 }
 
+void
+upstream_pool_cut (struct upstream_pool *pool)
+{
+  eventfd_write (pool->cut_fd, 1);
+}
+
 void
 upstream_pool_finish (struct upstream_pool *pool)
 {
   close (pool->stop_fd);
+  close (pool->cut_fd);
   g_hash_table_destroy (pool->addresses);
   pthread_mutex_destroy (&pool->lock);
 }
@@ -428,7 +436,7 @@
 /* What a transfer waits for besides its own connection.  */
 enum watched
 {
-  WATCH_STOP,
+  WATCH_STOP, /* for calls in the background, else the cut */
   WATCH_CALLER,
   WATCH_COUNT
 };
@@ -441,12 +449,12 @@
 {
   const struct upstream_call *call = transfer->call;
   struct curl_waitfd fds[WATCH_COUNT]
-      = { [WATCH_STOP] = { pool->stop_fd, CURL_WAIT_POLLIN, 0 },
+      = { [WATCH_STOP] = { call->background ? pool->stop_fd : pool->cut_fd,
+                           CURL_WAIT_POLLIN, 0 },
           [WATCH_CALLER] = { call->caller_fd, CURL_WAIT_POLLIN, 0 } };
   uint64_t now = cp_clock_now_us (pool->clock);
   uint64_t until = call->deadline_us;
   bool silent = transfer->first_byte_us != 0 && transfer->head.status == 0;
-  unsigned first = call->background ? WATCH_STOP : WATCH_CALLER;
   unsigned end = *watch_caller ? WATCH_COUNT : WATCH_CALLER;
 
   if (now >= call->deadline_us)
@@ -461,9 +469,8 @@
     }
   if (silent && transfer->first_byte_us < until)
     until = transfer->first_byte_us;
-  curl_multi_poll (upstream->multi, &fds[first], end - first,
-                   wait_ms (now, until), NULL);
-  if (call->background && fds[WATCH_STOP].revents != 0)
+  curl_multi_poll (upstream->multi, fds, end, wait_ms (now, until), NULL);
+  if (fds[WATCH_STOP].revents != 0)
     return UPSTREAM_STOPPED;
   if (!*watch_caller || fds[WATCH_CALLER].revents == 0)
     return UPSTREAM_COMPLETE;
--- a/regress/harness/campaign.c
+++ b/regress/harness/campaign.c
@@ -12,6 +12,8 @@
 {
   char outcome[16];
 
+  if (reply->refused)
+    return TOLD_REFUSED;
   if (reply->status == 0
       || !reply_header (reply, "Cornelpick-Outcome", outcome, sizeof outcome))
     return TOLD_NOTHING;
@@ -32,7 +34,7 @@
               campaign->headers, campaign->body);
   call->status = reply.status;
   call->told = told_by (&reply);
-  if (call->told != TOLD_NOTHING)
+  if (call->told < TOLD_REFUSED)
     reply_header (&reply, "Cornelpick-Request", call->request,
                   sizeof call->request);
   if (call->told == TOLD_RAN
@@ -160,10 +162,12 @@
 campaign_check (struct campaign *campaign, struct campaign_totals *totals)
 {
   campaign_end (campaign, totals);
-  printf ("calls %u, ran %u, not run %u, unknown %u, no answer %u, runs %u\n",
-          totals->calls, totals->told[TOLD_RAN], totals->told[TOLD_NOT_RUN],
-          totals->told[TOLD_UNKNOWN], totals->told[TOLD_NOTHING],
-          totals->runs);
+  printf (
+      "calls %u, ran %u, not run %u, unknown %u, refused %u, no answer %u, "
+      "runs %u\n",
+      totals->calls, totals->told[TOLD_RAN], totals->told[TOLD_NOT_RUN],
+      totals->told[TOLD_UNKNOWN], totals->told[TOLD_REFUSED],
+      totals->told[TOLD_NOTHING], totals->runs);
   ck_assert_uint_eq (totals->false_not_run, 0);
   ck_assert_uint_eq (totals->duplicates, 0);
   ck_assert_uint_eq (totals->false_ran, 0);
--- a/regress/harness/campaign.h
+++ b/regress/harness/campaign.h
@@ -16,7 +16,8 @@
   TOLD_RAN,
   TOLD_NOT_RUN,
   TOLD_UNKNOWN,
-  TOLD_NOTHING /* no whole answer */
+  TOLD_REFUSED, /* there was no connection */
+  TOLD_NOTHING  /* no whole answer */
 };
 
 struct campaign_call
--- a/regress/harness/harness.c
+++ b/regress/harness/harness.c
@@ -341,6 +341,13 @@
 void
 fleet_start (struct fleet *fleet, unsigned n_vms, unsigned n_domains,
              void (*edit) (json_t *document))
+{
+  fleet_start_relayed (fleet, n_vms, n_domains, edit, 0);
+}
+
+void
+fleet_start_relayed (struct fleet *fleet, unsigned n_vms, unsigned n_domains,
+                     void (*edit) (json_t *document), unsigned relayed_vm)
 {
   json_t *document;
 
@@ -351,6 +358,7 @@
   strcpy (fleet->folder, "/tmp/cornelpick-fleet-XXXXXX");
   require (mkdtemp (fleet->folder) != NULL, "cannot make a folder");
   fleet->n_vms = n_vms;
+  fleet->relayed_vm = relayed_vm;
   fleet->n_domains = n_domains;
   fleet->version = 1;
   fleet->edit = edit;
@@ -485,6 +493,7 @@
   struct curl_slist *list = header_list (headers);
   char url[512];
   long status = 0;
+  CURLcode code;
 
   snprintf (url, sizeof url, "http://%s%s", address, path);
   g_string_truncate (reply->head, 0);
@@ -507,8 +516,10 @@
   curl_easy_setopt (easy, CURLOPT_HEADERDATA, reply->head);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, append_text);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, reply->body);
-  if (curl_easy_perform (easy) == CURLE_OK)
+  code = curl_easy_perform (easy);
+  if (code == CURLE_OK)
     curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &status);
+  reply->refused = code == CURLE_COULDNT_CONNECT;
   reply->status = (int)status;
   curl_slist_free_all (list);
   curl_easy_cleanup (easy);
--- a/regress/harness/harness.h
+++ b/regress/harness/harness.h
@@ -40,7 +40,8 @@
 /* An answer to a call.  */
 struct reply
 {
-  int status; /* 0: no whole answer */
+  int status;   /* 0: no whole answer */
+  bool refused; /* there was no connection */
   GString *head;
   GString *body;
 };
@@ -54,6 +55,11 @@
 void fleet_start (struct fleet *fleet, unsigned n_vms, unsigned n_domains,
                   void (*edit) (json_t *document));
 
+/* The same, with the peers port of VM RELAYED_VM at 7500, for a relay.  */
+void fleet_start_relayed (struct fleet *fleet, unsigned n_vms,
+                          unsigned n_domains, void (*edit) (json_t *document),
+                          unsigned relayed_vm);
+
 /* Ends all processes; daemons that run must end with status 0.  */
 void fleet_stop (struct fleet *fleet);
 
--- a/regress/path/check_attempts_silence.c
+++ b/regress/path/check_attempts_silence.c
@@ -8,9 +8,9 @@
 #include "regress/harness/relay.h"
 #include "regress/harness/suite.h"
 
-#define CALLS_WARM 10
+#define CALLS_WARM 100
 #define CALLERS_WARM 4
-#define CALLS 30
+#define CALLS 200
 
 struct place
 {
@@ -46,14 +46,10 @@
   char from[56];
   struct fleet *fleet = &place->fleet;
 
-  fleet_start (fleet, 3, 3, campaign_gate);
-  process_signal (&fleet->daemons[2], SIGKILL);
+  fleet_start_relayed (fleet, 3, 3, campaign_gate, 2);
   relay_start (&place->relay, fleet_address (fleet, 2, 7400, address),
                fleet_address (fleet, 1, 1, from),
                fleet_address (fleet, 2, 7500, server));
-  fleet->relayed_vm = 2;
-  fleet_start_daemon (fleet, 2);
-  fleet_wait_serving (fleet, 2);
   run_calls (place, CALLERS_WARM, CALLS_WARM, "POST");
   campaign_check (&place->campaign, &place->totals);
   ck_assert_uint_eq (place->totals.told[TOLD_RAN], CALLERS_WARM * CALLS_WARM);
