--- a/lib/settings.c
+++ b/lib/settings.c
@@ -8,7 +8,8 @@
 #define CALL_THREADS_DEFAULT 64
 #define PEER_THREADS_DEFAULT 300
 #define DAEMONS_MOST_DEFAULT 5000
-#define COUNT_MAX 16384
+#define THREADS_MAX 4096
+#define DAEMONS_MAX 16384
 #define CHARTS_DEFAULT "/usr/local/share/cornelpick/charts"
 
 enum setting_type
@@ -27,28 +28,29 @@
   bool required;
   size_t offset;
   size_t size;
+  unsigned most; /* of a count */
 };
 
 #define FIELD(name)                                                           \
   offsetof (struct cp_settings, name), sizeof ((struct cp_settings *)0)->name
 
 static const struct setting table[] = {
-  { "vm", SETTING_TEXT, true, FIELD (vm) },
-  { "failure_domain", SETTING_TEXT, true, FIELD (failure_domain) },
-  { "calls", SETTING_ADDRESS, true, FIELD (calls) },
-  { "peers", SETTING_ADDRESS, true, FIELD (peers) },
-  { "peers_listen", SETTING_ADDRESS, false, FIELD (peers_listen) },
-  { "admin", SETTING_ADDRESS, true, FIELD (admin) },
+  { "vm", SETTING_TEXT, true, FIELD (vm), 0 },
+  { "failure_domain", SETTING_TEXT, true, FIELD (failure_domain), 0 },
+  { "calls", SETTING_ADDRESS, true, FIELD (calls), 0 },
+  { "peers", SETTING_ADDRESS, true, FIELD (peers), 0 },
+  { "peers_listen", SETTING_ADDRESS, false, FIELD (peers_listen), 0 },
+  { "admin", SETTING_ADDRESS, true, FIELD (admin), 0 },
   { "configuration_service", SETTING_ADDRESS, true,
-    FIELD (configuration_service) },
-  { "configuration_key", SETTING_TEXT, false, FIELD (configuration_key) },
-  { "vm_list", SETTING_ADDRESS, false, FIELD (vm_list) },
-  { "charts", SETTING_TEXT, false, FIELD (charts) },
-  { "call_threads", SETTING_COUNT, false, FIELD (call_threads) },
-  { "peer_threads", SETTING_COUNT, false, FIELD (peer_threads) },
-  { "daemons_most", SETTING_COUNT, false, FIELD (daemons_most) },
-  { "log_level", SETTING_LOG_LEVEL, false, FIELD (log_level) },
-  { "log_format", SETTING_LOG_FORMAT, false, FIELD (log_format) },
+    FIELD (configuration_service), 0 },
+  { "configuration_key", SETTING_TEXT, false, FIELD (configuration_key), 0 },
+  { "vm_list", SETTING_ADDRESS, false, FIELD (vm_list), 0 },
+  { "charts", SETTING_TEXT, false, FIELD (charts), 0 },
+  { "call_threads", SETTING_COUNT, false, FIELD (call_threads), THREADS_MAX },
+  { "peer_threads", SETTING_COUNT, false, FIELD (peer_threads), THREADS_MAX },
+  { "daemons_most", SETTING_COUNT, false, FIELD (daemons_most), DAEMONS_MAX },
+  { "log_level", SETTING_LOG_LEVEL, false, FIELD (log_level), 0 },
+  { "log_format", SETTING_LOG_FORMAT, false, FIELD (log_format), 0 },
 };
 
 static int
@@ -86,10 +88,12 @@
            unsigned *field, struct cp_error *error)
 {
   json_int_t count = json_integer_value (value);
+  char remedy[64];
 
-  if (!json_is_integer (value) || count < 1 || count > COUNT_MAX)
-    return fail (file, setting->key, "is out of range",
-                 "write a whole number from 1 to 16384", error);
+  snprintf (remedy, sizeof remedy, "write a whole number from 1 to %u",
+            setting->most);
+  if (!json_is_integer (value) || count < 1 || count > setting->most)
+    return fail (file, setting->key, "is out of range", remedy, error);
   *field = (unsigned)count;
   return 0;
 }
