Let stand-ins lag, start cold and honour deadlines

Cause: traces and failure tests need load pages and a VM list that lag, a cold target and one that gives up calls out of time. Change: control keys load_lag_ms, cold_ms and vms_lag_ms, 504 for calls whose time has passed.

--- a/fakes/fakes.h
+++ b/fakes/fakes.h
@@ -23,6 +23,25 @@
 };
 
 #define FAKE_PROBES_KEPT 256
+#define FAKE_LAG_SAMPLES 4096
+#define FAKE_COLD_FACTOR 8
+
+/* The load at one time.  */
+struct fake_load
+{
+  uint64_t time_us;
+  unsigned load;
+};
+
+/* The load over time, for a page that lags.  */
+struct fake_lag
+{
+  struct fake_load samples[FAKE_LAG_SAMPLES];
+  uint64_t added;
+};
+
+void fake_lag_note (struct fake_lag *lag, uint64_t now_us, unsigned load);
+unsigned fake_lag_at (const struct fake_lag *lag, uint64_t time_us);
 
 /* A target: serves calls within its slots and keeps a journal.  */
 struct fake_target
@@ -40,10 +59,13 @@
   enum fake_mode mode;
   bool draining;
   bool stopping;
-  bool lie_idle; /* the load page always says idle */
-  uint64_t load_lag_us;
-  bool hang_pages; /* the load and health pages never answer */
-  uint64_t probes; /* reads of the load and health pages */
+  bool lie_idle;        /* the load page always says idle */
+  uint64_t load_lag_us; /* age of what the load page says */
+  struct fake_lag lag;
+  uint64_t cold_since_us;
+  uint64_t cold_us; /* service times fall to normal within this time */
+  bool hang_pages;  /* the load and health pages never answer */
+  uint64_t probes;  /* reads of the load and health pages */
   uint64_t probe_times_us[FAKE_PROBES_KEPT]; /* of the last ones */
   struct cds_list_head journal;
   unsigned journal_count;
@@ -69,6 +91,9 @@
   GString *stale_document; /* what a stale replica serves, or NULL */
   uint64_t version;
   GString *vms;
+  GString *next_vms;    /* what the list will say after its lag, or NULL */
+  uint64_t next_vms_us; /* when */
+  uint64_t vms_lag_us;
   uint64_t reads;
   bool down;
   bool stopping;
--- a/fakes/platform.c
+++ b/fakes/platform.c
@@ -52,6 +52,19 @@
     request_answer (request, 200, NULL, "application/json", text);
 }
 
+/* Lets the list say what it was told once its lag has passed; the lock is
+   held.  */
+static void
+show_next_vms (struct fake_platform *platform)
+{
+  if (platform->next_vms == NULL
+      || cp_clock_now_us (&cp_clock_boot) < platform->next_vms_us)
+    return;
+  g_string_free (platform->vms, TRUE);
+  platform->vms = platform->next_vms;
+  platform->next_vms = NULL;
+}
+
 static void
 answer_vms (struct fake_platform *platform, struct request *request)
 {
@@ -59,6 +72,7 @@
 
   pthread_mutex_lock (&platform->lock);
   platform->reads++;
+  show_next_vms (platform);
   text = strdup (platform->vms->str);
   pthread_mutex_unlock (&platform->lock);
   request_answer (request, platform->down ? 503 : 200, NULL,
@@ -78,7 +92,8 @@
   request_answer (request, 200, NULL, "application/json", body);
 }
 
-/* Takes {"down": BOOL}, {"vms": [...]} and {"stale": DOCUMENT or null}.  */
+/* Takes {"down": BOOL}, {"vms": [...]}, {"vms_lag_ms": TIME} and {"stale":
+ * DOCUMENT or null}.  */
 static bool
 control (struct fake_platform *platform, const char *text, size_t length)
 {
@@ -88,6 +103,10 @@
 
   if (!json_is_object (root))
     return false;
+  if (json_object_get (root, "vms_lag_ms") != NULL)
+    platform->vms_lag_us
+        = (uint64_t)json_integer_value (json_object_get (root, "vms_lag_ms"))
+          * CP_US_PER_MS;
   if (json_object_get (root, "vms") != NULL)
     fake_platform_set_vms (platform, text, length);
   CP_LOCK_SCOPE (&platform->lock);
@@ -172,6 +191,8 @@
   listener_stop (&platform->listener);
   g_string_free (platform->document, TRUE);
   g_string_free (platform->vms, TRUE);
+  if (platform->next_vms != NULL)
+    g_string_free (platform->next_vms, TRUE);
 }
 
 /* The version is read from the text, so that faulty documents can be served
@@ -199,6 +220,10 @@
                        size_t length)
 {
   CP_LOCK_SCOPE (&platform->lock);
-  g_string_truncate (platform->vms, 0);
-  g_string_append_len (platform->vms, text, (gssize)length);
+  if (platform->next_vms != NULL)
+    g_string_free (platform->next_vms, TRUE);
+  platform->next_vms = g_string_new_len (text, (gssize)length);
+  platform->next_vms_us
+      = cp_clock_now_us (&cp_clock_boot) + platform->vms_lag_us;
+  show_next_vms (platform);
 }
--- a/fakes/target.c
+++ b/fakes/target.c
@@ -50,16 +50,52 @@
   return run;
 }
 
+/* Returns by how much a cold target is slower; the lock is held.  */
+static double
+cold_factor (const struct fake_target *target)
+{
+  uint64_t age = cp_clock_now_us (&cp_clock_boot) - target->cold_since_us;
+
+  if (target->cold_us == 0 || age >= target->cold_us)
+    return 1;
+  return 1
+         + (FAKE_COLD_FACTOR - 1)
+               * (1 - (double)age / (double)target->cold_us);
+}
+
+/* Notes the load for the page that lags; the lock is held.  */
+static void
+note_load (struct fake_target *target)
+{
+  fake_lag_note (&target->lag, cp_clock_now_us (&cp_clock_boot),
+                 target->in_flight + target->waiting);
+}
+
+/* Returns what the load page says; the lock is held.  */
+static unsigned
+page_load (const struct fake_target *target)
+{
+  uint64_t now = cp_clock_now_us (&cp_clock_boot);
+
+  if (target->lie_idle)
+    return 0;
+  if (target->load_lag_us == 0 || target->load_lag_us > now)
+    return target->in_flight + target->waiting;
+  return fake_lag_at (&target->lag, now - target->load_lag_us);
+}
+
 /* Draws a service time.  */
 static uint64_t
 draw_service_us (struct fake_target *target)
 {
   double unit;
 
+  double time_ms;
+
   CP_LOCK_SCOPE (&target->lock);
   unit = cp_random_unit (&target->random.random);
-  return (uint64_t)((target->fixed_ms - log (1 - unit) * target->service_ms)
-                    * (double)CP_US_PER_MS);
+  time_ms = target->fixed_ms - log (1 - unit) * target->service_ms;
+  return (uint64_t)(time_ms * cold_factor (target) * (double)CP_US_PER_MS);
 }
 
 static void
@@ -72,6 +108,7 @@
                      cp_clock_now_us (&cp_clock_boot) + CP_US_PER_S);
   target->waiting--;
   target->in_flight++;
+  note_load (target);
 }
 
 static void
@@ -79,6 +116,7 @@
 {
   CP_LOCK_SCOPE (&target->lock);
   target->in_flight--;
+  note_load (target);
   pthread_cond_signal (&target->freed);
 }
 
@@ -171,6 +209,17 @@
   mg_disable_connection_keep_alive (request->connection);
 }
 
+/* Returns whether the time that the call was given has passed.  */
+static bool
+out_of_time (const struct request *request)
+{
+  const char *remaining = request_header (request, "Cornelpick-Remaining-Ms");
+  uint64_t used = cp_clock_now_us (&cp_clock_boot) - request->arrived_us;
+
+  return remaining != NULL
+         && used / CP_US_PER_MS > strtoull (remaining, NULL, 10);
+}
+
 static void
 serve (struct fake_target *target, struct request *request)
 {
@@ -181,6 +230,12 @@
 
   read_upload (request, run);
   take_slot (target);
+  if (out_of_time (request))
+    {
+      free_slot (target);
+      request_answer (request, 504, NULL, "text/plain", "out of time\n");
+      return;
+    }
   if (mode == FAKE_SILENT)
     stay_silent (target, request);
   done = mode != FAKE_SILENT
@@ -209,7 +264,7 @@
   pthread_mutex_lock (&target->lock);
   target->probe_times_us[target->probes++ % FAKE_PROBES_KEPT]
       = request->arrived_us;
-  in_flight = target->lie_idle ? 0 : target->in_flight + target->waiting;
+  in_flight = page_load (target);
   pthread_mutex_unlock (&target->lock);
   if (target->hang_pages)
     {
@@ -312,6 +367,13 @@
     target->slots = (unsigned)json_integer_value (value);
   else if (strcmp (key, "draining") == 0)
     target->draining = json_is_true (value);
+  else if (strcmp (key, "load_lag_ms") == 0)
+    target->load_lag_us = (uint64_t)json_integer_value (value) * CP_US_PER_MS;
+  else if (strcmp (key, "cold_ms") == 0)
+    {
+      target->cold_us = (uint64_t)json_integer_value (value) * CP_US_PER_MS;
+      target->cold_since_us = cp_clock_now_us (&cp_clock_boot);
+    }
   else if (strcmp (key, "lie_idle") == 0)
     target->lie_idle = json_is_true (value);
   else if (strcmp (key, "hang_pages") == 0)
