--- a/cornelpickd/rpc.c
+++ b/cornelpickd/rpc.c
@@ -1,4 +1,6 @@
 #include <errno.h>
+#include <netdb.h>
+#include <netinet/in.h>
 #include <poll.h>
 #include <rpc/rpc.h>
 #include <rpc/rpc_com.h>
@@ -107,6 +109,38 @@
   return 1;
 }
 
+/* Whether the sender may fence attempts and ask for the load.  Digests and
+   sections are open to VMs that no list names yet.  */
+static bool
+may_call (const struct svc_req *request, SVCXPRT *transport)
+{
+  const struct netbuf *caller = svc_getrpccaller (transport);
+  const struct sockaddr *address = caller->buf;
+  char ip[INET6_ADDRSTRLEN];
+
+  if (request->rq_proc != CP_RPC_FENCE && request->rq_proc != CP_RPC_LOAD)
+    return true;
+  return getnameinfo (address, caller->len, ip, sizeof ip, NULL, 0,
+                      NI_NUMERICHOST)
+             == 0
+         && members_known (&served->members, ip);
+}
+
+static void
+dispatch (struct svc_req *request, SVCXPRT *transport)
+{
+  if (request->rq_proc <= CP_RPC_SECTION && may_call (request, transport))
+    {
+      cp_rpc_program_1 (request, transport);
+      return;
+    }
+  daemon_count (served, COUNT_RPC_REFUSED);
+  if (request->rq_proc > CP_RPC_SECTION)
+    svcerr_noproc (transport);
+  else
+    svcerr_weakauth (transport);
+}
+
 /* Serves datagrams: fences and digests, which are short.  */
 static void *
 serve_udp (void *context)
@@ -186,8 +220,8 @@
   tcp = svc_vc_create (server->tcp_fd, 0, 0);
   if (udp == NULL || tcp == NULL)
     return false;
-  return svc_reg (udp, CP_RPC_PROGRAM, CP_RPC_V1, cp_rpc_program_1, NULL)
-         && svc_reg (tcp, CP_RPC_PROGRAM, CP_RPC_V1, cp_rpc_program_1, NULL);
+  return svc_reg (udp, CP_RPC_PROGRAM, CP_RPC_V1, dispatch, NULL)
+         && svc_reg (tcp, CP_RPC_PROGRAM, CP_RPC_V1, dispatch, NULL);
 }
 
 int
--- a/regress/harness/relay.c
+++ b/regress/harness/relay.c
@@ -1,4 +1,5 @@
 #include <check.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <string.h>
 #include <sys/eventfd.h>
@@ -33,6 +34,7 @@
 {
   int client = accept4 (relay->listen_fd, NULL, NULL, SOCK_CLOEXEC);
   int server;
+  int one = 1;
 
   if (client < 0)
     return;
@@ -44,6 +46,8 @@
         close (server);
       return;
     }
+  setsockopt (client, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+  setsockopt (server, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
   relay->connections[relay->n_connections++]
       = (struct relayed){ { client, server }, RELAY_PASS };
 }
--- a/regress/harness/wire.c
+++ b/regress/harness/wire.c
@@ -107,8 +107,9 @@
 }
 
 int
-wire_fence (struct fleet *fleet, unsigned vm, const char *attempt,
-            uint64_t incarnation, uint64_t start_by_us, bool cancel)
+wire_fence (struct fleet *fleet, unsigned from_vm, unsigned vm,
+            const char *attempt, uint64_t incarnation, uint64_t start_by_us,
+            bool cancel)
 {
   struct timeval timeout = { .tv_sec = 2 };
   cp_rpc_fence_args args = { .incarnation = incarnation,
@@ -128,7 +129,8 @@
   memcpy (args.attempt, id.bytes, sizeof args.attempt);
   ck_assert (
       cp_address_parse (&to, fleet_address (fleet, vm, PORT_RPC, text)));
-  ck_assert (cp_address_parse (&from, fleet_address (fleet, 1, 1, text)));
+  ck_assert (
+      cp_address_parse (&from, fleet_address (fleet, from_vm, 1, text)));
   from.socket.v4.sin_port = 0;
   ck_assert_int_eq (bind (fd, &from.socket.any, from.length), 0);
   server.len = to.length;
--- a/regress/harness/wire.h
+++ b/regress/harness/wire.h
@@ -39,10 +39,11 @@
 int wire_attempt (struct fleet *fleet, unsigned vm,
                   const struct wire_attempt *attempt, GString *answer);
 
-/* Sends a fence from VM 1's IP number to VM's inbound side.  Returns the
-   status of the reply, or -1 when there was none.  */
-int wire_fence (struct fleet *fleet, unsigned vm, const char *attempt,
-                uint64_t incarnation, uint64_t start_by_us, bool cancel);
+/* Sends a fence from the IP number of VM FROM to VM's inbound side.  Returns
+   the status of the reply, or -1 when there was none.  */
+int wire_fence (struct fleet *fleet, unsigned from, unsigned vm,
+                const char *attempt, uint64_t incarnation,
+                uint64_t start_by_us, bool cancel);
 
 /* Returns the incarnation of VM's daemon.  */
 uint64_t wire_incarnation (struct fleet *fleet, unsigned vm);
--- a/regress/path/check_attempts_messages.c
+++ b/regress/path/check_attempts_messages.c
@@ -102,10 +102,10 @@
 
   fleet_start (&fleet, 2, 2, NULL);
   attempt = order (&fleet, id, DEADLINE_US);
-  ck_assert_int_eq (wire_fence (&fleet, 2, id, attempt.incarnation,
+  ck_assert_int_eq (wire_fence (&fleet, 1, 2, id, attempt.incarnation,
                                 attempt.start_by_us, true),
                     CP_RPC_FENCED);
-  ck_assert_int_eq (wire_fence (&fleet, 2, id, attempt.incarnation + 2,
+  ck_assert_int_eq (wire_fence (&fleet, 1, 2, id, attempt.incarnation + 2,
                                 attempt.start_by_us, true),
                     CP_RPC_OTHER_INCARNATION);
   ck_assert_int_eq (wire_attempt (&fleet, 2, &attempt, answer), 409);
@@ -131,6 +131,27 @@
 
 /* The attempt ran and was forgotten since; a fence that comes now must not be
    taken for proof that it did not run.  */
+START_TEST (strangers_can_not_fence)
+{
+  static const char id[] = "ffffffffffffffffffffffffffffffff";
+  struct fleet fleet;
+  GString *answer = g_string_new (NULL);
+  struct wire_attempt attempt;
+  uint64_t refused;
+
+  fleet_start (&fleet, 2, 2, NULL);
+  attempt = order (&fleet, id, DEADLINE_US);
+  refused = fleet_counter (&fleet, 2, "rpc_refused_total");
+  ck_assert_int_eq (wire_fence (&fleet, 77, 2, id, attempt.incarnation,
+                                attempt.start_by_us, true),
+                    -1);
+  ck_assert_uint_gt (fleet_counter (&fleet, 2, "rpc_refused_total"), refused);
+  ck_assert_int_eq (wire_attempt (&fleet, 2, &attempt, answer), 200);
+  g_string_free (answer, TRUE);
+  fleet_stop (&fleet);
+}
+END_TEST
+
 START_TEST (a_fence_that_comes_after_forgetting_proves_nothing)
 {
   static const char id[] = "eeeeeeeeeeeeeeeeeeeeeeeeeeeeeeee";
@@ -141,11 +162,11 @@
   fleet_start (&fleet, 2, 2, NULL);
   attempt = order (&fleet, id, SHORT_US);
   ck_assert_int_eq (wire_attempt (&fleet, 2, &attempt, answer), 200);
-  ck_assert_int_eq (wire_fence (&fleet, 2, id, attempt.incarnation,
+  ck_assert_int_eq (wire_fence (&fleet, 1, 2, id, attempt.incarnation,
                                 attempt.start_by_us, true),
                     CP_RPC_ANSWERED);
   wait_until (register_is_empty, &fleet);
-  ck_assert_int_eq (wire_fence (&fleet, 2, id, attempt.incarnation,
+  ck_assert_int_eq (wire_fence (&fleet, 1, 2, id, attempt.incarnation,
                                 attempt.start_by_us, true),
                     CP_RPC_FENCE_LATE);
   g_string_free (answer, TRUE);
@@ -161,6 +182,7 @@
                   an_attempt_that_waited_in_a_stopped_daemon_does_not_start);
   tcase_add_test (tests, another_incarnation_refuses);
   tcase_add_test (tests, an_attempt_that_comes_after_its_fence_does_not_start);
+  tcase_add_test (tests, strangers_can_not_fence);
   tcase_add_test (tests, a_fence_that_comes_after_forgetting_proves_nothing);
 }
 
--- a/regress/path/check_attempts_silence.c
+++ b/regress/path/check_attempts_silence.c
@@ -50,6 +50,8 @@
   relay_start (&place->relay, fleet_address (fleet, 2, 7400, address),
                fleet_address (fleet, 1, 1, from),
                fleet_address (fleet, 2, 7500, server));
+  /* Calls shall prefer the target behind the relay.  */
+  fleet_control (fleet, 3, "{\"fixed_ms\": 5}");
   run_calls (place, CALLERS_WARM, CALLS_WARM, "POST");
   campaign_check (&place->campaign, &place->totals);
   ck_assert_uint_eq (place->totals.told[TOLD_RAN], CALLERS_WARM * CALLS_WARM);
