--- a/regress/harness/campaign.h
+++ b/regress/harness/campaign.h
@@ -26,6 +26,7 @@
   enum told told;
   int status;
   bool mixed; /* the answer names another request */
+  bool cut;   /* a whole answer without the target's body */
 };
 
 struct campaign_caller
@@ -58,10 +59,11 @@
   unsigned calls;
   unsigned told[TOLD_NOTHING + 1];
   unsigned runs;
-  unsigned duplicates;    /* request IDs in the journals more than once */
+  unsigned duplicates;    /* further runs of orders in the journals */
   unsigned false_not_run; /* told not-run, in a journal */
   unsigned false_ran;     /* told ran, in no journal */
   unsigned mixed;         /* answers that name another request */
+  unsigned cut;           /* answers that were cut and looked whole */
 };
 
 /* Makes one call and notes what was told.  */
--- /dev/null
+++ b/regress/lib/check_register.c
@@ -0,0 +1,182 @@
+/* The register of attempts: its bound, and forgetting.  */
+#include <malloc.h>
+#include <stdio.h>
+
+#include "lib/peer_clock.h"
+#include "lib/register.h"
+#include "regress/harness/suite.h"
+
+/* A register on a clock that stands still.  */
+struct place
+{
+  struct cp_virtual_clock clock;
+  struct cp_chart chart;
+  struct cp_register attempts;
+};
+
+static void
+begin (struct place *place, unsigned capacity)
+{
+  struct cp_error error;
+  char path[256];
+
+  snprintf (path, sizeof path, "%s/charts/attempt.json", getenv ("TOP"));
+  ck_assert_int_eq (
+      cp_chart_load (&place->chart, path, &cp_attempt_names, &error), 0);
+  cp_virtual_clock_init (&place->clock, CP_US_PER_S);
+  cp_register_init (&place->attempts, &place->clock.clock, &place->chart,
+                    capacity);
+}
+
+static enum cp_register_result
+enter (struct place *place, const struct cp_random *random, uint64_t keep_us)
+{
+  enum cp_attempt_state state;
+  struct cp_id id;
+
+  cp_id_create (&id, random);
+  return cp_register_step (&place->attempts, &id, CP_ATTEMPT_FENCE,
+                           place->clock.time_us + keep_us, &state);
+}
+
+START_TEST (memory_is_bounded_at_the_stated_rate)
+{
+  static struct place place;
+  struct cp_seeded_random random;
+  size_t before;
+  size_t after;
+
+  cp_seeded_random_init (&random, 5);
+  begin (&place, CP_REGISTER_CAPACITY);
+  before = mallinfo2 ().uordblks;
+  for (unsigned i = 0; i < CP_REGISTER_CAPACITY; i++)
+    ck_assert_int_eq (enter (&place, &random.random, CP_REGISTER_KEEP_US_MAX),
+                      CP_REGISTER_DONE);
+  after = mallinfo2 ().uordblks;
+  printf ("%u entries, %zu bytes each\n", CP_REGISTER_CAPACITY,
+          (after - before) / CP_REGISTER_CAPACITY);
+  ck_assert_uint_le ((after - before) / CP_REGISTER_CAPACITY,
+                     CP_REGISTER_ENTRY_BYTES);
+  ck_assert_int_eq (enter (&place, &random.random, CP_US_PER_S),
+                    CP_REGISTER_FULL);
+  ck_assert_uint_eq (cp_register_count (&place.attempts),
+                     CP_REGISTER_CAPACITY);
+  cp_register_finish (&place.attempts);
+  cp_seeded_random_finish (&random);
+}
+END_TEST
+
+START_TEST (entries_are_forgotten_in_their_time)
+{
+  static struct place place;
+  struct cp_seeded_random random;
+
+  cp_seeded_random_init (&random, 6);
+  begin (&place, 100);
+  for (unsigned i = 1; i <= 100; i++)
+    ck_assert_int_eq (enter (&place, &random.random, i * CP_US_PER_S),
+                      CP_REGISTER_DONE);
+  ck_assert_int_eq (enter (&place, &random.random, CP_US_PER_S),
+                    CP_REGISTER_FULL);
+  place.clock.time_us += 50 * CP_US_PER_S;
+  ck_assert_uint_ge (cp_register_count (&place.attempts), 50);
+  ck_assert_uint_le (cp_register_count (&place.attempts), 52);
+  place.clock.time_us += 2000 * CP_US_PER_S;
+  ck_assert_uint_eq (cp_register_count (&place.attempts), 0);
+  cp_register_finish (&place.attempts);
+  cp_seeded_random_finish (&random);
+}
+END_TEST
+
+/* A started attempt is kept beyond its time until it has ended.  */
+START_TEST (running_attempts_are_not_forgotten)
+{
+  static struct place place;
+  const struct cp_id id = { { 7 } };
+  enum cp_attempt_state state;
+  uint64_t until;
+
+  begin (&place, 10);
+  until = place.clock.time_us + CP_US_PER_S;
+  cp_register_step (&place.attempts, &id, CP_ATTEMPT_ARRIVE, until, &state);
+  cp_register_step (&place.attempts, &id, CP_ATTEMPT_START, until, &state);
+  place.clock.time_us += 5000 * CP_US_PER_S;
+  ck_assert_uint_eq (cp_register_count (&place.attempts), 1);
+  ck_assert_int_eq (
+      cp_register_step (&place.attempts, &id, CP_ATTEMPT_FENCE, until, &state),
+      CP_REGISTER_NO_STEP);
+  ck_assert_int_eq (state, CP_ATTEMPT_STARTED);
+  cp_register_step (&place.attempts, &id, CP_ATTEMPT_ANSWER, until, &state);
+  place.clock.time_us += 5 * CP_US_PER_S;
+  ck_assert_uint_eq (cp_register_count (&place.attempts), 0);
+  cp_register_finish (&place.attempts);
+}
+END_TEST
+
+/* A query leaves a queued attempt alone, a fence gives it up.  */
+START_TEST (queries_spare_what_has_arrived)
+{
+  static struct place place;
+  const struct cp_id id = { { 8 } };
+  enum cp_attempt_state state;
+  uint64_t until;
+
+  begin (&place, 10);
+  until = place.clock.time_us + CP_US_PER_S;
+  cp_register_step (&place.attempts, &id, CP_ATTEMPT_ARRIVE, until, &state);
+  ck_assert_int_eq (
+      cp_register_step (&place.attempts, &id, CP_ATTEMPT_QUERY, until, &state),
+      CP_REGISTER_NO_STEP);
+  ck_assert_int_eq (state, CP_ATTEMPT_QUEUED);
+  ck_assert_int_eq (
+      cp_register_step (&place.attempts, &id, CP_ATTEMPT_FENCE, until, &state),
+      CP_REGISTER_DONE);
+  ck_assert_int_eq (
+      cp_register_step (&place.attempts, &id, CP_ATTEMPT_START, until, &state),
+      CP_REGISTER_NO_STEP);
+  ck_assert_int_eq (state, CP_ATTEMPT_FENCED);
+  cp_register_finish (&place.attempts);
+}
+END_TEST
+
+START_TEST (bounds_of_peer_clocks_are_never_late)
+{
+  struct cp_virtual_clock clock;
+  struct cp_peer_clocks peers;
+  struct cp_peer_clock known;
+  uint64_t bound;
+
+  cp_virtual_clock_init (&clock, CP_US_PER_S);
+  cp_peer_clocks_init (&peers, &clock.clock);
+  ck_assert (!cp_peer_clocks_get (&peers, "a", &known, &bound));
+  cp_peer_clocks_learn (&peers, "a", 3, 5000);
+  clock.time_us += 100 * CP_US_PER_S;
+  ck_assert (cp_peer_clocks_get (&peers, "a", &known, &bound));
+  ck_assert_uint_le (bound, 5000 + 100 * CP_US_PER_S);
+  ck_assert_uint_ge (bound, 5000 + 99 * CP_US_PER_S);
+  /* An answer that was on its way for long does not lower the bound.  */
+  cp_peer_clocks_learn (&peers, "a", 3, 6000);
+  ck_assert (cp_peer_clocks_get (&peers, "a", &known, &bound));
+  ck_assert_uint_ge (bound, 5000 + 99 * CP_US_PER_S);
+  cp_peer_clocks_learn (&peers, "a", 4, 6000);
+  ck_assert (cp_peer_clocks_get (&peers, "a", &known, &bound));
+  ck_assert_uint_eq (bound, 6000);
+  cp_peer_clocks_finish (&peers);
+}
+END_TEST
+
+static void
+add_tests (TCase *tests)
+{
+  tcase_add_test (tests, memory_is_bounded_at_the_stated_rate);
+  tcase_add_test (tests, entries_are_forgotten_in_their_time);
+  tcase_add_test (tests, running_attempts_are_not_forgotten);
+  tcase_add_test (tests, queries_spare_what_has_arrived);
+  tcase_add_test (tests, bounds_of_peer_clocks_are_never_late);
+}
+
+int
+main (void)
+{
+  return suite_run ("register", add_tests, 30);
+}
