Do not size an answer that did not come

Cause: the bytes of a digest exchange were counted with the answer's strings also when the call had failed and they were NULL; with the thread sanitizer each daemon ended with SIGSEGV in xdr_string after its first exchange. Ruled out: a race (the address is 0 and the stack is one thread's). Change: only the call is counted then.

--- a/cornelpickd/spread_rpc.c
+++ b/cornelpickd/spread_rpc.c
@@ -22,15 +22,19 @@
 /* libtirpc keeps its services for the whole process.  */
 static struct daemon *served;
 
-/* Counts a call and its answer, on either side.  */
+/* Counts a call and its answer, on either side.  REPLY is NULL when there was
+   no answer.  */
 static void
 count_call (struct daemon *daemon, xdrproc_t call_routine, void *call,
             xdrproc_t reply_routine, void *reply)
 {
-  cp_counters_add (&daemon->counters, COUNT_CONTROL_MESSAGES, 2);
-  cp_counters_add (&daemon->counters, COUNT_CONTROL_BYTES,
-                   CALL_BYTES + REPLY_BYTES + xdr_sizeof (call_routine, call)
-                       + xdr_sizeof (reply_routine, reply));
+  uint64_t bytes = CALL_BYTES + xdr_sizeof (call_routine, call);
+
+  if (reply != NULL)
+    bytes += REPLY_BYTES + xdr_sizeof (reply_routine, reply);
+  cp_counters_add (&daemon->counters, COUNT_CONTROL_MESSAGES,
+                   reply == NULL ? 1 : 2);
+  cp_counters_add (&daemon->counters, COUNT_CONTROL_BYTES, bytes);
 }
 
 uint64_t
@@ -291,7 +295,7 @@
   memset (reply, 0, sizeof *reply);
   done = cp_rpc_digest_1 (&args, reply, client->client) == RPC_SUCCESS;
   count_call (daemon, (xdrproc_t)xdr_cp_rpc_digest, &args,
-              (xdrproc_t)xdr_cp_rpc_digest, reply);
+              (xdrproc_t)xdr_cp_rpc_digest, done ? reply : NULL);
   xdr_free ((xdrproc_t)xdr_cp_rpc_digest, (char *)&args);
   cp_address_host (peer, ip, sizeof ip);
   if (done)
--- a/regress/path/check_daemon.c
+++ b/regress/path/check_daemon.c
@@ -117,7 +117,6 @@
   struct fleet fleet;
   char path[256];
   char charts[256];
-  CP_AUTO_FREE char *text = NULL;
   CP_AUTO_FREE char *output = NULL;
   CP_AUTO_JSON json_t *settings = NULL;
 
--- a/regress/path/check_operators.c
+++ b/regress/path/check_operators.c
@@ -493,8 +493,8 @@
     "# HELP a A.\n# TYPE a gauge\na{b=\"c\"} x\n",
     "# HELP a A.\n# TYPE a gauge\na 1\na 2\n",
     "# HELP a A.\n# TYPE a gauge\na 1\n# HELP a A.\n# TYPE a gauge\na 1\n",
-    "# HELP a A.\n# TYPE a histogram\na_bucket{le=\"1\"} 2\n"
-    "a_bucket{le=\"+Inf\"} 1\na_sum 1\na_count 1\n",
+    ("# HELP a A.\n# TYPE a histogram\na_bucket{le=\"1\"} 2\n"
+     "a_bucket{le=\"+Inf\"} 1\na_sum 1\na_count 1\n"),
   };
 
   for (unsigned i = 0; i < G_N_ELEMENTS (faulty); i++)
