--- a/regress/harness/script_target.c
+++ b/regress/harness/script_target.c
@@ -24,6 +24,8 @@
   char id[40];
   bool head; /* the method is HEAD */
   long body_bytes;
+  long remaining_ms;
+  long depth;
 };
 
 void
@@ -108,6 +110,10 @@
               sizeof request->id);
   copy_value (head, "\r\nContent-Length: ", number, sizeof number);
   request->body_bytes = strtol (number, NULL, 10);
+  copy_value (head, "\r\nCornelpick-Remaining-Ms: ", number, sizeof number);
+  request->remaining_ms = strtol (number, NULL, 10);
+  copy_value (head, "\r\nTest-Depth: ", number, sizeof number);
+  request->depth = strtol (number, NULL, 10);
 }
 
 static bool
@@ -181,9 +187,37 @@
   return sent;
 }
 
+/* Calls on, as an application 12 deep would, and answers with what came.  */
+static bool
+answer_chain (struct script_target *target, int fd,
+              const struct script_request *request, GString *body)
+{
+  char headers[160];
+  struct reply reply;
+  bool sent;
+
+  usleep (CHAIN_WORK_US);
+  g_string_printf (body, "%ld\n", request->remaining_ms);
+  reply_init (&reply);
+  reply.status = 200;
+  snprintf (headers, sizeof headers,
+            "Host: shop.example\nCornelpick-Remaining-Ms: %ld\n"
+            "Cornelpick-Retry: none\nTest-Depth: %ld",
+            request->remaining_ms - CHAIN_WORK_US / 1000, request->depth - 1);
+  if (request->depth > 1)
+    http_call (&reply, target->next, "GET", "/items/chain", headers, NULL,
+               10000);
+  g_string_append (body, reply.body->str);
+  sent = send_sized (fd, request, reply.status == 200 ? "200 OK" : "500 Late",
+                     body->len, body->len, body->str);
+  reply_finish (&reply);
+  return sent;
+}
+
 /* Answers one request.  Returns whether the connection is kept.  */
 static bool
-answer (int fd, const struct script_request *request, GString *body)
+answer (struct script_target *target, int fd,
+        const struct script_request *request, GString *body)
 {
   const char *kind = request->kind;
 
@@ -196,6 +230,8 @@
     send_text (fd, "HTTP/1.1 100 Continue\r\n\r\n");
   if (!skip_body (fd, request->body_bytes))
     return false;
+  if (strcmp (kind, "chain") == 0)
+    return answer_chain (target, fd, request, body);
   if (strcmp (kind, "chunked") == 0)
     return send_chunks (fd, body, true);
   if (strcmp (kind, "cutchunk") == 0)
@@ -246,7 +282,7 @@
         break;
       parse (head->str, &request);
     }
-  while (answer (connection->fd, &request, body));
+  while (answer (connection->target, connection->fd, &request, body));
   shutdown (connection->fd, SHUT_RDWR);
   close (connection->fd);
   g_string_free (head, TRUE);
--- a/regress/harness/script_target.h
+++ b/regress/harness/script_target.h
@@ -13,7 +13,11 @@
    204, 304    these statuses, without a body
    early       an answer before the body of the request is read
    continue    100 before the body is read
-   A body is the request ID, repeated SCRIPT_REPEATS times.  */
+   chain       as an application that calls on: after CHAIN_WORK_US it calls
+               the same path through the daemon at NEXT, passing on the time
+               left and a depth that is one less (header Test-Depth); the body
+               lists the time left in ms at each hop, a line each
+   Otherwise a body is the request ID, repeated SCRIPT_REPEATS times.  */
 #ifndef SCRIPT_TARGET_H
 #define SCRIPT_TARGET_H
 
@@ -23,12 +27,14 @@
 
 #define SCRIPT_REPEATS 200
 #define SCRIPT_CONNECTIONS_MAX 512
+#define CHAIN_WORK_US 5000
 
 struct script_target
 {
   pthread_t thread;
   int listen_fd;
   bool stop;
+  char next[56]; /* address of a daemon, for chains */
   unsigned n_connections;
   pthread_t connections[SCRIPT_CONNECTIONS_MAX];
 };
--- a/regress/path/check_attempts_cancel.c
+++ b/regress/path/check_attempts_cancel.c
@@ -1,12 +1,16 @@
 /* Callers that leave, and deadlines.  */
+#include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
 #include "regress/harness/campaign.h"
+#include "regress/harness/script_target.h"
 #include "regress/harness/suite.h"
 
 #define LEAVE_MS 300
+#define HOPS 12
 
 /* Waits until no call is in flight at an inbound side.  */
 static bool
@@ -66,11 +70,89 @@
 }
 END_TEST
 
+/* A fleet whose targets call on through daemon 1.  */
+struct chain
+{
+  struct fleet fleet;
+  struct script_target targets[5];
+};
+
+static void
+chain_start (struct chain *chain)
+{
+  char address[56];
+
+  fleet_start (&chain->fleet, 4, 4, campaign_gate);
+  for (unsigned vm = 2; vm <= 4; vm++)
+    {
+      process_signal (&chain->fleet.targets[vm], SIGKILL);
+      script_target_start (&chain->targets[vm],
+                           fleet_address (&chain->fleet, vm, 8080, address));
+      fleet_address (&chain->fleet, 1, 8000, chain->targets[vm].next);
+    }
+}
+
+static void
+chain_stop (struct chain *chain)
+{
+  fleet_stop (&chain->fleet);
+  for (unsigned vm = 2; vm <= 4; vm++)
+    script_target_stop (&chain->targets[vm]);
+}
+
+START_TEST (deadlines_shrink_over_twelve_hops)
+{
+  static struct chain chain;
+  struct reply reply;
+  char *at;
+  long last;
+  unsigned hops = 0;
+
+  chain_start (&chain);
+  reply_init (&reply);
+  fleet_call (&chain.fleet, &reply, 1, "GET", "/items/chain",
+              "Test-Depth: 12\nCornelpick-Remaining-Ms: 1500", NULL);
+  ck_assert_msg (reply.status == 200, "%d %s", reply.status, reply.body->str);
+  last = 1501;
+  for (at = reply.body->str; *at != '\0'; hops++)
+    {
+      long left = strtol (at, &at, 10);
+
+      ck_assert_int_lt (left, last);
+      last = left - CHAIN_WORK_US / 1000 + 1;
+      at += strspn (at, "\n");
+    }
+  ck_assert_uint_eq (hops, HOPS);
+  reply_finish (&reply);
+  chain_stop (&chain);
+}
+END_TEST
+
+START_TEST (a_chain_ends_when_its_time_is_over)
+{
+  static struct chain chain;
+  struct reply reply;
+
+  chain_start (&chain);
+  reply_init (&reply);
+  fleet_call (&chain.fleet, &reply, 1, "GET", "/items/chain",
+              "Test-Depth: 12\nCornelpick-Remaining-Ms: 40", NULL);
+  ck_assert_int_ge (reply.status, 500);
+  for (unsigned vm = 1; vm <= 4; vm++)
+    ck_assert_uint_eq (fleet_counter (&chain.fleet, vm, "late_starts_total"),
+                       0);
+  reply_finish (&reply);
+  chain_stop (&chain);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
   tcase_add_test (tests, a_caller_that_leaves_cancels_at_the_target);
   tcase_add_test (tests, no_attempt_starts_without_time);
+  tcase_add_test (tests, deadlines_shrink_over_twelve_hops);
+  tcase_add_test (tests, a_chain_ends_when_its_time_is_over);
 }
 
 int
