--- a/http/upstream.c
+++ b/http/upstream.c
@@ -24,6 +24,7 @@
   CURL *easy;
   CURLM *multi;
   uint64_t idle_since_us;
+  int fd; /* the connection's socket, or -1 */
 };
 
 const char *const upstream_result_names[UPSTREAM_RESULT_COUNT] = {
@@ -85,7 +86,8 @@
   if (local != NULL)
     cp_address_host (local, pool->local_ip, sizeof pool->local_ip);
   pool->stop_fd = eventfd (0, EFD_CLOEXEC | EFD_NONBLOCK);
-  if (pool->stop_fd < 0)
+  pool->cut_fd = eventfd (0, EFD_CLOEXEC | EFD_NONBLOCK);
+  if (pool->stop_fd < 0 || pool->cut_fd < 0)
     return -1;
   pool->addresses
       = g_hash_table_new_full (g_str_hash, g_str_equal, free, free_address);
@@ -98,10 +100,17 @@
   eventfd_write (pool->stop_fd, 1);
 }
 
+void
+upstream_pool_cut (struct upstream_pool *pool)
+{
+  eventfd_write (pool->cut_fd, 1);
+}
+
 void
 upstream_pool_finish (struct upstream_pool *pool)
 {
   close (pool->stop_fd);
+  close (pool->cut_fd);
   g_hash_table_destroy (pool->addresses);
   pthread_mutex_destroy (&pool->lock);
 }
@@ -134,9 +143,22 @@
   if (upstream->easy == NULL || upstream->multi == NULL)
     abort ();
   curl_multi_setopt (upstream->multi, CURLMOPT_MAXCONNECTS, 1L);
+  upstream->fd = -1;
   return upstream;
 }
 
+/* Whether nothing has come on an idle connection, not even its end.  Bytes
+   that no request asked for would be taken for the answer to the next.  */
+static bool
+is_quiet (const struct upstream *upstream)
+{
+  char byte;
+
+  return upstream->fd >= 0
+         && recv (upstream->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0
+         && errno == EAGAIN;
+}
+
 /* Takes the first idle connection, which was used last, off the list.  */
 static struct upstream *
 take_idle (struct upstream_pool *pool, const struct upstream_call *call,
@@ -169,7 +191,7 @@
   while ((upstream = take_idle (pool, call, &suspect_us)) != NULL)
     {
       if (upstream->idle_since_us > suspect_us
-          && now < upstream->idle_since_us + idle_max)
+          && now < upstream->idle_since_us + idle_max && is_quiet (upstream))
         return upstream;
       free_upstream (upstream);
     }
@@ -315,6 +337,29 @@
   return 0;
 }
 
+/* libcurl opens and closes sockets through these two.  */
+static curl_socket_t
+open_socket (void *context, curlsocktype purpose,
+             struct curl_sockaddr *address)
+{
+  struct upstream *upstream = context;
+
+  (void)purpose;
+  upstream->fd = socket (address->family, address->socktype | SOCK_CLOEXEC,
+                         address->protocol);
+  return upstream->fd;
+}
+
+static int
+close_socket (void *context, curl_socket_t fd)
+{
+  struct upstream *upstream = context;
+
+  if (upstream->fd == fd)
+    upstream->fd = -1;
+  return close (fd);
+}
+
 static void
 set_body_options (CURL *easy, struct transfer *transfer)
 {
@@ -337,9 +382,10 @@
 }
 
 static void
-set_options (const struct upstream_pool *pool, CURL *easy,
+set_options (const struct upstream_pool *pool, struct upstream *upstream,
              struct transfer *transfer)
 {
+  CURL *easy = upstream->easy;
   const struct upstream_call *call = transfer->call;
   char url[CP_ADDRESS_TEXT_BYTES + 16];
 
@@ -354,6 +400,10 @@
   curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->headers);
+  curl_easy_setopt (easy, CURLOPT_OPENSOCKETFUNCTION, open_socket);
+  curl_easy_setopt (easy, CURLOPT_OPENSOCKETDATA, upstream);
+  curl_easy_setopt (easy, CURLOPT_CLOSESOCKETFUNCTION, close_socket);
+  curl_easy_setopt (easy, CURLOPT_CLOSESOCKETDATA, upstream);
   curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, before_send);
   curl_easy_setopt (easy, CURLOPT_PREREQDATA, transfer);
   curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, take_header);
@@ -386,7 +436,7 @@
 /* What a transfer waits for besides its own connection.  */
 enum watched
 {
-  WATCH_STOP,
+  WATCH_STOP, /* for calls in the background, else the cut */
   WATCH_CALLER,
   WATCH_COUNT
 };
@@ -399,12 +449,12 @@
 {
   const struct upstream_call *call = transfer->call;
   struct curl_waitfd fds[WATCH_COUNT]
-      = { [WATCH_STOP] = { pool->stop_fd, CURL_WAIT_POLLIN, 0 },
+      = { [WATCH_STOP] = { call->background ? pool->stop_fd : pool->cut_fd,
+                           CURL_WAIT_POLLIN, 0 },
           [WATCH_CALLER] = { call->caller_fd, CURL_WAIT_POLLIN, 0 } };
   uint64_t now = cp_clock_now_us (pool->clock);
   uint64_t until = call->deadline_us;
   bool silent = transfer->first_byte_us != 0 && transfer->head.status == 0;
-  unsigned first = call->background ? WATCH_STOP : WATCH_CALLER;
   unsigned end = *watch_caller ? WATCH_COUNT : WATCH_CALLER;
 
   if (now >= call->deadline_us)
@@ -419,9 +469,8 @@
     }
   if (silent && transfer->first_byte_us < until)
     until = transfer->first_byte_us;
-  curl_multi_poll (upstream->multi, &fds[first], end - first,
-                   wait_ms (now, until), NULL);
-  if (call->background && fds[WATCH_STOP].revents != 0)
+  curl_multi_poll (upstream->multi, fds, end, wait_ms (now, until), NULL);
+  if (fds[WATCH_STOP].revents != 0)
     return UPSTREAM_STOPPED;
   if (!*watch_caller || fds[WATCH_CALLER].revents == 0)
     return UPSTREAM_COMPLETE;
@@ -479,7 +528,7 @@
   count_busy (pool, call, 1);
   upstream = take_upstream (pool, call);
 
-  set_options (pool, upstream->easy, &transfer);
+  set_options (pool, upstream, &transfer);
   curl_multi_add_handle (upstream->multi, upstream->easy);
   result = run_transfer (pool, upstream, &transfer);
   curl_multi_remove_handle (upstream->multi, upstream->easy);
