--- a/cornelpick/common.c
+++ b/cornelpick/common.c
@@ -123,3 +123,17 @@
 {
   return json_integer_value (json_object_get (object, key));
 }
+
+int
+read_file (const char *path, char **text, size_t *length,
+           struct cp_error *error)
+{
+  GError *fault = NULL;
+
+  if (g_file_get_contents (path, text, length, &fault))
+    return 0;
+  cp_error_set (error, CP_ERROR_IO, path, "name a file that can be read", "%s",
+                fault->message);
+  g_error_free (fault);
+  return -1;
+}
--- a/cornelpick/main.c
+++ b/cornelpick/main.c
@@ -7,7 +7,8 @@
 #include "cornelpickd/cornelpickd.h"
 
 static const struct command commands[] = {
-  { "check", "FILE", command_check },
+  { "check", "[--section NAME] [--json] FILE", command_check },
+  { "diff", "OLD NEW", command_diff },
   { "explain", "[--json] [--admin-port PORT] ADDRESS REQUEST-ID",
     command_explain },
   { "run", "--document FILE SETTINGS", command_run },
