--- a/cornelpick/state.c
+++ b/cornelpick/state.c
@@ -153,6 +153,24 @@
           (long long)json_number (inbound, "register_entries"));
 }
 
+/* Prints the budget of measuring, where the dump has one.  */
+static void
+print_measuring (json_t *measuring)
+{
+  json_t *budget = json_object_get (measuring, "budget");
+
+  if (budget == NULL)
+    return;
+  printf ("measuring      %lld of %lld us/s of work, %lld of %lld bytes/s, "
+          "%lld grants, %lld overdrafts\n",
+          (long long)json_number (budget, "work_us_in_window"),
+          (long long)json_number (budget, "work_us_per_s"),
+          (long long)json_number (budget, "bytes_in_window"),
+          (long long)json_number (budget, "bytes_per_s"),
+          (long long)json_number (budget, "grants"),
+          (long long)json_number (budget, "overdrafts"));
+}
+
 static void
 print_connections (json_t *list)
 {
@@ -181,6 +199,7 @@
   print_members (state);
   print_outbound (json_object_get (state, "outbound"));
   print_inbound (json_object_get (state, "inbound"));
+  print_measuring (json_object_get (state, "measuring"));
   print_connections (json_object_get (state, "connections"));
 }
 
--- a/cornelpick/top.c
+++ b/cornelpick/top.c
@@ -95,15 +95,15 @@
 {
   json_t *value = json_object_get (object, key);
 
-  return json_is_integer (value) ? json_integer_value (value) : NO_VALUE;
+  return json_is_number (value) ? (json_int_t)json_number_value (value)
+                                : NO_VALUE;
 }
 
 /* Takes what the inbound side knows of the target beside it.  */
 static void
-take_own (struct table *table, json_t *inbound)
+take_own (struct table *table, json_t *inbound, json_t *budget)
 {
   json_t *load = json_object_get (inbound, "load");
-  json_t *measuring = json_object_get (inbound, "measuring");
   struct row *row;
 
   if (*json_text (inbound, "target") == '\0')
@@ -118,9 +118,9 @@
   row->errors_permille = number_or_none (load, "errors_permille");
   row->p50_us = number_or_none (inbound, "p50_us");
   row->p99_us = number_or_none (inbound, "p99_us");
-  if (json_is_number (json_object_get (measuring, "spent_share")))
-    row->measuring_share
-        = json_number_value (json_object_get (measuring, "spent_share"));
+  if (json_number (budget, "work_us_per_s") > 0)
+    row->measuring_share = (double)json_number (budget, "work_us_in_window")
+                           / (double)json_number (budget, "work_us_per_s");
 }
 
 /* Takes what the outbound side was told of a target.  */
@@ -141,8 +141,14 @@
   row->in_flight = number_or_none (target, "in_flight");
   row->queued = number_or_none (target, "queued");
   row->limit = number_or_none (target, "limit");
-  row->p50_us = number_or_none (target, "latency_us");
-  row->errors_permille = number_or_none (target, "errors_permille");
+  row->p50_us = number_or_none (target, "estimated_latency_us");
+  if (row->p50_us == NO_VALUE)
+    row->p50_us = number_or_none (target, "own_latency_us");
+  if (json_is_number (json_object_get (target, "error_share")))
+    row->errors_permille
+        = (json_int_t)(1000
+                       * json_number_value (
+                           json_object_get (target, "error_share")));
 }
 
 static void
@@ -155,7 +161,8 @@
   json_t *target;
   size_t i;
 
-  take_own (table, json_object_get (state, "inbound"));
+  take_own (table, json_object_get (state, "inbound"),
+            json_object_get (json_object_get (state, "measuring"), "budget"));
   json_object_foreach (services, service, list)
   {
     json_t *targets
