--- a/cornelpick/common.c
+++ b/cornelpick/common.c
@@ -63,6 +63,20 @@
                        "answered with status %d", status);
 }
 
+int
+read_file (const char *path, char **text, size_t *length,
+           struct cp_error *error)
+{
+  GError *fault = NULL;
+
+  if (g_file_get_contents (path, text, length, &fault))
+    return 0;
+  cp_error_set (error, CP_ERROR_IO, path, "name a file that can be read", "%s",
+                fault->message);
+  g_error_free (fault);
+  return -1;
+}
+
 /* Reads PATH and parses it as JSON.  Returns NULL with ERROR set.  */
 static json_t *
 admin_get_json (const char *text, const char *path, struct cp_error *error)
@@ -123,17 +137,3 @@
 {
   return json_integer_value (json_object_get (object, key));
 }
-
-int
-read_file (const char *path, char **text, size_t *length,
-           struct cp_error *error)
-{
-  GError *fault = NULL;
-
-  if (g_file_get_contents (path, text, length, &fault))
-    return 0;
-  cp_error_set (error, CP_ERROR_IO, path, "name a file that can be read", "%s",
-                fault->message);
-  g_error_free (fault);
-  return -1;
-}
--- a/cornelpickd/daemon.c
+++ b/cornelpickd/daemon.c
@@ -67,14 +67,21 @@
 
   if (load_life_chart (daemon, error) != 0)
     return -1;
+  measure_init (&daemon->measure, daemon);
+  if (configuration_init (&daemon->configuration, daemon, error) != 0)
+    return -1;
+  members_init (&daemon->members, daemon);
+  spread_init (&daemon->spread, daemon);
+  spread_serve (daemon);
   if (inbound_init (&daemon->inbound, daemon, error) != 0)
     return -1;
-  outbound_init (&daemon->outbound, daemon);
+  if (outbound_init (&daemon->outbound, daemon, error) != 0)
+    return -1;
   if (start_listener (daemon, &daemon->admin, admin_handle, daemon,
                       &settings->admin, ADMIN_THREADS, error)
           != 0
       || start_listener (daemon, &daemon->peers, inbound_handle,
-                         &daemon->inbound, &settings->peers,
+                         &daemon->inbound, &settings->peers_listen,
                          settings->peer_threads, error)
              != 0
       || start_listener (daemon, &daemon->calls, outbound_handle,
@@ -84,9 +91,11 @@
       || rpc_start (&daemon->rpc, daemon, error) != 0)
     return -1;
   daemon_step (daemon, CP_LIFE_LISTENING);
-  if (members_start (&daemon->members, daemon, error) != 0)
+  if (members_start (&daemon->members, error) != 0
+      || measure_start (&daemon->measure, error) != 0
+      || spread_start (&daemon->spread, error) != 0)
     return -1;
-  return configuration_start (&daemon->configuration, daemon, error);
+  return configuration_start (&daemon->configuration, error);
 }
 
 int
@@ -100,9 +109,6 @@
   daemon->incarnation
       = cp_random_thread ()->next (cp_random_thread ()->context) | 1;
   pthread_mutex_init (&daemon->life_lock, NULL);
-  pthread_mutex_init (&daemon->members.lock, NULL);
-  CDS_INIT_LIST_HEAD (&daemon->members.vms);
-  daemon->members.daemon = daemon;
   if (cp_counters_init (&daemon->counters, COUNT_END) != 0
       || cp_decisions_init (&daemon->decisions) != 0)
     return cp_error_set (error, CP_ERROR_MEMORY, settings->vm, "free memory",
@@ -122,6 +128,7 @@
 
   if (daemon_step (daemon, CP_LIFE_DRAIN))
     __atomic_store_n (&daemon->drained_us, now, __ATOMIC_RELEASE);
+  spread_push (&daemon->spread);
 }
 
 bool
@@ -140,19 +147,42 @@
   return false;
 }
 
-void
-daemon_stop (struct daemon *daemon)
+static void *
+stop_listener (void *listener)
 {
+  listener_stop (listener);
+  return NULL;
+}
+
+/* Stops both listeners at once, since each takes up to two seconds.  */
+static void
+stop_listeners (struct daemon *daemon)
+{
+  pthread_t thread;
+  bool started
+      = pthread_create (&thread, NULL, stop_listener, &daemon->peers) == 0;
+
   listener_stop (&daemon->calls);
+  if (started)
+    pthread_join (thread, NULL);
   listener_stop (&daemon->peers);
+}
+
+void
+daemon_stop (struct daemon *daemon)
+{
+  stop_listeners (daemon);
   upstream_pool_stop (&daemon->upstreams);
-  configuration_stop (&daemon->configuration);
+  measure_stop (&daemon->measure);
+  spread_stop (&daemon->spread);
   members_stop (&daemon->members);
   rpc_stop (&daemon->rpc);
+  configuration_stop (&daemon->configuration);
   daemon_step (daemon, CP_LIFE_STOP);
   listener_stop (&daemon->admin);
   outbound_finish (&daemon->outbound);
   inbound_finish (&daemon->inbound);
+  members_finish (&daemon->members);
   upstream_pool_finish (&daemon->upstreams);
   cp_counters_finish (&daemon->counters);
   cp_decisions_finish (&daemon->decisions);
@@ -213,6 +243,7 @@
   json_object_set_new (dump, "members", members_dump (&daemon->members));
   json_object_set_new (dump, "outbound", outbound_dump (&daemon->outbound));
   json_object_set_new (dump, "inbound", inbound_dump (&daemon->inbound));
+  json_object_set_new (dump, "measuring", measure_dump (&daemon->measure));
   json_object_set_new (dump, "connections",
                        upstream_dump (&daemon->upstreams));
   return dump;
--- a/cornelpickd/inbound.c
+++ b/cornelpickd/inbound.c
@@ -6,9 +6,10 @@
 #include "cornelpickd/cornelpickd.h"
 #include "lib/cleanup.h"
 
-#define REGISTER_CAPACITY 65536
-#define REGISTER_MARGIN_US (10 * CP_US_PER_S)
-#define REMAINING_US_MAX (600 * CP_US_PER_S)
+/* A start-by time further ahead than this is no time of this clock.  */
+#define START_BY_AHEAD_MAX (CP_REGISTER_KEEP_US_MAX + CP_US_PER_S)
+/* A connection idle for longer is not used for a call that runs once.  */
+#define IDLE_ONCE_US (CP_US_PER_S)
 #define SLOTS_DEFAULT 12
 
 /* A forwarded call at the inbound side.  */
@@ -21,7 +22,7 @@
   struct cp_target target;
   char from[CP_NAME_BYTES];
   uint64_t deadline_us;
-  uint64_t keep_until_us;
+  uint64_t start_by_us;
   uint64_t drain_within_us;
   uint64_t sent_us;
   bool idempotent;
@@ -44,7 +45,7 @@
   if (cp_chart_load (&inbound->chart, path, &cp_attempt_names, error) != 0)
     return -1;
   cp_register_init (&inbound->attempts, daemon->clock, &inbound->chart,
-                    REGISTER_CAPACITY);
+                    CP_REGISTER_CAPACITY);
   cp_admission_init (&inbound->admission, daemon->clock, SLOTS_DEFAULT);
   return 0;
 }
@@ -79,9 +80,13 @@
 void
 inbound_update (struct inbound *inbound, const struct cp_document *document)
 {
-  const struct cp_service *service;
+  const struct cp_service *service = NULL;
+  const struct cp_target *target
+      = own_target (inbound->daemon, document, &service);
 
-  if (own_target (inbound->daemon, document, &service) != NULL)
+  measure_update (&inbound->daemon->measure, &document->fleet, service,
+                  target);
+  if (target != NULL)
     cp_admission_set_slots (&inbound->admission, service->slots);
 }
 
@@ -90,9 +95,11 @@
 {
   memset (report, 0, sizeof *report);
   report->incarnation = inbound->daemon->incarnation;
-  report->life = daemon_life (inbound->daemon);
-  report->latency_us = cp_histogram_quantile (&inbound->latency, 0.5);
+  report->life = members_leaving (&inbound->daemon->members)
+                     ? CP_LIFE_DRAINING
+                     : daemon_life (inbound->daemon);
   cp_admission_report (&inbound->admission, report);
+  measure_report (&inbound->daemon->measure, report);
 }
 
 /* Composes the header lines that go with each answer to a daemon.  */
@@ -100,15 +107,19 @@
 own_headers (const struct visit *visit, const char *outcome, char *text,
              size_t size)
 {
+  const struct daemon *daemon = visit->inbound->daemon;
   struct cp_report report;
   char load[CP_REPORT_TEXT_BYTES];
+  char clock[CP_PEER_CLOCK_TEXT_BYTES];
 
   inbound_report (visit->inbound, &report);
   cp_report_text (&report, load);
+  cp_peer_clock_text (daemon->incarnation, cp_clock_now_us (daemon->clock),
+                      clock);
   snprintf (text, size,
-            HEADER_OUTCOME ": %s\r\n" HEADER_LOAD ": %s\r\n" HEADER_FROM
-                           ": %s\r\n",
-            outcome, load, visit->inbound->daemon->settings.vm);
+            HEADER_OUTCOME ": %s\r\n" HEADER_LOAD ": %s\r\n" HEADER_CLOCK
+                           ": %s\r\n" HEADER_FROM ": %s\r\n",
+            outcome, load, clock, daemon->settings.vm);
 }
 
 /* Records a step of the visit; DURATION_US as the kind says.  */
@@ -158,6 +169,7 @@
   const char *idempotent = request_header (request, HEADER_IDEMPOTENT);
   const char *priority = request_header (request, HEADER_PRIORITY);
   const char *from = request_header (request, HEADER_FROM);
+  const char *start_by = request_header (request, HEADER_START_BY);
   uint64_t remaining_us;
 
   cp_id_parse (&visit->id, request_header (request, HEADER_REQUEST));
@@ -165,12 +177,20 @@
       || remaining == NULL || from == NULL)
     return false;
   remaining_us = strtoull (remaining, NULL, 10);
-  if (remaining_us > REMAINING_US_MAX)
+  if (remaining_us > CP_REGISTER_KEEP_US_MAX)
     return false;
   snprintf (visit->from, sizeof visit->from, "%s", from);
   visit->deadline_us = request->arrived_us + remaining_us;
-  visit->keep_until_us = visit->deadline_us + REGISTER_MARGIN_US;
   visit->idempotent = idempotent != NULL && strcmp (idempotent, "yes") == 0;
+  visit->start_by_us = visit->deadline_us;
+  if (start_by != NULL)
+    visit->start_by_us = strtoull (start_by, NULL, 10);
+  else if (!visit->idempotent)
+    return false;
+  if (visit->start_by_us > request->arrived_us + START_BY_AHEAD_MAX)
+    return false;
+  if (visit->deadline_us > visit->start_by_us)
+    visit->deadline_us = visit->start_by_us;
   visit->priority = CP_PRIORITY_NORMAL;
   if (priority != NULL && strcmp (priority, "high") == 0)
     visit->priority = CP_PRIORITY_HIGH;
@@ -190,14 +210,20 @@
   return addressed == visit->inbound->daemon->incarnation;
 }
 
+static enum cp_register_result
+try_step (struct visit *visit, enum cp_attempt_event event,
+          enum cp_attempt_state *state)
+{
+  return cp_register_step (&visit->inbound->attempts, &visit->attempt, event,
+                           visit->start_by_us, state);
+}
+
 static bool
 step (struct visit *visit, enum cp_attempt_event event)
 {
   enum cp_attempt_state state;
 
-  return cp_register_step (&visit->inbound->attempts, &visit->attempt, event,
-                           visit->keep_until_us, &state)
-         == CP_REGISTER_DONE;
+  return try_step (visit, event, &state) == CP_REGISTER_DONE;
 }
 
 /* Counts a start that breaks a promise: after the deadline, or longer after
@@ -221,8 +247,14 @@
 before_send (void *context)
 {
   struct visit *visit = context;
-  uint64_t now = cp_clock_now_us (visit->inbound->daemon->clock);
+  uint64_t now;
 
+  if (!configuration_usable (&visit->inbound->daemon->configuration))
+    {
+      visit->refused_as = COUNT_REFUSED_UNVERIFIED;
+      return false;
+    }
+  now = cp_clock_now_us (visit->inbound->daemon->clock);
   if (now >= visit->deadline_us)
     {
       visit->refused_as = COUNT_REFUSED_DEADLINE;
@@ -330,45 +362,82 @@
   struct daemon *daemon = visit->inbound->daemon;
   CP_AUTO_FREE char *path = full_path (visit->request);
   struct curl_slist *headers = target_headers (visit);
-  struct upstream_call call = { .address = &visit->target.address,
-                                .method = visit->request->info->request_method,
-                                .path = path,
-                                .headers = headers,
-                                .has_body = visit->request->body_size != 0,
-                                .body_size = visit->request->body_size,
-                                .deadline_us = visit->deadline_us,
-                                .caller_fd = visit->request->caller_fd,
-                                .context = visit,
-                                .before_send = before_send,
-                                .read_body = read_body,
-                                .on_head = on_head,
-                                .on_body = on_body };
+  struct upstream_call call
+      = { .address = &visit->target.address,
+          .method = visit->request->info->request_method,
+          .path = path,
+          .headers = headers,
+          .has_body = visit->request->body_size != 0,
+          .body_size = visit->request->body_size,
+          .deadline_us = visit->deadline_us,
+          .idle_max_us = visit->idempotent ? 0 : IDLE_ONCE_US,
+          .caller_fd = visit->request->caller_fd,
+          .context = visit,
+          .before_send = before_send,
+          .read_body = read_body,
+          .on_head = on_head,
+          .on_body = on_body };
   enum upstream_result result;
+  uint64_t latency_us = 0;
 
   visit->answer.request = visit->request;
   visit->refused_as = COUNT_REFUSED_FULL;
   result = upstream_perform (&daemon->upstreams, &call);
   curl_slist_free_all (headers);
-  cp_admission_leave (&visit->inbound->admission, visit->from,
-                      cp_clock_now_us (daemon->clock) - visit->sent_us,
-                      result != UPSTREAM_COMPLETE);
+  if (visit->sent_us != 0)
+    latency_us = cp_clock_now_us (daemon->clock) - visit->sent_us;
+  cp_admission_leave (&visit->inbound->admission, visit->from, latency_us,
+                      result != UPSTREAM_COMPLETE
+                          || visit->answer.status >= 500);
   finish_visit (visit, result);
 }
 
-static void
-admit (struct visit *visit)
+/* Enters the attempt.  Returns false when it was refused.  */
+static bool
+enter (struct visit *visit)
 {
   struct daemon *daemon = visit->inbound->daemon;
-  enum cp_admission_result result;
+  enum cp_attempt_state state;
+  bool given_up;
 
-  if (!step (visit, CP_ATTEMPT_ARRIVE))
+  switch (try_step (visit, CP_ATTEMPT_ARRIVE, &state))
     {
+    case CP_REGISTER_DONE:
+      return true;
+    case CP_REGISTER_FULL:
+      daemon_count (daemon, COUNT_REFUSED_FULL);
+      refuse (visit, 503, "not-run", "the register of attempts is full\n");
+      return false;
+    case CP_REGISTER_LATE:
+      daemon_count (daemon, COUNT_REFUSED_DEADLINE);
+      refuse (visit, 504, "unknown", "the time to start is over\n");
+      return false;
+    default:
       daemon_count (daemon, COUNT_REFUSED_DUPLICATE);
-      refuse (visit, 409, "unknown", "the attempt was seen before\n");
-      return;
+      given_up = state == CP_ATTEMPT_FENCED || state == CP_ATTEMPT_CANCELLED;
+      refuse (visit, 409, given_up ? "not-run" : "unknown",
+              "the attempt was seen before or fenced\n");
+      return false;
     }
+}
+
+static bool
+caller_gone (void *context)
+{
+  const struct visit *visit = context;
+
+  return request_caller_gone (visit->request);
+}
+
+static void
+admit (struct visit *visit)
+{
+  struct daemon *daemon = visit->inbound->daemon;
+  const struct cp_presence presence = { caller_gone, visit };
+  enum cp_admission_result result;
+
   result = cp_admission_enter (&visit->inbound->admission, visit->priority,
-                               visit->from, visit->deadline_us);
+                               visit->from, visit->deadline_us, &presence);
   if (result == CP_ADMITTED)
     {
       visit_record (visit, CP_DECISION_ADMIT, visit->from, 0,
@@ -407,6 +476,12 @@
 {
   struct daemon *daemon = visit->inbound->daemon;
 
+  if (!configuration_usable (&daemon->configuration))
+    {
+      daemon_count (daemon, COUNT_REFUSED_UNVERIFIED);
+      refuse (visit, 503, "not-run", "this daemon has no verified view\n");
+      return;
+    }
   if (!members_known (&daemon->members, visit->request->info->remote_addr))
     {
       daemon_count (daemon, COUNT_REFUSED_PEERS);
@@ -419,20 +494,32 @@
       refuse (visit, 400, "not-run", "a header of the attempt is missing\n");
       return;
     }
-  if (daemon_life (daemon) != CP_LIFE_SERVING)
+  if (!right_incarnation (visit))
     {
+      daemon_count (daemon, COUNT_REFUSED_INCARNATION);
+      refuse (visit, 503, "not-run", "another incarnation is meant\n");
+      return;
+    }
+  if (!enter (visit))
+    return;
+  if (daemon_life (daemon) != CP_LIFE_SERVING
+      || members_leaving (&daemon->members))
+    {
+      step (visit, CP_ATTEMPT_REFUSE);
       daemon_count (daemon, COUNT_REFUSED_LEAVING);
       refuse (visit, 503, "not-run", "this daemon is not serving\n");
       return;
     }
-  if (!right_incarnation (visit))
+  if (measure_leaving (&daemon->measure, visit->deadline_us))
     {
-      daemon_count (daemon, COUNT_REFUSED_INCARNATION);
-      refuse (visit, 503, "not-run", "another incarnation is meant\n");
+      step (visit, CP_ATTEMPT_REFUSE);
+      daemon_count (daemon, COUNT_REFUSED_LEAVING);
+      refuse (visit, 503, "not-run", "the target is leaving\n");
       return;
     }
   if (!find_own_target (visit))
     {
+      step (visit, CP_ATTEMPT_REFUSE);
       refuse (visit, 503, "not-run", "no target is beside this daemon\n");
       return;
     }
--- a/regress/harness/harness.h
+++ b/regress/harness/harness.h
@@ -29,6 +29,7 @@
   unsigned n_vms;
   unsigned n_domains;
   uint64_t version;
+  unsigned relayed_vm; /* its peers port is 7500, behind a relay; 0: none */
   struct process platform;
   struct process targets[FLEET_VMS_MAX + 1]; /* from 1 */
   struct process daemons[FLEET_VMS_MAX + 1]; /* from 1 */
@@ -44,6 +45,10 @@
   GString *body;
 };
 
+/* Threads of each daemon that is started from now on.  */
+extern int fleet_call_threads;
+extern int fleet_peer_threads;
+
 /* Starts the platform, N_VMS targets and daemons, spread over N_DOMAINS
    failure domains, all in the service "shop", and waits until all serve.  */
 void fleet_start (struct fleet *fleet, unsigned n_vms, unsigned n_domains,
