--- a/cornelpick/state.c
+++ b/cornelpick/state.c
@@ -30,8 +30,9 @@
   printf ("vm             %s (%s), cornelpickd %s\n",
           text_or_dash (state, "vm"), text_or_dash (state, "failure_domain"),
           text_or_dash (state, "version"));
-  printf ("life           %s, up %.1f s\n", text_or_dash (state, "life"),
-          seconds (state, "uptime_us"));
+  printf ("life           %s, up %.1f s, %lld pauses noticed\n",
+          text_or_dash (state, "life"), seconds (state, "uptime_us"),
+          (long long)json_number (state, "pauses"));
   printf ("incarnation    %s\n", text_or_dash (state, "incarnation"));
   printf ("addresses      calls %s, peers %s, admin %s\n",
           text_or_dash (addresses, "calls"), text_or_dash (addresses, "peers"),
@@ -51,10 +52,15 @@
   if (json_number (configuration, "version") == 0)
     printf ("configuration  none accepted yet\n");
   else
-    printf ("configuration  version %lld, hash %s, in force for %.1f s\n",
+    printf ("configuration  version %lld, hash %s, in force for %.1f s, "
+            "%s%s\n",
             (long long)json_number (configuration, "version"),
             text_or_dash (configuration, "hash"),
-            seconds (configuration, "age_us"));
+            seconds (configuration, "age_us"),
+            text_or_dash (configuration, "state"),
+            json_is_true (json_object_get (configuration, "watching"))
+                ? ", watching the service"
+                : "");
   if (*refused != '\0')
     printf ("  refused      %s\n", refused);
 }
@@ -84,19 +90,21 @@
 print_members (json_t *state)
 {
   json_t *members = json_object_get (state, "members");
-  json_t *list
-      = json_is_array (members) ? members : json_object_get (members, "vms");
+  size_t listed = 0;
   size_t leaving = 0;
+  size_t alive = 0;
   size_t i;
   json_t *vm;
 
-  json_array_foreach (list, i, vm)
+  json_array_foreach (members, i, vm)
   {
-    if (json_is_true (json_object_get (vm, "leaving")))
-      leaving++;
+    listed += json_is_true (json_object_get (vm, "listed"));
+    leaving += json_is_true (json_object_get (vm, "leaving"));
+    alive += json_is_true (json_object_get (vm, "alive"));
   }
-  printf ("members        %zu VMs in the list, %zu leaving\n",
-          json_array_size (list), leaving);
+  printf ("members        %zu VMs known, %zu in the list, %zu leaving, "
+          "%zu alive\n",
+          json_array_size (members), listed, leaving, alive);
 }
 
 static void
--- a/cornelpick/top.c
+++ b/cornelpick/top.c
@@ -145,10 +145,9 @@
   if (row->p50_us == NO_VALUE)
     row->p50_us = number_or_none (target, "own_latency_us");
   if (json_is_number (json_object_get (target, "error_share")))
-    row->errors_permille
-        = (json_int_t)(1000
-                       * json_number_value (
-                           json_object_get (target, "error_share")));
+    row->errors_permille = (json_int_t)(1000
+                                        * json_number_value (json_object_get (
+                                            target, "error_share")));
 }
 
 static void
--- a/cornelpickd/daemon.c
+++ b/cornelpickd/daemon.c
@@ -238,6 +238,9 @@
           (json_int_t)(cp_clock_now_us (daemon->clock) - daemon->started_us)));
   json_object_set_new (dump, "addresses", addresses_dump (&daemon->settings));
   json_object_set_new (dump, "decisions", decisions_dump (daemon));
+  json_object_set_new (dump, "pauses",
+                       json_integer ((json_int_t)cp_counters_read (
+                           &daemon->counters, COUNT_PAUSES)));
   json_object_set_new (dump, "configuration",
                        configuration_dump (&daemon->configuration));
   json_object_set_new (dump, "members", members_dump (&daemon->members));
--- a/cornelpickd/metrics_gauges.c
+++ b/cornelpickd/metrics_gauges.c
@@ -152,6 +152,27 @@
       busy, idle);
 }
 
+static void
+append_measuring (GString *text, struct daemon *daemon)
+{
+  CP_AUTO_JSON json_t *dump = measure_dump (&daemon->measure);
+  json_t *budget = json_object_get (dump, "budget");
+  json_int_t overdrafts
+      = json_integer_value (json_object_get (budget, "overdrafts"));
+  json_int_t spent_us
+      = json_integer_value (json_object_get (budget, "work_us_spent"));
+
+  append_family (text, "budget_overdrafts_total", "counter",
+                 "Times that measuring cost more than its budget.");
+  g_string_append_printf (
+      text, "cornelpick_budget_overdrafts_total %" JSON_INTEGER_FORMAT "\n",
+      overdrafts);
+  append_family (text, "measuring_work_seconds_total", "counter",
+                 "Work that measuring has cost the target.");
+  g_string_append_printf (text, "cornelpick_measuring_work_seconds_total %f\n",
+                          (double)spent_us / CP_US_PER_S);
+}
+
 static double
 timeval_s (const struct timeval *time)
 {
@@ -184,5 +205,6 @@
   append_configuration (text, daemon);
   append_sides (text, daemon);
   append_connections (text, daemon);
+  append_measuring (text, daemon);
   append_process (text);
 }
--- a/regress/path/check_operators.c
+++ b/regress/path/check_operators.c
@@ -458,7 +458,7 @@
 {
   static const char *const promises[]
       = { "late_starts_total", "leaving_starts_total",
-          "configuration_older_total" };
+          "configuration_older_total", "budget_overdrafts_total" };
   struct fleet fleet;
   struct reply reply;
   char admin[56];
