--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,8 @@
 # make run      first look: one call through two daemons
 # make check    run the tests
 # make bench    print figures
+# make figures  add the figures of this commit to bench/*.jsonl
+# make report   plots and a page of the figures kept, in build/report
 # make fuzz     fuzz documents and messages
 # SANITIZE=address,undefined or SANITIZE=thread selects a checked build.
 TOP := .
@@ -41,6 +43,19 @@
 fuzz: packages
 	$(MAKE) -C regress/fuzz run
 
+# Adds the figures of this commit to those that are kept.
+figures: packages
+	$(MAKE) all
+	$(MAKE) -C bench all
+	BUILD=$(abspath $(BUILD)) TOP=$(abspath $(TOP)) $(BUILD)/bench/bench_path --json \
+	    | scripts/keep-figures bench/results.jsonl
+	BUILD=$(abspath $(BUILD)) TOP=$(abspath $(TOP)) $(BUILD)/bench/bench_slopes \
+	    | scripts/keep-figures bench/slopes.jsonl
+	scripts/check-capacity --write
+
+report:
+	scripts/report --out $(BUILD)/report
+
 format:
 	clang-format -i $(SOURCES)
 
@@ -75,5 +90,5 @@
 	rm -rf build build-*
 
 
-.PHONY: all $(DIRS) packages run check bench fuzz format format-check lint \
+.PHONY: all $(DIRS) packages run check bench figures report fuzz format format-check lint \
 	lint-tidy lint-cppcheck lint-pages install clean
--- a/regress/path/check_pages.c
+++ b/regress/path/check_pages.c
@@ -96,6 +96,36 @@
 }
 END_TEST
 
+START_TEST (the_report_has_a_page_and_plots)
+{
+  CP_AUTO_FREE char *out = NULL;
+  int status = run_script (
+      "folder=$(mktemp -d) && scripts/report --out $folder 2>/dev/null"
+      " && grep '^!' $folder/README.md | sed 's/.*(//; s/)//'"
+      " | while read -r plot; do grep -q '</svg>' $folder/$plot"
+      " && echo plot; done; status=$?; rm -r $folder; exit $status",
+      &out);
+
+  ck_assert_int_eq (status, 0);
+  ck_assert_ptr_nonnull (strstr (out, "README.md\nplot\nplot\n"));
+}
+END_TEST
+
+START_TEST (a_line_that_is_no_figure_is_named)
+{
+  CP_AUTO_FREE char *out = NULL;
+  int status
+      = run_script ("file=$(mktemp) && echo '{\"name\": \"a\"}' >$file"
+                    " && scripts/report --results $file --out /nowhere 2>&1;"
+                    " status=$?; rm $file; exit $status",
+                    &out);
+
+  ck_assert_int_eq (status, 1);
+  ck_assert_msg (strstr (out, ":1: no figure with name, value") != NULL, "%s",
+                 out);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
@@ -103,6 +133,8 @@
   tcase_add_test (tests, the_index_names_every_design_note);
   tcase_add_test (tests, the_capacity_page_follows_from_the_slopes);
   tcase_add_test (tests, a_capacity_page_with_a_fault_is_found);
+  tcase_add_test (tests, the_report_has_a_page_and_plots);
+  tcase_add_test (tests, a_line_that_is_no_figure_is_named);
 }
 
 int
