Mend what the linters find in the operator's parts

Cause: make lint named unbounded copies in top.c, a service that may be unset in inbound.c and two places in the tests. Change: bounded copies, an initial value, a null check, a literal of its own.

--- a/cornelpick/top.c
+++ b/cornelpick/top.c
@@ -211,7 +211,7 @@
 set_number (char *cell, json_int_t value)
 {
   if (value == NO_VALUE)
-    strcpy (cell, "-");
+    g_strlcpy (cell, "-", CELL_BYTES);
   else
     snprintf (cell, CELL_BYTES, "%" JSON_INTEGER_FORMAT, value);
 }
@@ -220,7 +220,7 @@
 set_scaled (char *cell, json_int_t value, double unit)
 {
   if (value == NO_VALUE)
-    strcpy (cell, "-");
+    g_strlcpy (cell, "-", CELL_BYTES);
   else
     snprintf (cell, CELL_BYTES, "%.1f", (double)value / unit);
 }
@@ -229,9 +229,9 @@
 set_seen (char *cell, const struct row *row)
 {
   if (row->own)
-    strcpy (cell, "own");
+    g_strlcpy (cell, "own", CELL_BYTES);
   else if (row->report_age_us == NO_VALUE)
-    strcpy (cell, "-");
+    g_strlcpy (cell, "-", CELL_BYTES);
   else
     snprintf (cell, CELL_BYTES, "%.0fms", (double)row->report_age_us / 1e3);
 }
@@ -239,9 +239,9 @@
 static void
 fill_cells (const struct row *row, char cells[COLUMN_COUNT][CELL_BYTES])
 {
-  strcpy (cells[COLUMN_TARGET], row->target);
-  strcpy (cells[COLUMN_SERVICE], row->service);
-  strcpy (cells[COLUMN_HEALTH], row->health);
+  g_strlcpy (cells[COLUMN_TARGET], row->target, CELL_BYTES);
+  g_strlcpy (cells[COLUMN_SERVICE], row->service, CELL_BYTES);
+  g_strlcpy (cells[COLUMN_HEALTH], row->health, CELL_BYTES);
   set_number (cells[COLUMN_IN_FLIGHT], row->in_flight);
   set_number (cells[COLUMN_QUEUED], row->queued);
   set_number (cells[COLUMN_LIMIT], row->limit);
@@ -249,7 +249,7 @@
   set_scaled (cells[COLUMN_P99], row->p99_us, 1e3);
   set_scaled (cells[COLUMN_ERRORS], row->errors_permille, 10);
   if (row->measuring_share < 0)
-    strcpy (cells[COLUMN_MEASURING], "-");
+    g_strlcpy (cells[COLUMN_MEASURING], "-", CELL_BYTES);
   else
     snprintf (cells[COLUMN_MEASURING], CELL_BYTES, "%.0f",
               100 * row->measuring_share);
--- a/cornelpickd/inbound.c
+++ b/cornelpickd/inbound.c
@@ -457,7 +457,7 @@
 {
   struct daemon *daemon = visit->inbound->daemon;
   struct cp_document *document = configuration_get (&daemon->configuration);
-  const struct cp_service *service;
+  const struct cp_service *service = NULL;
   const struct cp_target *target = NULL;
 
   if (document != NULL)
--- a/regress/harness/exposition.c
+++ b/regress/harness/exposition.c
@@ -180,7 +180,7 @@
   char *end;
   double value;
 
-  if (family->type == NULL || length < own
+  if (family->name == NULL || family->type == NULL || length < own
       || strncmp (line, family->name, own) != 0)
     return fail (reader, line, "sample outside its family");
   if (!read_labels (&at, &bound) || *at++ != ' ')
--- a/regress/path/check_operators.c
+++ b/regress/path/check_operators.c
@@ -481,6 +481,11 @@
 }
 END_TEST
 
+/* A histogram whose buckets fall.  */
+static const char falling_buckets[]
+    = "# HELP a A.\n# TYPE a histogram\na_bucket{le=\"1\"} 2\n"
+      "a_bucket{le=\"+Inf\"} 1\na_sum 1\na_count 1\n";
+
 START_TEST (the_strict_parser_finds_faults)
 {
   static const char *const faulty[] = {
@@ -493,8 +498,7 @@
     "# HELP a A.\n# TYPE a gauge\na{b=\"c\"} x\n",
     "# HELP a A.\n# TYPE a gauge\na 1\na 2\n",
     "# HELP a A.\n# TYPE a gauge\na 1\n# HELP a A.\n# TYPE a gauge\na 1\n",
-    "# HELP a A.\n# TYPE a histogram\na_bucket{le=\"1\"} 2\n"
-    "a_bucket{le=\"+Inf\"} 1\na_sum 1\na_count 1\n",
+    falling_buckets,
   };
 
   for (unsigned i = 0; i < G_N_ELEMENTS (faulty); i++)
