Retry within budgets and hedge at the learnt quantile

Cause: the attempt loop counted attempts only, and a slow target held its callers until it answered. Change: the call loop asks lib/retry and lib/hedge, kept per service; a hedge is a second transfer in the same wait (http/hedged.c), the first answer that is no error is passed on, the other connection is closed at once and its attempt fenced. Retries avoid the failure domains tried. Retry-After follows the load. An inbound side refuses for lack of room with 429, which callers never see.

--- a/cornelpickd/attempt.c
+++ b/cornelpickd/attempt.c
@@ -57,13 +57,13 @@
   struct call *call = attempt->call;
   ssize_t count;
 
-  if (call->body_at < call->body->len)
+  if (attempt->body_at < call->body->len)
     {
-      size_t left = call->body->len - call->body_at;
+      size_t left = call->body->len - attempt->body_at;
 
       size = size < left ? size : left;
-      memcpy (buffer, call->body->data + call->body_at, size);
-      call->body_at += size;
+      memcpy (buffer, call->body->data + attempt->body_at, size);
+      attempt->body_at += size;
       return (ssize_t)size;
     }
   count = request_read (call->request, buffer, size);
@@ -75,7 +75,7 @@
       return count;
     }
   g_byte_array_append (call->body, (const guint8 *)buffer, (guint)count);
-  call->body_at = call->body->len;
+  attempt->body_at = call->body->len;
   return count;
 }
 
@@ -136,11 +136,19 @@
 
   take_report (attempt, head);
   take_clock (attempt, head);
+  attempt->head_us = cp_clock_now_us (daemon->clock);
+  attempt->status = head->status;
   head_value (head, HEADER_FROM, attempt->from, sizeof attempt->from);
   attempt->outcome = stated_outcome (attempt, head);
   attempt->swallow = attempt->outcome != ATTEMPT_RAN;
+  /* Of two attempts one is passed on; an error only when it is the last.  */
+  if (attempt->outcome == ATTEMPT_RAN && call->racing && head->status >= 500)
+    attempt->swallow = true;
   if (attempt->swallow)
     return true;
+  if (call->answer.head_sent)
+    return false;
+  attempt->chosen = true;
   cp_id_text (&call->id, id);
   snprintf (own, sizeof own,
             HEADER_REQUEST ": %s\r\n" HEADER_OUTCOME ": ran\r\n" HEADER_PATH
@@ -249,35 +257,38 @@
   return attempt->started_us + attempt->silent_us;
 }
 
-static enum upstream_result
-send_attempt (struct attempt *attempt)
+static void
+compose (struct attempt *attempt, struct attempt_sending *sending)
 {
   struct call *call = attempt->call;
-  CP_AUTO_FREE char *path = full_path (call->request);
-  struct curl_slist *headers = peer_headers (attempt);
-  struct upstream_call upstream
-      = { .address = attempt->target.has_daemon ? &attempt->target.daemon
-                                                : &attempt->target.address,
-          .method = call->request->info->request_method,
-          .path = path,
-          .headers = headers,
-          .has_body = call->request->body_size != 0,
-          .body_size = call->request->body_size,
-          .deadline_us = attempt->deadline_us,
-          .first_byte_us = first_byte_limit (attempt),
-          .idle_max_us = call->idempotent ? 0 : IDLE_ONCE_US,
-          .on_silent = on_silent,
-          .caller_fd = call->request->caller_fd,
-          .context = attempt,
-          .read_body = read_body,
-          .on_head = on_head,
-          .on_body = on_body };
-  enum upstream_result result;
-
-  call->body_at = 0;
-  result = upstream_perform (&call->outbound->daemon->upstreams, &upstream);
-  curl_slist_free_all (headers);
-  return result;
+
+  sending->path = full_path (call->request);
+  sending->headers = peer_headers (attempt);
+  sending->upstream = (struct upstream_call){
+    .address = attempt->target.has_daemon ? &attempt->target.daemon
+                                          : &attempt->target.address,
+    .method = call->request->info->request_method,
+    .path = sending->path,
+    .headers = sending->headers,
+    .has_body = call->request->body_size != 0,
+    .body_size = call->request->body_size,
+    .deadline_us = attempt->deadline_us,
+    .first_byte_us = first_byte_limit (attempt),
+    .idle_max_us = call->idempotent ? 0 : IDLE_ONCE_US,
+    .on_silent = on_silent,
+    .caller_fd = call->request->caller_fd,
+    .context = attempt,
+    .read_body = read_body,
+    .on_head = on_head,
+    .on_body = on_body
+  };
+}
+
+void
+attempt_release (struct attempt_sending *sending)
+{
+  free (sending->path);
+  curl_slist_free_all (sending->headers);
 }
 
 /* Asks for proof that the attempt did not run and never will.  */
@@ -307,7 +318,11 @@
     return CP_CALL_NO_CONTACT;
   if (attempt->outcome == ATTEMPT_NOT_RUN)
     return CP_CALL_REFUSED;
-  if (result != UPSTREAM_COMPLETE || attempt->call->answer.status >= 500)
+  /* One that was cancelled since the other answered first was only slow.  */
+  if (result == UPSTREAM_ABORTED && !attempt->chosen
+      && attempt->call->answer.head_sent)
+    return CP_CALL_ANSWERED;
+  if (result != UPSTREAM_COMPLETE || attempt->status >= 500)
     return CP_CALL_FAILED;
   return CP_CALL_ANSWERED;
 }
@@ -337,19 +352,26 @@
   attempt->start_by_us = bound_us + left_us - kept_us;
 }
 
-enum upstream_result
-attempt_make (struct attempt *attempt)
+void
+attempt_begin (struct attempt *attempt, struct attempt_sending *sending)
 {
-  struct call *call = attempt->call;
-  struct daemon *daemon = call->outbound->daemon;
-  enum upstream_result result;
+  struct daemon *daemon = attempt->call->outbound->daemon;
 
   attempt->started_us = cp_clock_now_us (daemon->clock);
   attempt->outcome = ATTEMPT_UNKNOWN;
   set_deadline (attempt, attempt->started_us);
   daemon_count (daemon, COUNT_FORWARDED);
   attempt_record (attempt, CP_DECISION_SEND, "sent", 0);
-  result = send_attempt (attempt);
+  compose (attempt, sending);
+}
+
+void
+attempt_end (struct attempt *attempt, enum upstream_result result)
+{
+  struct call *call = attempt->call;
+  struct daemon *daemon = call->outbound->daemon;
+  uint64_t took_us = cp_clock_now_us (daemon->clock) - attempt->started_us;
+
   if (result == UPSTREAM_NOT_SENT)
     attempt->outcome = ATTEMPT_NOT_RUN;
   else if (attempt->outcome == ATTEMPT_UNKNOWN)
@@ -358,11 +380,9 @@
   if (result == UPSTREAM_SILENT)
     daemon_count (daemon, COUNT_SILENT_CONNECTIONS);
   attempt_record (attempt, CP_DECISION_ATTEMPT_END,
-                  outcome_names[attempt->outcome], call->answer.status);
+                  outcome_names[attempt->outcome], attempt->status);
   cp_balancer_done (call->balancer, attempt->target.name,
-                    call_result (attempt, result),
-                    cp_clock_now_us (daemon->clock) - attempt->started_us);
-  return result;
+                    call_result (attempt, result), took_us);
 }
 
 bool
--- a/cornelpickd/call.c
+++ b/cornelpickd/call.c
@@ -4,11 +4,25 @@
 #include "cornelpickd/cornelpickd.h"
 
 static void
-add_tried (struct call *call, const char *name)
+add_tried (struct cp_tried *tried, const struct cp_target *target)
 {
-  if (call->tried.count < CP_TRIED_MAX)
-    snprintf (call->tried.names[call->tried.count++], CP_NAME_BYTES, "%s",
-              name);
+  if (tried->count == CP_TRIED_MAX)
+    return;
+  g_strlcpy (tried->names[tried->count], target->name, CP_NAME_BYTES);
+  g_strlcpy (tried->domains[tried->count], target->failure_domain,
+             CP_NAME_BYTES);
+  tried->count++;
+}
+
+bool
+call_pick (struct call *call, struct attempt *attempt)
+{
+  if (!cp_balancer_pick (call->balancer, &call->tried, cp_random_thread (),
+                         &attempt->target, &attempt->incarnation))
+    return false;
+  add_tried (&call->tried, &attempt->target);
+  cp_id_create (&attempt->id, cp_random_thread ());
+  return true;
 }
 
 /* Records how the call ended.  */
@@ -38,6 +52,8 @@
       = call->late || cp_clock_now_us (daemon->clock) >= call->deadline_us;
   char id[CP_ID_TEXT_BYTES];
   char headers[256];
+  unsigned after_s
+      = cp_retry_after_s (&call->policy->retry, cp_random_thread ());
 
   cp_id_text (&call->id, id);
   if (outcome == ATTEMPT_NOT_RUN)
@@ -46,8 +62,8 @@
       record_outcome (call, "not-run", late ? 504 : 503);
       snprintf (headers, sizeof headers,
                 HEADER_REQUEST ": %s\r\n" HEADER_OUTCOME
-                               ": not-run\r\nRetry-After: 1\r\n",
-                id);
+                               ": not-run\r\nRetry-After: %u\r\n",
+                id, after_s);
       request_answer (call->request, late ? 504 : 503, headers, "text/plain",
                       "The request was not run; it can be sent again.\n");
       return;
@@ -60,20 +76,111 @@
                   "It is not known whether the request was run.\n");
 }
 
-/* Returns whether another attempt may follow.  */
+/* The attempts of one round: one, or two when it was hedged.  */
+struct round
+{
+  struct attempt attempts[UPSTREAM_HEDGED];
+  enum upstream_result results[UPSTREAM_HEDGED];
+  unsigned count;
+  unsigned chosen; /* whose answer is passed on, if any is */
+};
+
+/* Ends one attempt and tells the service's policy.  */
+static void
+end_attempt (struct call *call, struct round *round, unsigned index)
+{
+  struct attempt *attempt = &round->attempts[index];
+  struct cp_retry *retry = &call->policy->retry;
+  uint64_t now = cp_clock_now_us (call->outbound->daemon->clock);
+
+  attempt_end (attempt, round->results[index]);
+  if (attempt->status == STATUS_NO_ROOM && attempt->outcome == ATTEMPT_NOT_RUN)
+    cp_retry_ended (retry, CP_RETRY_NO_ROOM);
+  else
+    cp_retry_ended (retry,
+                    attempt->chosen ? CP_RETRY_ANSWERED : CP_RETRY_OTHER);
+  if (attempt->chosen)
+    cp_hedge_learn (&call->policy->hedge, now,
+                    attempt->head_us - attempt->started_us);
+  else if (round->results[index] == UPSTREAM_ABORTED)
+    cp_hedge_learn (&call->policy->hedge, now, now - attempt->started_us);
+}
+
+/* Ends the answer that was passed on, and then the attempt that lost.  */
+static void
+end_answer (struct call *call, struct round *round)
+{
+  struct daemon *daemon = call->outbound->daemon;
+  bool whole = round->results[round->chosen] == UPSTREAM_COMPLETE;
+
+  end_attempt (call, round, round->chosen);
+  answer_end (&call->answer, whole);
+  daemon_count (daemon, whole ? COUNT_RAN : COUNT_CUT_ANSWERS);
+  record_outcome (call, whole ? "ran" : "cut short", call->answer.status);
+  for (unsigned i = 0; i < round->count; i++)
+    if (i != round->chosen)
+      end_attempt (call, round, i);
+}
+
+/* Makes the attempts of a round.  Returns false when there is no target.  */
 static bool
-may_try_again (const struct call *call, const struct attempt *attempt,
-               enum upstream_result result, unsigned attempts)
+make_round (struct call *call, struct round *round)
 {
-  const struct daemon *daemon = call->outbound->daemon;
+  struct daemon *daemon = call->outbound->daemon;
+  struct attempt *first = &round->attempts[0];
 
-  if (call->answer.head_sent || result == UPSTREAM_CALLER_GONE)
-    return false;
-  if (attempt->outcome == ATTEMPT_UNKNOWN && !call->idempotent)
+  for (unsigned i = 0; i < UPSTREAM_HEDGED; i++)
+    round->attempts[i].call = call;
+  if (!configuration_usable (&daemon->configuration)
+      || !call_pick (call, first))
     return false;
-  if (call->body_lost || cp_clock_now_us (daemon->clock) >= call->deadline_us)
+  first->outcome = ATTEMPT_NOT_RUN;
+  if (!attempt_learn_incarnation (first))
+    {
+      cp_balancer_done (call->balancer, first->target.name, CP_CALL_NO_CONTACT,
+                        0);
+      return true;
+    }
+  round->count = hedge_attempts (first, &round->attempts[1], round->results);
+  round->chosen = round->attempts[1].chosen ? 1 : 0;
+  return true;
+}
+
+/* Ends the attempts of a round that brought no answer.  Returns whether there
+   is proof that none of them was run.  */
+static bool
+end_round (struct call *call, struct round *round)
+{
+  bool not_run = true;
+
+  for (unsigned i = 0; i < round->count; i++)
+    {
+      end_attempt (call, round, i);
+      if (round->attempts[i].outcome != ATTEMPT_NOT_RUN)
+        not_run = false;
+    }
+  return not_run;
+}
+
+/* Returns whether another attempt may follow.  */
+static bool
+may_try_again (struct call *call, const struct round *round, bool not_run,
+               unsigned rounds)
+{
+  uint64_t now = cp_clock_now_us (call->outbound->daemon->clock);
+  struct cp_retry_case what
+      = { .has_right = call->may_retry,
+          .idempotent = call->idempotent,
+          .not_run = not_run,
+          .body_kept = !call->body_lost,
+          .attempts = rounds,
+          .needs_us = cp_hedge_median_us (&call->policy->hedge) };
+
+  if (round->count > 0 && round->results[0] == UPSTREAM_CALLER_GONE)
     return false;
-  return call->may_retry && attempts <= call->route->service->retry_most;
+  if (call->deadline_us > now)
+    what.left_us = call->deadline_us - now;
+  return cp_retry_judge (&call->policy->retry, &what) == CP_RETRY_ALLOWED;
 }
 
 void
@@ -82,38 +189,25 @@
   struct daemon *daemon = call->outbound->daemon;
   enum attempt_outcome outcome = ATTEMPT_NOT_RUN;
 
-  for (unsigned attempts = 1;; attempts++)
+  call->policy = policies_get (&daemon->policies, call->route->service->name);
+  cp_retry_call (&call->policy->retry);
+  call->hedge_after_us = cp_hedge_call (&call->policy->hedge);
+  for (unsigned rounds = 1;; rounds++)
     {
-      struct attempt attempt = { .call = call };
-      enum upstream_result result = UPSTREAM_NOT_SENT;
+      struct round round = { .count = 0 };
+      bool not_run;
 
-      if (!configuration_usable (&daemon->configuration)
-          || !cp_balancer_pick (call->balancer, &call->tried,
-                                cp_random_thread (), &attempt.target,
-                                &attempt.incarnation))
+      if (!make_round (call, &round))
         break;
-      cp_id_create (&attempt.id, cp_random_thread ());
-      attempt.outcome = ATTEMPT_NOT_RUN;
-      if (attempt_learn_incarnation (&attempt))
-        result = attempt_make (&attempt);
-      else
-        cp_balancer_done (call->balancer, attempt.target.name,
-                          CP_CALL_NO_CONTACT, 0);
-      add_tried (call, attempt.target.name);
       if (call->answer.head_sent)
         {
-          answer_end (&call->answer, result == UPSTREAM_COMPLETE);
-          daemon_count (daemon, result == UPSTREAM_COMPLETE
-                                    ? COUNT_RAN
-                                    : COUNT_CUT_ANSWERS);
-          record_outcome (call,
-                          result == UPSTREAM_COMPLETE ? "ran" : "cut short",
-                          call->answer.status);
+          end_answer (call, &round);
           return;
         }
-      if (attempt.outcome == ATTEMPT_UNKNOWN)
+      not_run = end_round (call, &round);
+      if (!not_run)
         outcome = ATTEMPT_UNKNOWN;
-      if (!may_try_again (call, &attempt, result, attempts))
+      if (!may_try_again (call, &round, not_run, rounds))
         break;
       daemon_count (daemon, COUNT_RETRIES);
     }
--- a/cornelpickd/configuration.c
+++ b/cornelpickd/configuration.c
@@ -55,6 +55,7 @@
   struct daemon *daemon = configuration->daemon;
   struct cp_document *old = configuration->current;
 
+  policies_update (&daemon->policies, document);
   outbound_update (&daemon->outbound, document);
   inbound_update (&daemon->inbound, document);
   members_take_document (&daemon->members, document);
--- a/cornelpickd/cornelpickd.h
+++ b/cornelpickd/cornelpickd.h
@@ -12,6 +12,7 @@
 
 #include "cornelpickd/fleet.h"
 #include "cornelpickd/measure.h"
+#include "cornelpickd/policies.h"
 #include "http/http.h"
 #include "lib/admission.h"
 #include "lib/balancer.h"
@@ -48,6 +49,10 @@
 #define HEADER_FROM "Cornelpick-From"
 #define HEADER_PATH "Cornelpick-Path"
 
+/* The status by which an inbound side refuses for lack of room; callers never
+   see it.  */
+#define STATUS_NO_ROOM 429
+
 struct daemon;
 
 /* Counters of a daemon; metrics.c names and describes them.  */
@@ -179,15 +184,17 @@
   struct request *request;
   const struct cp_route *route;
   struct cp_balancer *balancer;
+  struct policy *policy;
   struct cp_id id;
   uint64_t deadline_us;
   bool idempotent;
   bool may_retry;
+  uint64_t hedge_after_us; /* 0: not hedged */
   struct cp_tried tried;
   GByteArray *body; /* what was read of the body, for another attempt */
-  size_t body_at;
-  bool body_lost; /* more was read than is kept */
-  bool late;      /* an attempt ran into its deadline */
+  bool body_lost;   /* more was read than is kept */
+  bool racing;      /* two attempts are under way */
+  bool late;        /* an attempt ran into its deadline */
   struct answer answer;
 };
 
@@ -209,6 +216,10 @@
   struct cp_target target;
   uint64_t incarnation;
   uint64_t started_us;
+  uint64_t head_us;     /* when the head of the answer came; 0 for never */
+  int status;           /* of that head */
+  size_t body_at;       /* how much of the call's kept body was sent */
+  bool chosen;          /* its answer is passed on */
   uint64_t deadline_us; /* earlier than the call's, to leave time to fence */
   uint64_t start_by_us; /* on the clock of the inbound side; 0: not known */
   uint64_t silent_us;   /* how long to wait before the next question */
@@ -222,13 +233,39 @@
 /* Makes attempts until the call has its answer, and answers it.  */
 void call_run (struct call *call);
 
+/* Chooses a target for another attempt of the call.  Returns false when there
+   is none left.  */
+bool call_pick (struct call *call, struct attempt *attempt);
+
 /* A non-idempotent attempt must name the incarnation it is meant for and the
    time after which it may not start; asks for the clock of the inbound side
    when it is not known.  Returns false when it can not be had.  */
 bool attempt_learn_incarnation (struct attempt *attempt);
 
-/* Makes one attempt; sets its outcome.  */
-enum upstream_result attempt_make (struct attempt *attempt);
+/* What an attempt sends; released by attempt_release.  */
+struct attempt_sending
+{
+  struct upstream_call upstream;
+  char *path;
+  struct curl_slist *headers;
+};
+
+/* Begins an attempt: composes what it sends.  */
+void attempt_begin (struct attempt *attempt, struct attempt_sending *sending);
+void attempt_release (struct attempt_sending *sending);
+
+/* Ends an attempt, whose outcome it sets: asks for proof when that is not
+   known, and tells the balancer.  */
+void attempt_end (struct attempt *attempt, enum upstream_result result);
+
+/* hedge.c */
+
+/* Makes an attempt and, when that has no answer in time, a second one at
+   another target.  FIRST gives the target; SECOND is filled in when it was
+   made.  Returns how many were made.  Neither has been ended by attempt_end
+   yet.  */
+unsigned hedge_attempts (struct attempt *first, struct attempt *second,
+                         enum upstream_result results[UPSTREAM_HEDGED]);
 
 /* inbound.c */
 struct inbound
@@ -312,6 +349,7 @@
   struct outbound outbound;
   struct inbound inbound;
   struct measure measure;
+  struct policies policies;
   struct configuration configuration;
   struct members members;
   struct spread spread;
--- a/cornelpickd/daemon.c
+++ b/cornelpickd/daemon.c
@@ -68,6 +68,7 @@
   if (load_life_chart (daemon, error) != 0)
     return -1;
   measure_init (&daemon->measure, daemon);
+  policies_init (&daemon->policies, daemon->clock);
   if (configuration_init (&daemon->configuration, daemon, error) != 0)
     return -1;
   members_init (&daemon->members, daemon);
@@ -182,6 +183,7 @@
   listener_stop (&daemon->admin);
   outbound_finish (&daemon->outbound);
   inbound_finish (&daemon->inbound);
+  policies_finish (&daemon->policies);
   members_finish (&daemon->members);
   upstream_pool_finish (&daemon->upstreams);
   cp_counters_finish (&daemon->counters);
@@ -243,6 +245,7 @@
   json_object_set_new (dump, "members", members_dump (&daemon->members));
   json_object_set_new (dump, "outbound", outbound_dump (&daemon->outbound));
   json_object_set_new (dump, "inbound", inbound_dump (&daemon->inbound));
+  json_object_set_new (dump, "policies", policies_dump (&daemon->policies));
   json_object_set_new (dump, "measuring", measure_dump (&daemon->measure));
   json_object_set_new (dump, "connections",
                        upstream_dump (&daemon->upstreams));
--- /dev/null
+++ b/cornelpickd/hedge.c
@@ -0,0 +1,94 @@
+#include <string.h>
+
+#include "cornelpickd/cornelpickd.h"
+
+/* Two attempts of one call.  */
+struct pair
+{
+  struct attempt *attempts[UPSTREAM_HEDGED];
+  struct attempt_sending sendings[UPSTREAM_HEDGED];
+};
+
+/* The body must have been read to its end, and kept.  */
+static bool
+body_at_hand (const struct call *call)
+{
+  return call->request->body_size == 0
+         || (call->request->body_ended && !call->body_lost);
+}
+
+static bool
+may_hedge (const struct call *call)
+{
+  return call->idempotent && call->may_retry && body_at_hand (call)
+         && !call->answer.head_sent
+         && configuration_usable (&call->outbound->daemon->configuration);
+}
+
+/* Prepares the second attempt.  */
+static const struct upstream_call *
+begin_second (void *context)
+{
+  struct pair *pair = context;
+  struct attempt *second = pair->attempts[1];
+  struct call *call = second->call;
+
+  if (!may_hedge (call) || !cp_hedge_take (&call->policy->hedge))
+    return NULL;
+  if (!call_pick (call, second))
+    {
+      cp_hedge_return (&call->policy->hedge);
+      return NULL;
+    }
+  daemon_count (call->outbound->daemon, COUNT_HEDGES);
+  call->racing = true;
+  attempt_begin (second, &pair->sendings[1]);
+  return &pair->sendings[1].upstream;
+}
+
+static int
+chosen (void *context)
+{
+  const struct pair *pair = context;
+
+  for (int i = 0; i < UPSTREAM_HEDGED; i++)
+    if (pair->attempts[i]->chosen)
+      return i;
+  return -1;
+}
+
+static void
+ended (void *context)
+{
+  struct pair *pair = context;
+
+  pair->attempts[0]->call->racing = false;
+}
+
+unsigned
+hedge_attempts (struct attempt *first, struct attempt *second,
+                enum upstream_result results[UPSTREAM_HEDGED])
+{
+  struct call *call = first->call;
+  struct upstream_pool *pool = &call->outbound->daemon->upstreams;
+  struct pair pair = { .attempts = { first, second } };
+  struct upstream_hedge hedge = {
+    .context = &pair, .begin = begin_second, .chosen = chosen, .ended = ended
+  };
+  unsigned count = 1;
+
+  attempt_begin (first, &pair.sendings[0]);
+  if (call->hedge_after_us == 0)
+    results[0] = upstream_perform (pool, &pair.sendings[0].upstream);
+  else
+    {
+      hedge.start_us = first->started_us + call->hedge_after_us;
+      count = upstream_perform_hedged (pool, &pair.sendings[0].upstream,
+                                       &hedge, results);
+    }
+  for (unsigned i = 0; i < count; i++)
+    attempt_release (&pair.sendings[i]);
+  if (count > 1 && second->chosen)
+    cp_hedge_won (&call->policy->hedge);
+  return count;
+}
--- a/cornelpickd/inbound.c
+++ b/cornelpickd/inbound.c
@@ -449,7 +449,8 @@
   daemon_count (daemon, result == CP_ADMISSION_DEADLINE
                             ? COUNT_REFUSED_DEADLINE
                             : COUNT_REFUSED_FULL);
-  refuse (visit, 503, "not-run", "the target has no room\n");
+  refuse (visit, result == CP_ADMISSION_FULL ? STATUS_NO_ROOM : 503, "not-run",
+          "the target has no room\n");
 }
 
 static bool
--- a/http/http.h
+++ b/http/http.h
@@ -138,6 +138,32 @@
 enum upstream_result upstream_perform (struct upstream_pool *pool,
                                        const struct upstream_call *call);
 
+/* hedged.c: a call with a second one that is begun when the first has no
+   answer in time.  */
+#define UPSTREAM_HEDGED 2
+
+struct upstream_hedge
+{
+  uint64_t start_us; /* absolute: when the second one is begun; 0 for never */
+  void *context;
+  /* Prepares the second call and returns it, or NULL to begin none.  */
+  const struct upstream_call *(*begin) (void *context);
+  /* Returns which call, 0 or 1, has the answer that is passed on, or -1 while
+     neither has.  The other one is cancelled at once.  */
+  int (*chosen) (void *context);
+  /* Called when either call has ended.  */
+  void (*ended) (void *context);
+};
+
+/* Makes the call FIRST, and a second one as HEDGE says, in one wait.  Fills in
+   the result of each; that of one that was not begun is UPSTREAM_NOT_SENT.
+   Returns the number of calls that were begun.  */
+unsigned
+upstream_perform_hedged (struct upstream_pool *pool,
+                         const struct upstream_call *first,
+                         const struct upstream_hedge *hedge,
+                         enum upstream_result results[UPSTREAM_HEDGED]);
+
 json_t *upstream_dump (struct upstream_pool *pool);
 
 /* Reads PATH at ADDRESS into BODY, at most SIZE_MAX bytes.  Returns the status
--- /dev/null
+++ b/http/internal.h
@@ -0,0 +1,58 @@
+/* What upstream.c and hedged.c share.  */
+#ifndef HTTP_INTERNAL_H
+#define HTTP_INTERNAL_H
+
+#include "http/http.h"
+
+/* One connection: an easy handle in a multi handle of its own, which keeps
+   the connection between calls.  */
+struct upstream
+{
+  struct cds_list_head node;
+  CURL *easy;
+  CURLM *multi;
+  uint64_t idle_since_us;
+};
+
+/* One call on one connection.  */
+struct transfer
+{
+  const struct upstream_call *call;
+  uint64_t first_byte_us; /* 0 for no limit */
+  struct upstream_head head;
+  bool sent;
+  bool resent;
+  bool head_passed;
+  bool gave_up;
+};
+
+/* Takes a connection for CALL, and counts it as busy.  */
+struct upstream *upstream_take (struct upstream_pool *pool,
+                                const struct upstream_call *call);
+
+/* Gives the connection back: it is kept when KEEP is set.  RESULT is that of
+   TRANSFER.  */
+void upstream_give_back (struct upstream_pool *pool, struct upstream *upstream,
+                         const struct transfer *transfer,
+                         enum upstream_result result, bool keep);
+
+/* Sets all options of EASY for TRANSFER.  */
+void upstream_set_options (const struct upstream_pool *pool, CURL *easy,
+                           struct transfer *transfer);
+
+/* Returns the result of a transfer that libcurl ended with CODE.  */
+enum upstream_result upstream_classify (struct transfer *transfer,
+                                        CURLcode code);
+
+/* Checks the limits of time of TRANSFER.  Returns UPSTREAM_COMPLETE to go on;
+   then *UNTIL_US is brought forward to the next limit.  */
+enum upstream_result upstream_check_time (struct transfer *transfer,
+                                          uint64_t now_us, uint64_t *until_us);
+
+/* Returns the time to wait in milliseconds, rounded up and bounded.  */
+int upstream_wait_ms (uint64_t now_us, uint64_t until_us);
+
+/* Returns whether the other end of FD has closed the connection.  */
+bool upstream_fd_at_end (int fd);
+
+#endif
--- a/http/upstream.c
+++ b/http/upstream.c
@@ -7,7 +7,7 @@
 #include <sys/eventfd.h>
 #include <sys/socket.h>
 
-#include "http/http.h"
+#include "http/internal.h"
 #include "lib/cleanup.h"
 
 #define IDLE_KEPT_MAX 64
@@ -16,16 +16,6 @@
 #define WAIT_MS_MAX 1000
 #define UPLOAD_BUFFER_BYTES 65536
 
-/* One connection: an easy handle in a multi handle of its own, which keeps
-   the connection between calls.  */
-struct upstream
-{
-  struct cds_list_head node;
-  CURL *easy;
-  CURLM *multi;
-  uint64_t idle_since_us;
-};
-
 const char *const upstream_result_names[UPSTREAM_RESULT_COUNT] = {
   [UPSTREAM_COMPLETE] = "complete", [UPSTREAM_NOT_SENT] = "not sent",
   [UPSTREAM_CUT] = "cut short",     [UPSTREAM_DEADLINE] = "deadline passed",
@@ -44,18 +34,6 @@
   uint64_t suspect_us;
 };
 
-/* One call on one connection.  */
-struct transfer
-{
-  const struct upstream_call *call;
-  uint64_t first_byte_us; /* 0 for no limit */
-  struct upstream_head head;
-  bool sent;
-  bool resent;
-  bool head_passed;
-  bool gave_up;
-};
-
 static void
 free_upstream (struct upstream *upstream)
 {
@@ -336,9 +314,9 @@
   curl_easy_setopt (easy, CURLOPT_READDATA, transfer);
 }
 
-static void
-set_options (const struct upstream_pool *pool, CURL *easy,
-             struct transfer *transfer)
+void
+upstream_set_options (const struct upstream_pool *pool, CURL *easy,
+                      struct transfer *transfer)
 {
   const struct upstream_call *call = transfer->call;
   char url[CP_ADDRESS_TEXT_BYTES + 16];
@@ -363,8 +341,8 @@
   set_body_options (easy, transfer);
 }
 
-static bool
-fd_at_end (int fd)
+bool
+upstream_fd_at_end (int fd)
 {
   char byte;
   ssize_t count = recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
@@ -372,8 +350,8 @@
   return count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR);
 }
 
-static int
-wait_ms (uint64_t now_us, uint64_t until_us)
+int
+upstream_wait_ms (uint64_t now_us, uint64_t until_us)
 {
   uint64_t left_ms;
 
@@ -383,6 +361,31 @@
   return left_ms > WAIT_MS_MAX ? WAIT_MS_MAX : (int)left_ms;
 }
 
+enum upstream_result
+upstream_check_time (struct transfer *transfer, uint64_t now_us,
+                     uint64_t *until_us)
+{
+  const struct upstream_call *call = transfer->call;
+
+  if (now_us >= call->deadline_us)
+    return UPSTREAM_DEADLINE;
+  if (call->deadline_us < *until_us)
+    *until_us = call->deadline_us;
+  if (transfer->first_byte_us == 0 || transfer->head.status != 0)
+    return UPSTREAM_COMPLETE;
+  if (now_us >= transfer->first_byte_us)
+    {
+      if (call->on_silent == NULL)
+        return UPSTREAM_SILENT;
+      transfer->first_byte_us = call->on_silent (call->context);
+      if (transfer->first_byte_us == 0)
+        return UPSTREAM_SILENT;
+    }
+  if (transfer->first_byte_us < *until_us)
+    *until_us = transfer->first_byte_us;
+  return UPSTREAM_COMPLETE;
+}
+
 /* What a transfer waits for besides its own connection.  */
 enum watched
 {
@@ -402,38 +405,28 @@
       = { [WATCH_STOP] = { pool->stop_fd, CURL_WAIT_POLLIN, 0 },
           [WATCH_CALLER] = { call->caller_fd, CURL_WAIT_POLLIN, 0 } };
   uint64_t now = cp_clock_now_us (pool->clock);
-  uint64_t until = call->deadline_us;
-  bool silent = transfer->first_byte_us != 0 && transfer->head.status == 0;
+  uint64_t until = UINT64_MAX;
   unsigned first = call->background ? WATCH_STOP : WATCH_CALLER;
   unsigned end = *watch_caller ? WATCH_COUNT : WATCH_CALLER;
+  enum upstream_result result = upstream_check_time (transfer, now, &until);
 
-  if (now >= call->deadline_us)
-    return UPSTREAM_DEADLINE;
-  if (silent && now >= transfer->first_byte_us)
-    {
-      if (call->on_silent == NULL)
-        return UPSTREAM_SILENT;
-      transfer->first_byte_us = call->on_silent (call->context);
-      return transfer->first_byte_us == 0 ? UPSTREAM_SILENT
-                                          : UPSTREAM_COMPLETE;
-    }
-  if (silent && transfer->first_byte_us < until)
-    until = transfer->first_byte_us;
+  if (result != UPSTREAM_COMPLETE)
+    return result;
   curl_multi_poll (upstream->multi, &fds[first], end - first,
-                   wait_ms (now, until), NULL);
+                   upstream_wait_ms (now, until), NULL);
   if (call->background && fds[WATCH_STOP].revents != 0)
     return UPSTREAM_STOPPED;
   if (!*watch_caller || fds[WATCH_CALLER].revents == 0)
     return UPSTREAM_COMPLETE;
-  if (fd_at_end (call->caller_fd))
+  if (upstream_fd_at_end (call->caller_fd))
     return UPSTREAM_CALLER_GONE;
   /* The caller has sent more; its end can not be seen from here on.  */
   *watch_caller = false;
   return UPSTREAM_COMPLETE;
 }
 
-static enum upstream_result
-classify (struct transfer *transfer, CURLcode code)
+enum upstream_result
+upstream_classify (struct transfer *transfer, CURLcode code)
 {
   if (code == CURLE_OK)
     return pass_head (transfer) ? UPSTREAM_COMPLETE : UPSTREAM_ABORTED;
@@ -460,35 +453,48 @@
       curl_multi_perform (upstream->multi, &running);
       message = curl_multi_info_read (upstream->multi, &left);
       if (message != NULL && message->msg == CURLMSG_DONE)
-        return classify (transfer, message->data.result);
+        return upstream_classify (transfer, message->data.result);
       result = wait_for_progress (pool, upstream, transfer, &watch_caller);
       if (result != UPSTREAM_COMPLETE)
         return result;
     }
 }
 
+struct upstream *
+upstream_take (struct upstream_pool *pool, const struct upstream_call *call)
+{
+  count_busy (pool, call, 1);
+  return take_upstream (pool, call);
+}
+
+void
+upstream_give_back (struct upstream_pool *pool, struct upstream *upstream,
+                    const struct transfer *transfer,
+                    enum upstream_result result, bool keep)
+{
+  if (is_suspicious (transfer, result))
+    set_suspect (pool, transfer->call);
+  count_busy (pool, transfer->call, -1);
+  return_upstream (pool, transfer->call, upstream, keep);
+}
+
 enum upstream_result
 upstream_perform (struct upstream_pool *pool, const struct upstream_call *call)
 {
   struct transfer transfer = { .call = call,
                                .first_byte_us = call->first_byte_us,
                                .head.length = -1 };
-  struct upstream *upstream;
+  struct upstream *upstream = upstream_take (pool, call);
   enum upstream_result result;
 
-  count_busy (pool, call, 1);
-  upstream = take_upstream (pool, call);
-
-  set_options (pool, upstream->easy, &transfer);
+  upstream_set_options (pool, upstream->easy, &transfer);
   curl_multi_add_handle (upstream->multi, upstream->easy);
   result = run_transfer (pool, upstream, &transfer);
   curl_multi_remove_handle (upstream->multi, upstream->easy);
   if (result != UPSTREAM_COMPLETE && !transfer.sent)
     result = UPSTREAM_NOT_SENT;
-  if (is_suspicious (&transfer, result))
-    set_suspect (pool, call);
-  count_busy (pool, call, -1);
-  return_upstream (pool, call, upstream, result == UPSTREAM_COMPLETE);
+  upstream_give_back (pool, upstream, &transfer, result,
+                      result == UPSTREAM_COMPLETE);
   curl_slist_free_all (transfer.head.headers);
   return result;
 }
--- a/lib/balancer.c
+++ b/lib/balancer.c
@@ -244,8 +244,18 @@
   return NULL;
 }
 
-/* Removes the targets that were tried from the list; when only such take
-   calls, any other that has not left will do.  */
+static bool
+domain_tried (const struct cp_tried *tried, const char *domain)
+{
+  for (unsigned i = 0; i < tried->count; i++)
+    if (strcmp (tried->domains[i], domain) == 0)
+      return true;
+  return false;
+}
+
+/* Removes the targets that were tried from the list, and those in the same
+   failure domains while there are others; when only such take calls, any other
+   that has not left will do.  */
 static unsigned
 list_untried (const struct cp_balancer *balancer, const struct cp_tried *tried,
               struct cp_target_state **list)
@@ -253,6 +263,10 @@
   unsigned count = 0;
 
   for (unsigned i = 0; i < balancer->n_eligible; i++)
+    if (!was_tried (tried, balancer->eligible[i]->target.name)
+        && !domain_tried (tried, balancer->eligible[i]->target.failure_domain))
+      list[count++] = balancer->eligible[i];
+  for (unsigned i = 0; i < balancer->n_eligible && count == 0; i++)
     if (!was_tried (tried, balancer->eligible[i]->target.name))
       list[count++] = balancer->eligible[i];
   for (unsigned i = 0; i < balancer->n_targets && count == 0; i++)
--- a/lib/balancer.h
+++ b/lib/balancer.h
@@ -65,6 +65,8 @@
 struct cp_tried
 {
   char names[CP_TRIED_MAX][CP_NAME_BYTES];
+  /* Their failure domains, avoided while there are targets in others.  */
+  char domains[CP_TRIED_MAX][CP_NAME_BYTES];
   unsigned count;
   struct cp_id request;
 };
