Weigh reports by age and drift, subset large services, test by replay

Own calls are counted exactly, those of others shrink to their mean with age, differences within the noise are no reason.

--- a/cornelpick/replay.c
+++ b/cornelpick/replay.c
@@ -32,8 +32,9 @@
   printf ("trace    %s of %s: %s\n", trace->name, trace->deployment,
           trace->source);
   printf ("picker   %s\n", picker);
-  printf ("calls    %" PRIu64 ", %" PRIu64 " errors, %" PRIu64 " retries\n",
-          result->calls, result->errors, result->retries);
+  printf ("calls    %" PRIu64 ", %" PRIu64 " errors, %" PRIu64
+          " retries, %" PRIu64 " waits\n",
+          result->calls, result->errors, result->retries, result->waits);
   printf ("latency  p50 %.1f ms, p99 %.1f ms, p99.9 %.1f ms\n",
           to_ms (result->p50_us), to_ms (result->p99_us),
           to_ms (result->p999_us));
@@ -52,8 +53,8 @@
             const struct cp_replay_finding *findings, unsigned count)
 {
   CP_AUTO_JSON json_t *object = json_pack (
-      "{s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:I}", "trace", trace->name,
-      "deployment", trace->deployment, "picker", picker, "calls",
+      "{s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "trace",
+      trace->name, "deployment", trace->deployment, "picker", picker, "calls",
       (json_int_t)result->calls, "errors", (json_int_t)result->errors,
       "retries", (json_int_t)result->retries, "p50_us",
       (json_int_t)result->p50_us, "p99_us", (json_int_t)result->p99_us,
--- a/cornelpickd/outbound.c
+++ b/cornelpickd/outbound.c
@@ -93,6 +93,7 @@
     abort ();
   cp_balancer_init (&entry->balancer, &cp_picker_hot_cold, &outbound->chart,
                     outbound->daemon->clock, service,
+                    outbound->daemon->settings.vm,
                     outbound->daemon->settings.failure_domain);
   cp_balancer_observe (&entry->balancer, &observer);
   cds_list_add_tail (&entry->node, &outbound->balancers);
--- a/lib/balancer.c
+++ b/lib/balancer.c
@@ -1,19 +1,24 @@
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "lib/balancer.h"
 #include "lib/balancer_internal.h"
 #include "lib/cleanup.h"
+#include "lib/subset.h"
 
 #define LATENCY_WEIGHT 0.25
 #define SERVICE_LATENCY_WEIGHT 0.03
 #define REPORT_LATENCY_WAIT_US (100 * CP_US_PER_MS)
+#define NOISE_FIRST 0.5
+#define NOISE_MOST 1.0
 #define LOAD_WEIGHT 0.03
 #define DRIFT_WEIGHT 0.2
 #define DRIFT_LEAST_S 0.0005
 #define DRIFT_FIRST 1000.0
 #define LOAD_MOST 1000000
 #define AGE_MOST_US (600 * CP_US_PER_S)
+#define STALE_US (1 * CP_US_PER_S)
 #define TICK_US (50 * CP_US_PER_MS)
 #define TRIAL_EVERY 250
 #define TRIAL_IDLE_US (5 * CP_US_PER_S)
@@ -23,17 +28,20 @@
 void
 cp_balancer_init (struct cp_balancer *balancer, const struct cp_picker *picker,
                   const struct cp_chart *chart, const struct cp_clock *clock,
-                  const char *service, const char *failure_domain)
+                  const char *service, const char *vm,
+                  const char *failure_domain)
 {
   memset (balancer, 0, sizeof *balancer);
+  balancer->latency_noise = NOISE_FIRST;
   pthread_mutex_init (&balancer->lock, NULL);
   balancer->picker = *picker;
   balancer->chart = chart;
   balancer->clock = clock;
   g_strlcpy (balancer->service, service, sizeof balancer->service);
+  g_strlcpy (balancer->vm, vm, sizeof balancer->vm);
   g_strlcpy (balancer->failure_domain, failure_domain,
              sizeof balancer->failure_domain);
-  balancer->sequence = g_str_hash (failure_domain);
+  balancer->sequence = g_str_hash (vm);
   balancer->trial_sequence = balancer->sequence;
 }
 
@@ -162,15 +170,38 @@
   list_eligible (balancer, now_us);
 }
 
+/* Fills in what is known of TARGET: that of before, or nothing.  */
+static void
+take_over (struct cp_balancer *balancer, struct cp_target_state *fresh,
+           const struct cp_target *target)
+{
+  const struct cp_target_state *old = find_target (balancer, target->name);
+
+  if (old != NULL
+      && strcmp (old->target.address.text, target->address.text) == 0)
+    *fresh = *old;
+  else
+    {
+      cp_health_init (&fresh->health, balancer->chart,
+                      cp_clock_now_us (balancer->clock));
+      fresh->load_drift = DRIFT_FIRST;
+    }
+  fresh->target = *target;
+  fresh->same_domain
+      = strcmp (target->failure_domain, balancer->failure_domain) == 0;
+}
+
 int
 cp_balancer_update (struct cp_balancer *balancer,
                     const struct cp_service *service, uint64_t remote_us)
 {
-  uint64_t now_us = cp_clock_now_us (balancer->clock);
-  struct cp_target_state *fresh
-      = calloc (service->n_targets + 1, sizeof *balancer->targets);
+  unsigned indices[CP_SUBSET_TARGETS];
+  unsigned count
+      = cp_subset_choose (service, balancer->vm, balancer->failure_domain,
+                          CP_SUBSET_TARGETS, indices);
+  struct cp_target_state *fresh = calloc (count + 1, sizeof *fresh);
   struct cp_target_state **eligible
-      = calloc (service->n_targets + 1, sizeof (struct cp_target_state *));
+      = calloc (count + 1, sizeof (struct cp_target_state *));
 
   if (fresh == NULL || eligible == NULL)
     {
@@ -179,32 +210,17 @@
       return -1;
     }
   CP_LOCK_SCOPE (&balancer->lock);
-  for (unsigned i = 0; i < service->n_targets; i++)
-    {
-      const struct cp_target *target = &service->targets[i];
-      const struct cp_target_state *old = find_target (balancer, target->name);
-
-      if (old != NULL
-          && strcmp (old->target.address.text, target->address.text) == 0)
-        fresh[i] = *old;
-      else
-        {
-          cp_health_init (&fresh[i].health, balancer->chart, now_us);
-          fresh[i].load_drift = DRIFT_FIRST;
-        }
-      fresh[i].target = *target;
-      fresh[i].same_domain
-          = strcmp (target->failure_domain, balancer->failure_domain) == 0;
-    }
+  for (unsigned i = 0; i < count; i++)
+    take_over (balancer, &fresh[i], &service->targets[indices[i]]);
   free (balancer->targets);
   free (balancer->eligible);
   balancer->targets = fresh;
   balancer->eligible = eligible;
-  balancer->n_targets = service->n_targets;
+  balancer->n_targets = count;
   balancer->eject_most_share = service->eject_most_share;
   balancer->slots = service->slots;
   balancer->remote_us = remote_us;
-  list_eligible (balancer, now_us);
+  list_eligible (balancer, cp_clock_now_us (balancer->clock));
   return 0;
 }
 
@@ -274,9 +290,10 @@
   view->sequence = balancer->sequence;
   view->slots = balancer->slots;
   view->remote_us = balancer->remote_us;
-  view->mean_load = balancer->mean_load;
-  view->load_variance = balancer->load_variance;
+  view->mean_others = balancer->mean_others;
+  view->others_variance = balancer->others_variance;
   view->mean_latency_us = balancer->mean_latency_us;
+  view->latency_noise = balancer->latency_noise;
 }
 
 static void
@@ -295,13 +312,14 @@
                   const struct cp_random *random, struct cp_target *target,
                   uint64_t *incarnation)
 {
-  uint64_t now_us = cp_clock_now_us (balancer->clock);
+  uint64_t now_us;
   struct cp_pick_view view;
   struct cp_target_state *state;
   const char *reason = "trial call";
   CP_AUTO_FREE struct cp_target_state **untried = NULL;
 
   CP_LOCK_SCOPE (&balancer->lock);
+  now_us = cp_clock_now_us (balancer->clock);
   tick (balancer, now_us);
   cp_balancer_view (balancer, random, now_us, &view);
   if (tried->count > 0)
@@ -347,17 +365,31 @@
 }
 
 static void
-add_latency (struct cp_target_state *state, double latency_us, uint64_t now_us)
+add_latency (const struct cp_balancer *balancer, struct cp_target_state *state,
+             double latency_us, uint64_t now_us)
 {
-  if (state->latency_us <= 0)
-    state->latency_us = latency_us;
-  state->latency_us += (latency_us - state->latency_us) * LATENCY_WEIGHT;
+  double before = latency_us;
+
+  if (state->latency_us > 0)
+    before = cp_fade_latency_us (state->latency_us, balancer->mean_latency_us,
+                                 now_us - state->latency_at_us);
+  state->latency_us = before + (latency_us - before) * LATENCY_WEIGHT;
   state->latency_at_us = now_us;
 }
 
 static void
-add_service_latency (struct cp_balancer *balancer, double latency_us)
+add_service_latency (struct cp_balancer *balancer,
+                     const struct cp_target_state *state, double latency_us)
 {
+  double off = state->latency_us > 0
+                   ? fabs (latency_us / state->latency_us - 1)
+                   : balancer->latency_noise;
+
+  /* A target whose latency jumped is no noise.  */
+  if (off > NOISE_MOST)
+    off = NOISE_MOST;
+  balancer->latency_noise
+      += (off - balancer->latency_noise) * SERVICE_LATENCY_WEIGHT;
   if (balancer->mean_latency_us <= 0)
     balancer->mean_latency_us = latency_us;
   balancer->mean_latency_us
@@ -374,10 +406,11 @@
 cp_balancer_done (struct cp_balancer *balancer, const char *target,
                   enum cp_call_result result, uint64_t latency_us)
 {
-  uint64_t now_us = cp_clock_now_us (balancer->clock);
+  uint64_t now_us;
   struct cp_target_state *state;
 
   CP_LOCK_SCOPE (&balancer->lock);
+  now_us = cp_clock_now_us (balancer->clock);
   state = find_target (balancer, target);
   if (state == NULL)
     return;
@@ -387,8 +420,8 @@
   if (result == CP_CALL_ANSWERED)
     {
       state->own_latency_us = latency_us;
-      add_latency (state, (double)latency_us, now_us);
-      add_service_latency (balancer, (double)latency_us);
+      add_service_latency (balancer, state, (double)latency_us);
+      add_latency (balancer, state, (double)latency_us, now_us);
     }
   if (cp_health_result (&state->health, balancer->chart, result, now_us,
                         may_eject (balancer)))
@@ -428,11 +461,14 @@
           const struct cp_report *report, uint64_t time_us)
 {
   double load = report->in_flight + report->queued;
-  double off = load - balancer->mean_load;
-
-  balancer->mean_load += off * LOAD_WEIGHT;
-  balancer->load_variance
-      += (off * off - balancer->load_variance) * LOAD_WEIGHT;
+  double others = load - state->own_in_flight;
+  double off;
+
+  state->others = others > 0 ? others : 0;
+  off = state->others - balancer->mean_others;
+  balancer->mean_others += off * LOAD_WEIGHT;
+  balancer->others_variance
+      += (off * off - balancer->others_variance) * LOAD_WEIGHT;
   if (state->report_us == 0 || time_us <= state->report_us)
     return;
   off = load - (state->report.in_flight + state->report.queued);
@@ -445,11 +481,13 @@
 cp_balancer_report (struct cp_balancer *balancer, const char *target,
                     const struct cp_report *report)
 {
-  uint64_t now_us = cp_clock_now_us (balancer->clock);
-  uint64_t time_us = now_us > report->age_us ? now_us - report->age_us : 1;
+  uint64_t now_us;
+  uint64_t time_us;
   struct cp_target_state *state;
 
   CP_LOCK_SCOPE (&balancer->lock);
+  now_us = cp_clock_now_us (balancer->clock);
+  time_us = now_us > report->age_us ? now_us - report->age_us : 1;
   state = find_target (balancer, target);
   if (!check_report (balancer, state, report, time_us))
     return;
@@ -460,7 +498,7 @@
   state->sent_since_report = 0;
   if (report->latency_us > 0
       && now_us > state->latency_at_us + REPORT_LATENCY_WAIT_US)
-    add_latency (state, (double)report->latency_us, now_us);
+    add_latency (balancer, state, (double)report->latency_us, now_us);
   cp_balancer_record_report (balancer, state);
   if (cp_health_life (&state->health, balancer->chart, report->life,
                       report->incarnation, time_us, now_us))
@@ -479,14 +517,39 @@
              && now_us >= state->health.until_us);
 }
 
+/* Returns the target with the oldest report, if that is too old and calls have
+   been picked since the last such query; NULL when there is none.  */
+static struct cp_target_state *
+stale_target (struct cp_balancer *balancer, uint64_t now_us)
+{
+  struct cp_target_state *oldest = NULL;
+
+  if (balancer->sequence == balancer->queried_sequence)
+    return NULL;
+  for (unsigned i = 0; i < balancer->n_targets; i++)
+    {
+      struct cp_target_state *state = &balancer->targets[i];
+
+      if (state->target.has_daemon && state->report_us != 0
+          && now_us > state->report_us + STALE_US
+          && (oldest == NULL || state->report_us < oldest->report_us))
+        oldest = state;
+    }
+  if (oldest != NULL)
+    balancer->queried_sequence = balancer->sequence;
+  return oldest;
+}
+
 unsigned
 cp_balancer_due_queries (struct cp_balancer *balancer,
                          struct cp_target *targets, unsigned most)
 {
-  uint64_t now_us = cp_clock_now_us (balancer->clock);
+  uint64_t now_us;
+  struct cp_target_state *stale;
   unsigned count = 0;
 
   CP_LOCK_SCOPE (&balancer->lock);
+  now_us = cp_clock_now_us (balancer->clock);
   for (unsigned i = 0; i < balancer->n_targets && count < most; i++)
     {
       struct cp_target_state *state = &balancer->targets[i];
@@ -496,5 +559,11 @@
       state->asked_us = now_us;
       targets[count++] = state->target;
     }
+  stale = stale_target (balancer, now_us);
+  if (stale != NULL && count < most && stale->asked_us != now_us)
+    {
+      stale->asked_us = now_us;
+      targets[count++] = stale->target;
+    }
   return count;
 }
--- a/lib/balancer.h
+++ b/lib/balancer.h
@@ -38,6 +38,7 @@
   const struct cp_chart *chart; /* charts/target.json */
   struct cp_picker picker;
   struct cp_balancer_observer observer;
+  char vm[CP_NAME_BYTES];
   char failure_domain[CP_NAME_BYTES];
   char service[CP_NAME_BYTES];
   struct cp_target_state *targets;
@@ -52,9 +53,11 @@
   uint64_t sequence;
   uint64_t trial_sequence; /* SEQUENCE at the last trial call */
   uint64_t trial_us;
-  double mean_load;
-  double load_variance;
+  uint64_t queried_sequence; /* SEQUENCE at the last query for its age */
+  double mean_others;
+  double others_variance;
   double mean_latency_us;
+  double latency_noise;
   struct cp_report_counts counts;
 };
 
@@ -69,22 +72,22 @@
   struct cp_id request;
 };
 
-/* CHART, from charts/target.json with cp_health_names, must outlive the
-   balancer.  */
+/* VM in FAILURE_DOMAIN is the outbound side's.  CHART, from charts/target.json
+   with cp_health_names, must outlive the balancer.  */
 void cp_balancer_init (struct cp_balancer *balancer,
                        const struct cp_picker *picker,
                        const struct cp_chart *chart,
                        const struct cp_clock *clock, const char *service,
-                       const char *failure_domain);
+                       const char *vm, const char *failure_domain);
 void cp_balancer_finish (struct cp_balancer *balancer);
 
 /* Sets who takes decision records; before the first pick.  */
 void cp_balancer_observe (struct cp_balancer *balancer,
                           const struct cp_balancer_observer *observer);
 
-/* Takes the targets of SERVICE; keeps what is known of those that stay.
-   REMOTE_US is the way to another failure domain and back.  Returns 0, or -1
-   when memory ran out.  */
+/* Takes the targets of SERVICE, or its subset of them; keeps what is known of
+   those that stay. REMOTE_US is the way to another failure domain and back.
+   Returns 0, or -1 when memory ran out.  */
 int cp_balancer_update (struct cp_balancer *balancer,
                         const struct cp_service *service, uint64_t remote_us);
 
@@ -107,8 +110,9 @@
 
 /* Copies up to MOST targets whose inbound side should be asked for its load
    now, by RPC, to TARGETS and returns their number: those of which no report
-   has come, those that are leaving and those that seem gone.  Each is named
-   at most once in CP_QUERY_INTERVAL_US.  */
+   has come, those that are leaving and those that seem gone, each at most once
+   in CP_QUERY_INTERVAL_US; and, while calls are picked, the one whose report
+   is the oldest, when it is over a second old.  */
 #define CP_QUERY_INTERVAL_US (500 * CP_US_PER_MS)
 unsigned cp_balancer_due_queries (struct cp_balancer *balancer,
                                   struct cp_target *targets, unsigned most);
--- a/lib/health.c
+++ b/lib/health.c
@@ -11,6 +11,7 @@
 #define LEAVING_MOST_US (40 * CP_US_PER_S)
 #define ERROR_WEIGHT 0.125
 #define ERROR_FADE_US (5.0 * (double)CP_US_PER_S)
+#define ERROR_FLOOR 0.02
 #define REFUSED_SHARE 0.2
 #define REFUSED_FADE_US (0.2 * (double)CP_US_PER_S)
 #define DOUBT_FAILURES 2
@@ -98,6 +99,8 @@
   if (health->refused_us != 0)
     share += REFUSED_SHARE
              * exp (-age_us (health->refused_us, now_us) / REFUSED_FADE_US);
+  if (share < ERROR_FLOOR)
+    return 0;
   return share < 1 ? share : 1;
 }
 
@@ -167,7 +170,7 @@
 {
   health->no_contacts++;
   health->successes = 0;
-  add_error (health, true, now_us);
+  health->refused_us = now_us;
   if (health->state == CP_HEALTH_GONE)
     {
       health->until_us = now_us + health->backoff_us;
--- a/lib/health.h
+++ b/lib/health.h
@@ -69,7 +69,7 @@
   bool trial_sent;      /* a trial call is in flight */
   double error_share;   /* moving mean at ERROR_US */
   uint64_t error_us;
-  uint64_t refused_us; /* when it last refused a call; 0 for never */
+  uint64_t refused_us; /* when it last refused or could not be reached */
 };
 
 /* Starts in the chart's initial state.  */
@@ -113,8 +113,8 @@
    the service's bound, ejected.  */
 bool cp_health_is_bad (const struct cp_health *health, uint64_t now_us);
 
-/* Returns the share of failed calls, discounted by its age; a refusal counts
-   for a moment.  */
+/* Returns the share of failed calls, discounted by its age, 0 when it is
+   small; a refusal or a missing connection counts for a moment.  */
 double cp_health_errors (const struct cp_health *health, uint64_t now_us);
 
 #endif
--- a/lib/picker.c
+++ b/lib/picker.c
@@ -3,6 +3,10 @@
 
 #include "lib/picker.h"
 
+/* Every outbound side gets much the same reports, so that all would turn to
+   the same target; the drift is taken for so many times as large.  */
+#define HERD_DRIFT 8
+#define PENDING_NOISE 2.5
 #define LATENCY_FADE_US (2.0 * (double)CP_US_PER_S)
 
 const struct cp_picker *const cp_pickers[CP_PICKERS]
@@ -34,23 +38,24 @@
                   const struct cp_pick_view *view)
 {
   double own = state->own_in_flight;
-  double sent = state->sent_since_report < state->own_in_flight
-                    ? state->sent_since_report
-                    : state->own_in_flight;
-  double reported = state->report.in_flight + state->report.queued + sent;
-  double variance = view->load_variance + 1;
+  double variance = view->others_variance + 1;
   double age_s;
-  double estimate;
 
   if (state->report_us == 0)
-    return own;
+    return own + view->mean_others;
   age_s = view->now_us > state->report_us
               ? (double)(view->now_us - state->report_us) / (double)CP_US_PER_S
               : 0;
-  estimate = view->mean_load
-             + (reported - view->mean_load) * variance
-                   / (variance + state->load_drift * age_s);
-  return estimate > own ? estimate : own;
+  return own + view->mean_others
+         + (state->others - view->mean_others) * variance
+               / (variance + HERD_DRIFT * state->load_drift * age_s);
+}
+
+double
+cp_fade_latency_us (double latency_us, double mean_us, uint64_t age_us)
+{
+  return mean_us
+         + (latency_us - mean_us) * exp (-(double)age_us / LATENCY_FADE_US);
 }
 
 double
@@ -59,17 +64,13 @@
 {
   double pending = (double)cp_pending_us (state, view->now_us);
   double estimate = view->mean_latency_us;
-  double age_us;
 
   if (state->latency_us > 0)
-    {
-      age_us = view->now_us > state->latency_at_us
-                   ? (double)(view->now_us - state->latency_at_us)
-                   : 0;
-      estimate += (state->latency_us - view->mean_latency_us)
-                  * exp (-age_us / LATENCY_FADE_US);
-    }
-  return estimate > pending ? estimate : pending;
+    estimate = cp_fade_latency_us (state->latency_us, view->mean_latency_us,
+                                   view->now_us - state->latency_at_us);
+  if (pending > estimate * (1 + PENDING_NOISE * view->latency_noise))
+    return pending;
+  return estimate;
 }
 
 static unsigned
--- a/lib/picker.h
+++ b/lib/picker.h
@@ -24,6 +24,7 @@
   unsigned n_started;
   uint64_t report_us; /* the time that the report speaks of; 0 for none */
   struct cp_report report;
+  double others;          /* calls that others had there, by the report */
   uint64_t asked_us;      /* when it was last named for a query; 0 for never */
   double load_drift;      /* mean square change of load, calls^2 per s */
   double latency_us;      /* moving mean of answers; 0 for none */
@@ -41,9 +42,10 @@
   uint64_t sequence;      /* number of earlier picks */
   unsigned slots;         /* of each target, by the document */
   uint64_t remote_us;     /* way to another failure domain and back */
-  double mean_load;       /* moving mean over all reports */
-  double load_variance;   /* their variance */
+  double mean_others;     /* moving mean of others' calls at a target */
+  double others_variance; /* their variance */
   double mean_latency_us; /* moving mean over all answers */
+  double latency_noise;   /* mean of an answer's share off its target's mean */
 };
 
 /* A rule for choosing.  PICK returns an index into the view, which has at
@@ -70,14 +72,16 @@
    Balancing, IEEE TPDS 12(10), 2001.  */
 extern const struct cp_picker cp_picker_two_choices;
 
-/* The rule of the daemon: targets are split into hot and cold by their calls
-   in flight; of the cold ones the fastest are kept, and of those, two or more
-   sampled ones, the least loaded is taken.  When all are hot, the least
-   loaded.  Cost is latency plus the way there, raised as slots fill and by
-   failed calls.  Sources: B. Wydrowski et al., Load is not what you should
-   balance: Introducing Prequal, NSDI 2024 (hot and cold, then latency); M.
-   Mitzenmacher, How Useful Is Old Information?, IEEE TPDS 11(1), 2000 (why to
-   sample among the best when reports are old).  */
+/* The rule of the daemon: targets, or a random sample when there are many, are
+   split into hot and cold by their calls in flight; of the cold ones those are
+   kept that are the fastest or slower by no more than noise explains, and of
+   those the least used is taken, with an allowance for near ones that ends
+   before these fill.  When all are hot, the least used.  Cost is latency plus
+   the way there, raised as slots fill and by failed calls.  Sources: B.
+   Wydrowski et al., Load is not what you should balance: Introducing Prequal,
+   NSDI 2024 (hot and cold, then latency); M. Mitzenmacher, How Useful Is Old
+   Information?, IEEE TPDS 11(1), 2000 (why the best by an old report must not
+   draw all).  */
 extern const struct cp_picker cp_picker_hot_cold;
 
 #define CP_PICKERS 5
@@ -86,16 +90,22 @@
 /* Returns the picker called NAME, or NULL.  */
 const struct cp_picker *cp_picker_find (const char *name);
 
-/* Estimates the calls in flight at a target, its queue included.  The last
-   report is weighed against the mean of all targets by how far the load of
-   this one will have drifted since (the gain of a Kalman filter: variance
-   over variance plus drift times age).  Own calls since then are added.  */
+/* Estimates the calls in flight at a target, its queue included: the own ones,
+   which are known, and those of others, which the last report told.  The
+   latter are weighed against their mean over all targets by how far the load
+   of this one will have drifted since (the gain of a Kalman filter: variance
+   over variance plus drift times age).  The drift is overstated so that many
+   outbound sides with the same reports do not all turn to the same target.  */
 double cp_estimate_load (const struct cp_target_state *state,
                          const struct cp_pick_view *view);
 
+/* Returns LATENCY_US, of AGE_US, moved towards MEAN_US as it ages.  */
+double cp_fade_latency_us (double latency_us, double mean_us, uint64_t age_us);
+
 /* Estimates the time to an answer in microseconds, 0 when nothing is known:
-   the moving mean, moved towards that of all targets with age, and at least
-   the mean time for which own calls have been unanswered.  */
+   the moving mean, moved towards that of all targets with age.  When own calls
+   have been unanswered for longer than noise explains, it is the mean time for
+   which they have.  */
 double cp_estimate_latency_us (const struct cp_target_state *state,
                                const struct cp_pick_view *view);
 
--- a/lib/picker_hot_cold.c
+++ b/lib/picker_hot_cold.c
@@ -6,16 +6,20 @@
 #define HOT_USE 0.9
 #define HOT_MEAN_FACTOR 2.0
 #define HOT_MEAN_EXTRA 3.0
-#define COST_BAND 1.25
+#define HOT_ERRORS 0.1
+#define COST_BAND_LEAST 0.1
+#define COST_BAND_NOISE 1.3
 #define FAILURE_COST_US 1e6
 #define PRESSURE_POWER 4.0
-#define NEAR_USE 0.25
+#define NEAR_USE 0.2
+#define NEAR_USE_END 0.9
 #define ERROR_USE 10.0
 
 /* A target as the rule sees it.  */
 struct option
 {
   unsigned index;
+  double load;
   double use; /* share of the target's limit that is in flight */
   double cost_us;
   double errors; /* share of failed calls */
@@ -48,8 +52,7 @@
   option->near = state->same_domain;
   option->errors = cp_health_errors (&state->health, view->now_us);
   option->use = (load + 1) / limit_of (state, view);
-  option->hot = option->use > HOT_USE
-                || load > HOT_MEAN_FACTOR * view->mean_load + HOT_MEAN_EXTRA;
+  option->load = load;
   option->cost_us
       = latency * (1 + pow (option->use, PRESSURE_POWER))
         + (state->same_domain ? 0 : (double)view->remote_us)
@@ -93,10 +96,31 @@
       assess (&options->list[options->count++], view, indices[i]);
 }
 
-/* Keeps the options that are no hotter and hardly dearer than the best.  */
+/* Tells hot from cold: a target is hot when it is nearly full, has many more
+   calls in flight than the others, or fails calls, which keeps it idle.  */
+static void
+set_hot (struct options *options)
+{
+  double sum = 0;
+
+  for (unsigned i = 0; i < options->count; i++)
+    sum += options->list[i].load;
+  for (unsigned i = 0; i < options->count; i++)
+    {
+      struct option *option = &options->list[i];
+
+      option->hot = option->use > HOT_USE || option->errors > HOT_ERRORS
+                    || option->load > HOT_MEAN_FACTOR * sum / options->count
+                                          + HOT_MEAN_EXTRA;
+    }
+}
+
+/* Keeps the cold options whose cost is the least, or more by no more than
+   noise explains.  Returns false when all are hot.  */
 static bool
-keep_best (struct options *options)
+keep_best (const struct cp_pick_view *view, struct options *options)
 {
+  double band = 1 + COST_BAND_LEAST + COST_BAND_NOISE * view->latency_noise;
   bool cold = false;
   double best = INFINITY;
   unsigned kept = 0;
@@ -109,7 +133,7 @@
     if (!options->list[i].hot && options->list[i].cost_us < best)
       best = options->list[i].cost_us;
   for (unsigned i = 0; i < options->count; i++)
-    if (!options->list[i].hot && options->list[i].cost_us <= best * COST_BAND)
+    if (!options->list[i].hot && options->list[i].cost_us <= best * band)
       options->list[kept++] = options->list[i];
   options->count = kept;
   return true;
@@ -121,26 +145,27 @@
 static double
 key_of (const struct option *option)
 {
-  return option->use + option->errors * ERROR_USE
-         - (option->near ? NEAR_USE : 0);
+  double near = 0;
+
+  if (option->near && option->use < NEAR_USE_END)
+    near = NEAR_USE * (1 - option->use / NEAR_USE_END);
+  return option->use + option->errors * ERROR_USE - near;
 }
 
+/* Returns the index of the least used option, a random one among equals.  */
 static unsigned
-least_used (const struct cp_pick_view *view, struct options *options,
-            unsigned draws)
+least_used (const struct cp_pick_view *view, const struct options *options)
 {
-  const struct option *best = &options->list[0];
+  unsigned first = (unsigned)cp_random_below (view->random, options->count);
+  const struct option *best = &options->list[first];
 
-  for (unsigned i = 0; i < draws && i < options->count; i++)
+  for (unsigned i = 1; i < options->count; i++)
     {
-      unsigned left = options->count - i;
-      unsigned at = i + (unsigned)cp_random_below (view->random, left);
-      struct option drawn = options->list[at];
-
-      options->list[at] = options->list[i];
-      options->list[i] = drawn;
-      if (i == 0 || key_of (&options->list[i]) < key_of (best))
-        best = &options->list[i];
+      const struct option *option
+          = &options->list[(first + i) % options->count];
+
+      if (key_of (option) < key_of (best))
+        best = option;
     }
   return best->index;
 }
@@ -153,14 +178,15 @@
 
   (void)context;
   sample (view, &options);
-  if (!keep_best (&options))
+  set_hot (&options);
+  if (!keep_best (view, &options))
     {
       *reason = "all are hot; least loaded";
-      return least_used (view, &options, options.count);
+      return least_used (view, &options);
     }
   *reason = options.count == 1 ? "fastest of the cold"
                                : "least loaded of the fast and cold";
-  return least_used (view, &options, options.count / 2 + 1);
+  return least_used (view, &options);
 }
 
 const struct cp_picker cp_picker_hot_cold
--- a/lib/replay.c
+++ b/lib/replay.c
@@ -241,7 +241,7 @@
   add_event (replay,
              now_us
                  + cp_replay_service_us (&replay->targets, journey->index,
-                                         journey->target, now_us - START_US),
+                                         journey->target),
              EVENT_FINISH, journey);
 }
 
@@ -260,7 +260,10 @@
   else if (target->in_flight < target->slots)
     start_service (replay, journey, now_us);
   else
-    g_queue_push_tail (&target->queue, journey);
+    {
+      replay->result->waits++;
+      g_queue_push_tail (&target->queue, journey);
+    }
   cp_replay_target_changed (target, now_us);
 }
 
@@ -270,12 +273,13 @@
   struct cp_replay_target *target = &replay->targets.list[journey->target];
   struct journey *next = g_queue_pop_head (&target->queue);
 
-  target->in_flight--;
   cp_replay_target_ended (target, now_us - journey->reached_us);
+  /* As in the daemon, the report counts the call that it rides on.  */
+  answer (replay, journey, CP_CALL_ANSWERED, now_us);
+  target->in_flight--;
   if (next != NULL)
     start_service (replay, next, now_us);
   cp_replay_target_changed (target, now_us);
-  answer (replay, journey, CP_CALL_ANSWERED, now_us);
 }
 
 static void
@@ -394,7 +398,8 @@
     {
       cp_balancer_init (&replay->balancers[i], replay->options->picker,
                         replay->options->chart, &replay->clock.clock,
-                        trace->service, trace->outbound[i].failure_domain);
+                        trace->service, trace->outbound[i].name,
+                        trace->outbound[i].failure_domain);
       cp_balancer_observe (&replay->balancers[i], &observer);
       cp_seeded_random_init (&replay->randoms[i],
                              replay->options->seed * CP_TRACE_MEMBERS_MAX + i);
--- a/lib/replay.h
+++ b/lib/replay.h
@@ -3,10 +3,12 @@
    Each outbound side of the trace gets a balancer of its own.  The calls come
    when the trace says so.  A call that is sent to the target which answered it
    in the trace takes its recorded service time there.  One that is sent
-   elsewhere keeps its rank: it takes the service time that has the same
-   quantile among the calls recorded at that target around that time, under the
-   same fault.  When a target has too few of these, all targets' are used; when
-   none were recorded under that fault, usual ones times the fault's value.
+   elsewhere keeps its work: its recorded time, divided by the median of the
+   calls that were recorded at the target which answered it and multiplied by
+   that at the other one, each under the fault "slow" in force there.  Where a
+   target's median differs from that of all targets under the same fault by no
+   more than chance explains, the latter stands for it; when too few were
+   recorded under that fault, the usual ones times the fault's value.
    Each target has the trace's slots and a queue that is first in, first out.
    Reports ride on answers, with the calls in flight of this queue.
 
@@ -40,6 +42,7 @@
   uint64_t calls;
   uint64_t errors; /* failed, late, or no target left */
   uint64_t retries;
+  uint64_t waits; /* calls that found no slot free at their target */
   uint64_t p50_us;
   uint64_t p99_us;
   uint64_t p999_us;
--- a/lib/replay_target.c
+++ b/lib/replay_target.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -5,7 +6,6 @@
 #include "lib/clock.h"
 #include "lib/replay_target.h"
 
-#define WINDOW 33
 #define SAMPLES_LEAST 12
 #define HISTORY_MOST 4096
 
@@ -19,7 +19,7 @@
       return &g_array_index (groups, struct cp_replay_samples, i);
   if (!create)
     return NULL;
-  fresh.list = g_array_new (FALSE, FALSE, sizeof (struct cp_replay_sample));
+  fresh.services_us = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   g_array_append_val (groups, fresh);
   return &g_array_index (groups, struct cp_replay_samples, groups->len - 1);
 }
@@ -56,70 +56,80 @@
   return &g_array_index (trace->calls, struct cp_trace_call, index);
 }
 
-/* Finds the first sample that is not before TIME_US.  */
-static unsigned
-lower_bound (const GArray *list, uint64_t time_us)
+static int
+compare_times (const void *left, const void *right)
 {
-  unsigned low = 0;
-  unsigned high = list->len;
+  uint64_t a = *(const uint64_t *)left;
+  uint64_t b = *(const uint64_t *)right;
 
-  while (low < high)
-    {
-      unsigned middle = (low + high) / 2;
+  return a < b ? -1 : a > b;
+}
 
-      if (g_array_index (list, struct cp_replay_sample, middle).time_us
-          < time_us)
-        low = middle + 1;
-      else
-        high = middle;
-    }
-  return low;
+static double
+quantile_of (const struct cp_replay_samples *samples, double quantile)
+{
+  guint index = (guint)(quantile * samples->services_us->len);
+
+  return (double)g_array_index (samples->services_us, uint64_t, index);
 }
 
-/* Copies the service times of the samples around TIME_US; returns how many. */
-static unsigned
-window_of (const GArray *list, uint64_t time_us, uint64_t window[WINDOW])
+static bool
+are_enough (const struct cp_replay_samples *samples)
 {
-  unsigned first = lower_bound (list, time_us);
-  unsigned count = list->len < WINDOW ? list->len : WINDOW;
-
-  first = first > count / 2 ? first - count / 2 : 0;
-  if (first + count > list->len)
-    first = list->len - count;
-  for (unsigned i = 0; i < count; i++)
-    window[i]
-        = g_array_index (list, struct cp_replay_sample, first + i).service_us;
-  return count;
+  return samples != NULL && samples->services_us->len >= SAMPLES_LEAST;
 }
 
-static int
-compare_times (const void *left, const void *right)
+/* Returns how far the median of SAMPLES may be off by chance.  Source: R.
+   McGill, J. Tukey and W. Larsen, Variations of Box Plots, The American
+   Statistician 32(1), 1978 (notches).  */
+static double
+notch_of (const struct cp_replay_samples *samples)
 {
-  uint64_t a = *(const uint64_t *)left;
-  uint64_t b = *(const uint64_t *)right;
+  return 1.57 * (quantile_of (samples, 0.75) - quantile_of (samples, 0.25))
+         / sqrt (samples->services_us->len);
+}
 
-  return a < b ? -1 : a > b;
+/* Returns the usual service time at TARGET under a fault: that of all targets
+   under this fault, unless this one's differs by more than chance.  */
+static double
+usual_us (const struct cp_replay_targets *targets, unsigned target,
+          unsigned factor)
+{
+  const struct cp_replay_samples *own
+      = find_samples (targets->own[target], factor, false);
+  const struct cp_replay_samples *all
+      = find_samples (targets->all, factor, false);
+  double off;
+
+  if (!are_enough (all))
+    return factor == 1 ? (double)CP_US_PER_MS
+                       : factor * usual_us (targets, target, 1);
+  if (!are_enough (own))
+    return quantile_of (all, 0.5);
+  off = fabs (quantile_of (own, 0.5) - quantile_of (all, 0.5));
+  return quantile_of (off > notch_of (own) + notch_of (all) ? own : all, 0.5);
 }
 
-/* Returns the share of calls around CALL at its target that were faster.  */
+/* Returns the time that CALL took as a share of what was usual.  */
 static double
-rank_of (const struct cp_replay_targets *targets,
+work_of (const struct cp_replay_targets *targets,
          const struct cp_trace_call *call)
 {
   unsigned factor
       = recorded_factor (targets->trace, call->target, call->time_us);
-  const struct cp_replay_samples *samples
-      = find_samples (targets->own[call->target], factor, false);
-  uint64_t window[WINDOW];
-  unsigned count;
-  double below = 0.5;
-
-  if (samples == NULL || !has_service (call))
-    return 0.5;
-  count = window_of (samples->list, call->time_us, window);
-  for (unsigned i = 0; i < count; i++)
-    below += window[i] < call->service_us;
-  return below / (count + 1);
+
+  if (!has_service (call))
+    return 1;
+  return (double)call->service_us / usual_us (targets, call->target, factor);
+}
+
+static void
+sort_groups (GArray *groups)
+{
+  for (guint i = 0; i < groups->len; i++)
+    g_array_sort (
+        g_array_index (groups, struct cp_replay_samples, i).services_us,
+        compare_times);
 }
 
 void
@@ -129,7 +139,7 @@
   memset (targets, 0, sizeof *targets);
   targets->trace = trace;
   targets->all = g_array_new (FALSE, FALSE, sizeof (struct cp_replay_samples));
-  targets->ranks = g_new0 (double, trace->calls->len + 1);
+  targets->work = g_new0 (double, trace->calls->len + 1);
   for (unsigned i = 0; i < trace->n_targets; i++)
     {
       struct cp_replay_target *target = &targets->list[i];
@@ -146,26 +156,30 @@
   for (unsigned i = 0; i < trace->calls->len; i++)
     {
       const struct cp_trace_call *call = call_at (trace, i);
-      struct cp_replay_sample sample = { call->time_us, call->service_us };
+      uint64_t service_us = call->service_us;
       unsigned factor = recorded_factor (trace, call->target, call->time_us);
 
       if (!has_service (call))
         continue;
       g_array_append_val (
-          find_samples (targets->own[call->target], factor, true)->list,
-          sample);
-      g_array_append_val (find_samples (targets->all, factor, true)->list,
-                          sample);
+          find_samples (targets->own[call->target], factor, true)->services_us,
+          service_us);
+      g_array_append_val (
+          find_samples (targets->all, factor, true)->services_us, service_us);
     }
+  for (unsigned i = 0; i < trace->n_targets; i++)
+    sort_groups (targets->own[i]);
+  sort_groups (targets->all);
   for (unsigned i = 0; i < trace->calls->len; i++)
-    targets->ranks[i] = rank_of (targets, call_at (trace, i));
+    targets->work[i] = work_of (targets, call_at (trace, i));
 }
 
 static void
 free_groups (GArray *groups)
 {
   for (guint i = 0; i < groups->len; i++)
-    g_array_unref (g_array_index (groups, struct cp_replay_samples, i).list);
+    g_array_unref (
+        g_array_index (groups, struct cp_replay_samples, i).services_us);
   g_array_unref (groups);
 }
 
@@ -179,7 +193,7 @@
       g_queue_clear (&targets->list[i].queue);
     }
   free_groups (targets->all);
-  g_free (targets->ranks);
+  g_free (targets->work);
 }
 
 void
@@ -197,40 +211,17 @@
   target->values[fault->kind] = fault->value;
 }
 
-static double
-service_at_rank (const struct cp_replay_targets *targets, unsigned target,
-                 unsigned factor, uint64_t now_us, double rank)
-{
-  const struct cp_replay_samples *samples
-      = find_samples (targets->own[target], factor, false);
-  uint64_t window[WINDOW];
-  unsigned count;
-
-  if (samples == NULL || samples->list->len < SAMPLES_LEAST)
-    samples = find_samples (targets->all, factor, false);
-  if (samples == NULL || samples->list->len < SAMPLES_LEAST)
-    return -1;
-  count = window_of (samples->list, now_us, window);
-  qsort (window, count, sizeof window[0], compare_times);
-  return (double)window[(unsigned)(rank * count)];
-}
-
 uint64_t
 cp_replay_service_us (const struct cp_replay_targets *targets, unsigned call,
-                      unsigned target, uint64_t now_us)
+                      unsigned target)
 {
   const struct cp_trace_call *recorded = call_at (targets->trace, call);
   unsigned factor = targets->list[target].values[CP_FAULT_SLOW];
-  double rank = targets->ranks[call];
-  double service_us;
 
   if (recorded->target == target && has_service (recorded)
       && recorded_factor (targets->trace, target, recorded->time_us) == factor)
     return recorded->service_us;
-  service_us = service_at_rank (targets, target, factor, now_us, rank);
-  if (service_us < 0)
-    service_us = service_at_rank (targets, target, 1, now_us, rank) * factor;
-  return service_us < 0 ? CP_US_PER_MS : (uint64_t)service_us;
+  return (uint64_t)(targets->work[call] * usual_us (targets, target, factor));
 }
 
 void
--- a/lib/replay_target.h
+++ b/lib/replay_target.h
@@ -7,17 +7,11 @@
 
 #define CP_REPLAY_RECENT 15
 
-/* Service times that were recorded under one fault, by time.  */
+/* Service times that were recorded under one fault, sorted.  */
 struct cp_replay_samples
 {
-  unsigned factor; /* value of the fault "slow" */
-  GArray *list;    /* of struct cp_replay_sample */
-};
-
-struct cp_replay_sample
-{
-  uint64_t time_us;
-  uint64_t service_us;
+  unsigned factor;     /* value of the fault "slow" */
+  GArray *services_us; /* of uint64_t */
 };
 
 /* A load as it was, for reports that lag.  */
@@ -47,7 +41,7 @@
   struct cp_replay_target list[CP_TRACE_MEMBERS_MAX];
   GArray *own[CP_TRACE_MEMBERS_MAX]; /* of struct cp_replay_samples */
   GArray *all;
-  double *ranks; /* of each call, in the order of the trace */
+  double *work; /* of each call: its time as a share of the usual */
 };
 
 void cp_replay_targets_init (struct cp_replay_targets *targets,
@@ -58,10 +52,10 @@
 void cp_replay_target_fault (struct cp_replay_targets *targets,
                              const struct cp_trace_fault *fault);
 
-/* Returns the service time of call CALL at TARGET from NOW_US on.  */
+/* Returns the service time of call CALL at TARGET under the faults in force.
+ */
 uint64_t cp_replay_service_us (const struct cp_replay_targets *targets,
-                               unsigned call, unsigned target,
-                               uint64_t now_us);
+                               unsigned call, unsigned target);
 
 /* Notes that the load of TARGET changed, or that a call ended there after
    LATENCY_US.  */
