--- a/cornelpickd/cornelpickd.h
+++ b/cornelpickd/cornelpickd.h
@@ -10,6 +10,8 @@
 #include <stdint.h>
 #include <urcu/list.h>
 
+#include "cornelpickd/fleet.h"
+#include "cornelpickd/measure.h"
 #include "http/http.h"
 #include "lib/admission.h"
 #include "lib/balancer.h"
@@ -21,6 +23,7 @@
 #include "lib/id.h"
 #include "lib/life.h"
 #include "lib/log.h"
+#include "lib/peer_clock.h"
 #include "lib/register.h"
 #include "lib/report.h"
 #include "lib/settings.h"
@@ -37,6 +40,8 @@
 #define HEADER_ATTEMPT "Cornelpick-Attempt"
 #define HEADER_INCARNATION "Cornelpick-Incarnation"
 #define HEADER_REMAINING_US "Cornelpick-Remaining-Us"
+#define HEADER_START_BY "Cornelpick-Start-By-Us"
+#define HEADER_CLOCK "Cornelpick-Clock"
 #define HEADER_LOAD "Cornelpick-Load"
 #define HEADER_TARGET "Cornelpick-Target"
 #define HEADER_PRIORITY "Cornelpick-Priority"
@@ -67,6 +72,7 @@
   COUNT_REFUSED_DUPLICATE,
   COUNT_REFUSED_FULL,
   COUNT_REFUSED_DEADLINE,
+  COUNT_REFUSED_UNVERIFIED,
   COUNT_RPC_CALLS,
   COUNT_RPC_REFUSED,
   COUNT_CONFIGURATION_READS,
@@ -75,6 +81,16 @@
   COUNT_CONFIGURATION_OLDER,
   COUNT_PAUSES,
   COUNT_LATE_STARTS,
+  COUNT_LEAVING_STARTS,
+  COUNT_PROBES,
+  COUNT_PROBES_HUNG,
+  COUNT_BUDGET_REFUSED,
+  COUNT_QUERIES_REFUSED,
+  COUNT_LIST_READS,
+  COUNT_DIGESTS_SENT,
+  COUNT_SECTIONS_FETCHED,
+  COUNT_CONTROL_MESSAGES,
+  COUNT_CONTROL_BYTES,
   COUNT_END
 };
 
@@ -127,6 +143,7 @@
   bool asking;
   bool stop_asking;
   struct cp_histogram latency;
+  struct cp_peer_clocks peers;
   unsigned in_flight;
 };
 
@@ -170,6 +187,7 @@
   GByteArray *body; /* what was read of the body, for another attempt */
   size_t body_at;
   bool body_lost; /* more was read than is kept */
+  bool late;      /* an attempt ran into its deadline */
   struct answer answer;
 };
 
@@ -191,7 +209,12 @@
   struct cp_target target;
   uint64_t incarnation;
   uint64_t started_us;
-  bool swallow; /* the answer is not for the caller */
+  uint64_t deadline_us; /* earlier than the call's, to leave time to fence */
+  uint64_t start_by_us; /* on the clock of the inbound side; 0: not known */
+  uint64_t silent_us;   /* how long to wait before the next question */
+  unsigned no_proof;    /* questions without a reply, one after the other */
+  bool answered;        /* the inbound side says that it has answered */
+  bool swallow;         /* the answer is not for the caller */
   enum attempt_outcome outcome;
   char from[CP_NAME_BYTES];
 };
@@ -199,8 +222,9 @@
 /* Makes attempts until the call has its answer, and answers it.  */
 void call_run (struct call *call);
 
-/* A non-idempotent attempt must name the incarnation it is meant for; asks for
-   it when it is not known.  Returns false when it can not be had.  */
+/* A non-idempotent attempt must name the incarnation it is meant for and the
+   time after which it may not start; asks for the clock of the inbound side
+   when it is not known.  Returns false when it can not be had.  */
 bool attempt_learn_incarnation (struct attempt *attempt);
 
 /* Makes one attempt; sets its outcome.  */
@@ -227,53 +251,6 @@
 void inbound_report (struct inbound *inbound, struct cp_report *report);
 json_t *inbound_dump (struct inbound *inbound);
 
-/* configuration.c: the document in force and how it is learnt.  */
-struct configuration
-{
-  struct daemon *daemon;
-  struct cp_document *current; /* through RCU */
-  pthread_t watcher;
-  bool watching;
-  bool stop;
-  pthread_mutex_t lock;
-  pthread_cond_t changed;
-  uint64_t accepted_us;
-  char refused[512]; /* why a newer document is not in force */
-};
-
-int configuration_start (struct configuration *configuration,
-                         struct daemon *daemon, struct cp_error *error);
-void configuration_stop (struct configuration *configuration);
-
-/* Returns the document in force with a reference that the caller owns, or
-   NULL before the first.  */
-struct cp_document *configuration_get (struct configuration *configuration);
-
-/* Puts a document in force when it is valid and newer.  */
-void configuration_offer (struct configuration *configuration,
-                          const char *source, const char *text, size_t length);
-json_t *configuration_dump (struct configuration *configuration);
-
-/* members.c: which VMs are known.  */
-struct members
-{
-  struct daemon *daemon;
-  pthread_t reader;
-  bool reading;
-  bool stop;
-  pthread_mutex_t lock;
-  pthread_cond_t changed;
-  struct cds_list_head vms;
-};
-
-int members_start (struct members *members, struct daemon *daemon,
-                   struct cp_error *error);
-void members_stop (struct members *members);
-
-/* Returns whether the IP number belongs to the document or the VM list.  */
-bool members_known (struct members *members, const char *ip);
-json_t *members_dump (struct members *members);
-
 /* rpc.c: ONC RPC between daemons.  */
 struct rpc_server
 {
@@ -299,10 +276,12 @@
   FENCE_NO_PROOF
 };
 
-/* Asks the inbound side at ADDRESS to give up an attempt.  */
+/* Asks the inbound side at ADDRESS to give up an attempt that may not start
+   after START_BY_US on its clock.  Without CANCEL, an attempt that has arrived
+   there is left alone.  */
 enum fence_result rpc_fence (const struct cp_address *address,
                              const struct cp_id *attempt, uint64_t incarnation,
-                             uint64_t remember_us, bool cancel,
+                             uint64_t start_by_us, bool cancel,
                              uint64_t timeout_us);
 
 /* Asks the inbound side at ADDRESS for its load.  */
@@ -313,6 +292,9 @@
 void admin_handle (void *context, struct request *request);
 char *metrics_text (struct daemon *daemon);
 
+/* metrics_gauges.c: appends gauges and histograms to TEXT.  */
+void metrics_gauges (struct daemon *daemon, GString *text);
+
 /* daemon.c */
 struct daemon
 {
@@ -325,11 +307,14 @@
   int life;
   uint64_t incarnation;
   uint64_t started_us;
+  uint64_t drained_us; /* when the drain began, 0 for not yet */
   struct upstream_pool upstreams;
   struct outbound outbound;
   struct inbound inbound;
+  struct measure measure;
   struct configuration configuration;
   struct members members;
+  struct spread spread;
   struct rpc_server rpc;
   struct listener calls;
   struct listener peers;
--- a/cornelpickd/inbound.c
+++ b/cornelpickd/inbound.c
@@ -6,9 +6,10 @@
 #include "cornelpickd/cornelpickd.h"
 #include "lib/cleanup.h"
 
-#define REGISTER_CAPACITY 65536
-#define REGISTER_MARGIN_US (10 * CP_US_PER_S)
-#define REMAINING_US_MAX (600 * CP_US_PER_S)
+/* A start-by time further ahead than this is no time of this clock.  */
+#define START_BY_AHEAD_MAX (CP_REGISTER_KEEP_US_MAX + CP_US_PER_S)
+/* A connection idle for longer is not used for a call that runs once.  */
+#define IDLE_ONCE_US (CP_US_PER_S)
 #define SLOTS_DEFAULT 12
 
 /* A forwarded call at the inbound side.  */
@@ -16,13 +17,16 @@
 {
   struct inbound *inbound;
   struct request *request;
+  struct cp_id id;
   struct cp_id attempt;
   struct cp_target target;
   char from[CP_NAME_BYTES];
   uint64_t deadline_us;
-  uint64_t keep_until_us;
+  uint64_t start_by_us;
+  uint64_t drain_within_us;
   uint64_t sent_us;
   bool idempotent;
+  bool started; /* the target may have seen the call */
   enum cp_priority priority;
   struct answer answer;
   enum daemon_counter refused_as;
@@ -41,7 +45,7 @@
   if (cp_chart_load (&inbound->chart, path, &cp_attempt_names, error) != 0)
     return -1;
   cp_register_init (&inbound->attempts, daemon->clock, &inbound->chart,
-                    REGISTER_CAPACITY);
+                    CP_REGISTER_CAPACITY);
   cp_admission_init (&inbound->admission, daemon->clock, SLOTS_DEFAULT);
   return 0;
 }
@@ -76,9 +80,13 @@
 void
 inbound_update (struct inbound *inbound, const struct cp_document *document)
 {
-  const struct cp_service *service;
+  const struct cp_service *service = NULL;
+  const struct cp_target *target
+      = own_target (inbound->daemon, document, &service);
 
-  if (own_target (inbound->daemon, document, &service) != NULL)
+  measure_update (&inbound->daemon->measure, &document->fleet, service,
+                  target);
+  if (target != NULL)
     cp_admission_set_slots (&inbound->admission, service->slots);
 }
 
@@ -87,9 +95,11 @@
 {
   memset (report, 0, sizeof *report);
   report->incarnation = inbound->daemon->incarnation;
-  report->life = daemon_life (inbound->daemon);
-  report->latency_us = cp_histogram_quantile (&inbound->latency, 0.5);
+  report->life = members_leaving (&inbound->daemon->members)
+                     ? CP_LIFE_DRAINING
+                     : daemon_life (inbound->daemon);
   cp_admission_report (&inbound->admission, report);
+  measure_report (&inbound->daemon->measure, report);
 }
 
 /* Composes the header lines that go with each answer to a daemon.  */
@@ -97,15 +107,44 @@
 own_headers (const struct visit *visit, const char *outcome, char *text,
              size_t size)
 {
+  const struct daemon *daemon = visit->inbound->daemon;
   struct cp_report report;
   char load[CP_REPORT_TEXT_BYTES];
+  char clock[CP_PEER_CLOCK_TEXT_BYTES];
 
   inbound_report (visit->inbound, &report);
   cp_report_text (&report, load);
+  cp_peer_clock_text (daemon->incarnation, cp_clock_now_us (daemon->clock),
+                      clock);
   snprintf (text, size,
-            HEADER_OUTCOME ": %s\r\n" HEADER_LOAD ": %s\r\n" HEADER_FROM
-                           ": %s\r\n",
-            outcome, load, visit->inbound->daemon->settings.vm);
+            HEADER_OUTCOME ": %s\r\n" HEADER_LOAD ": %s\r\n" HEADER_CLOCK
+                           ": %s\r\n" HEADER_FROM ": %s\r\n",
+            outcome, load, clock, daemon->settings.vm);
+}
+
+/* Records a step of the visit; DURATION_US as the kind says.  */
+static void
+visit_record (const struct visit *visit, enum cp_decision_kind kind,
+              const char *reason, int status, uint64_t duration_us)
+{
+  struct cp_decision decision = { .kind = kind,
+                                  .request = visit->id,
+                                  .attempt = visit->attempt,
+                                  .status = status,
+                                  .duration_us = duration_us };
+
+  g_strlcpy (decision.target, visit->target.name, sizeof decision.target);
+  g_strlcpy (decision.reason, reason, sizeof decision.reason);
+  decision.reason[strcspn (decision.reason, "\n")] = '\0';
+  daemon_record (visit->inbound->daemon, &decision);
+}
+
+/* Returns the time since the call arrived.  */
+static uint64_t
+visit_age_us (const struct visit *visit)
+{
+  return cp_clock_now_us (visit->inbound->daemon->clock)
+         - visit->request->arrived_us;
 }
 
 static void
@@ -114,6 +153,9 @@
 {
   char headers[512];
 
+  if (!visit->started)
+    visit_record (visit, CP_DECISION_REFUSE, reason, status,
+                  visit_age_us (visit));
   own_headers (visit, outcome, headers, sizeof headers);
   request_answer (visit->request, status, headers, "text/plain", reason);
 }
@@ -127,18 +169,28 @@
   const char *idempotent = request_header (request, HEADER_IDEMPOTENT);
   const char *priority = request_header (request, HEADER_PRIORITY);
   const char *from = request_header (request, HEADER_FROM);
+  const char *start_by = request_header (request, HEADER_START_BY);
   uint64_t remaining_us;
 
+  cp_id_parse (&visit->id, request_header (request, HEADER_REQUEST));
   if (!cp_id_parse (&visit->attempt, request_header (request, HEADER_ATTEMPT))
       || remaining == NULL || from == NULL)
     return false;
   remaining_us = strtoull (remaining, NULL, 10);
-  if (remaining_us > REMAINING_US_MAX)
+  if (remaining_us > CP_REGISTER_KEEP_US_MAX)
     return false;
   snprintf (visit->from, sizeof visit->from, "%s", from);
   visit->deadline_us = request->arrived_us + remaining_us;
-  visit->keep_until_us = visit->deadline_us + REGISTER_MARGIN_US;
   visit->idempotent = idempotent != NULL && strcmp (idempotent, "yes") == 0;
+  visit->start_by_us = visit->deadline_us;
+  if (start_by != NULL)
+    visit->start_by_us = strtoull (start_by, NULL, 10);
+  else if (!visit->idempotent)
+    return false;
+  if (visit->start_by_us > request->arrived_us + START_BY_AHEAD_MAX)
+    return false;
+  if (visit->deadline_us > visit->start_by_us)
+    visit->deadline_us = visit->start_by_us;
   visit->priority = CP_PRIORITY_NORMAL;
   if (priority != NULL && strcmp (priority, "high") == 0)
     visit->priority = CP_PRIORITY_HIGH;
@@ -158,14 +210,36 @@
   return addressed == visit->inbound->daemon->incarnation;
 }
 
+static enum cp_register_result
+try_step (struct visit *visit, enum cp_attempt_event event,
+          enum cp_attempt_state *state)
+{
+  return cp_register_step (&visit->inbound->attempts, &visit->attempt, event,
+                           visit->start_by_us, state);
+}
+
 static bool
 step (struct visit *visit, enum cp_attempt_event event)
 {
   enum cp_attempt_state state;
 
-  return cp_register_step (&visit->inbound->attempts, &visit->attempt, event,
-                           visit->keep_until_us, &state)
-         == CP_REGISTER_DONE;
+  return try_step (visit, event, &state) == CP_REGISTER_DONE;
+}
+
+/* Counts a start that breaks a promise: after the deadline, or longer after
+   the begin of the drain than the document allows.  */
+static void
+count_broken_promises (const struct visit *visit)
+{
+  struct daemon *daemon = visit->inbound->daemon;
+  uint64_t now = cp_clock_now_us (daemon->clock);
+  uint64_t drained_us
+      = __atomic_load_n (&daemon->drained_us, __ATOMIC_ACQUIRE);
+
+  if (now >= visit->deadline_us)
+    daemon_count (daemon, COUNT_LATE_STARTS);
+  if (drained_us != 0 && now > drained_us + visit->drain_within_us)
+    daemon_count (daemon, COUNT_LEAVING_STARTS);
 }
 
 /* The last check, immediately before the target sees the call.  */
@@ -173,8 +247,14 @@
 before_send (void *context)
 {
   struct visit *visit = context;
-  uint64_t now = cp_clock_now_us (visit->inbound->daemon->clock);
+  uint64_t now;
 
+  if (!configuration_usable (&visit->inbound->daemon->configuration))
+    {
+      visit->refused_as = COUNT_REFUSED_UNVERIFIED;
+      return false;
+    }
+  now = cp_clock_now_us (visit->inbound->daemon->clock);
   if (now >= visit->deadline_us)
     {
       visit->refused_as = COUNT_REFUSED_DEADLINE;
@@ -182,7 +262,13 @@
     }
   visit->sent_us = now;
   visit->refused_as = COUNT_REFUSED_DUPLICATE;
-  return step (visit, CP_ATTEMPT_START);
+  visit->started = step (visit, CP_ATTEMPT_START);
+  if (!visit->started)
+    return false;
+  count_broken_promises (visit);
+  visit_record (visit, CP_DECISION_START, "sent to the target", 0,
+                visit_age_us (visit));
+  return true;
 }
 
 static ssize_t
@@ -247,6 +333,9 @@
     {
       step (visit, CP_ATTEMPT_REFUSE);
       daemon_count (daemon, visit->refused_as);
+      if (visit->started)
+        visit_record (visit, CP_DECISION_END, upstream_result_names[result], 0,
+                      0);
       refuse (visit, 503, "not-run", "the target was not reached\n");
       return;
     }
@@ -257,6 +346,8 @@
     cp_histogram_add (&inbound->latency, latency);
   else
     daemon_count (daemon, COUNT_CUT_ANSWERS);
+  visit_record (visit, CP_DECISION_END, upstream_result_names[result],
+                visit->answer.status, latency);
   if (visit->answer.head_sent)
     answer_end (&visit->answer, result == UPSTREAM_COMPLETE);
   else
@@ -271,47 +362,86 @@
   struct daemon *daemon = visit->inbound->daemon;
   CP_AUTO_FREE char *path = full_path (visit->request);
   struct curl_slist *headers = target_headers (visit);
-  struct upstream_call call = { .address = &visit->target.address,
-                                .method = visit->request->info->request_method,
-                                .path = path,
-                                .headers = headers,
-                                .has_body = visit->request->body_size != 0,
-                                .body_size = visit->request->body_size,
-                                .deadline_us = visit->deadline_us,
-                                .caller_fd = visit->request->caller_fd,
-                                .context = visit,
-                                .before_send = before_send,
-                                .read_body = read_body,
-                                .on_head = on_head,
-                                .on_body = on_body };
+  struct upstream_call call
+      = { .address = &visit->target.address,
+          .method = visit->request->info->request_method,
+          .path = path,
+          .headers = headers,
+          .has_body = visit->request->body_size != 0,
+          .body_size = visit->request->body_size,
+          .deadline_us = visit->deadline_us,
+          .idle_max_us = visit->idempotent ? 0 : IDLE_ONCE_US,
+          .caller_fd = visit->request->caller_fd,
+          .context = visit,
+          .before_send = before_send,
+          .read_body = read_body,
+          .on_head = on_head,
+          .on_body = on_body };
   enum upstream_result result;
+  uint64_t latency_us = 0;
 
   visit->answer.request = visit->request;
   visit->refused_as = COUNT_REFUSED_FULL;
   result = upstream_perform (&daemon->upstreams, &call);
   curl_slist_free_all (headers);
-  cp_admission_leave (&visit->inbound->admission, visit->from,
-                      cp_clock_now_us (daemon->clock) - visit->sent_us,
-                      result != UPSTREAM_COMPLETE);
+  if (visit->sent_us != 0)
+    latency_us = cp_clock_now_us (daemon->clock) - visit->sent_us;
+  cp_admission_leave (&visit->inbound->admission, visit->from, latency_us,
+                      result != UPSTREAM_COMPLETE
+                          || visit->answer.status >= 500);
   finish_visit (visit, result);
 }
 
-static void
-admit (struct visit *visit)
+/* Enters the attempt.  Returns false when it was refused.  */
+static bool
+enter (struct visit *visit)
 {
   struct daemon *daemon = visit->inbound->daemon;
-  enum cp_admission_result result;
+  enum cp_attempt_state state;
+  bool given_up;
 
-  if (!step (visit, CP_ATTEMPT_ARRIVE))
+  switch (try_step (visit, CP_ATTEMPT_ARRIVE, &state))
     {
+    case CP_REGISTER_DONE:
+      return true;
+    case CP_REGISTER_FULL:
+      daemon_count (daemon, COUNT_REFUSED_FULL);
+      refuse (visit, 503, "not-run", "the register of attempts is full\n");
+      return false;
+    case CP_REGISTER_LATE:
+      daemon_count (daemon, COUNT_REFUSED_DEADLINE);
+      refuse (visit, 504, "unknown", "the time to start is over\n");
+      return false;
+    default:
       daemon_count (daemon, COUNT_REFUSED_DUPLICATE);
-      refuse (visit, 409, "unknown", "the attempt was seen before\n");
-      return;
+      given_up = state == CP_ATTEMPT_FENCED || state == CP_ATTEMPT_CANCELLED;
+      refuse (visit, 409, given_up ? "not-run" : "unknown",
+              "the attempt was seen before or fenced\n");
+      return false;
     }
+}
+
+static bool
+caller_gone (void *context)
+{
+  const struct visit *visit = context;
+
+  return request_caller_gone (visit->request);
+}
+
+static void
+admit (struct visit *visit)
+{
+  struct daemon *daemon = visit->inbound->daemon;
+  const struct cp_presence presence = { caller_gone, visit };
+  enum cp_admission_result result;
+
   result = cp_admission_enter (&visit->inbound->admission, visit->priority,
-                               visit->from, visit->deadline_us);
+                               visit->from, visit->deadline_us, &presence);
   if (result == CP_ADMITTED)
     {
+      visit_record (visit, CP_DECISION_ADMIT, visit->from, 0,
+                    visit_age_us (visit));
       call_target (visit);
       return;
     }
@@ -333,7 +463,10 @@
   if (document != NULL)
     target = own_target (daemon, document, &service);
   if (target != NULL)
-    visit->target = *target;
+    {
+      visit->target = *target;
+      visit->drain_within_us = service->drain_within_us;
+    }
   cp_document_unref (document);
   return target != NULL;
 }
@@ -343,6 +476,12 @@
 {
   struct daemon *daemon = visit->inbound->daemon;
 
+  if (!configuration_usable (&daemon->configuration))
+    {
+      daemon_count (daemon, COUNT_REFUSED_UNVERIFIED);
+      refuse (visit, 503, "not-run", "this daemon has no verified view\n");
+      return;
+    }
   if (!members_known (&daemon->members, visit->request->info->remote_addr))
     {
       daemon_count (daemon, COUNT_REFUSED_PEERS);
@@ -355,20 +494,32 @@
       refuse (visit, 400, "not-run", "a header of the attempt is missing\n");
       return;
     }
-  if (daemon_life (daemon) != CP_LIFE_SERVING)
+  if (!right_incarnation (visit))
+    {
+      daemon_count (daemon, COUNT_REFUSED_INCARNATION);
+      refuse (visit, 503, "not-run", "another incarnation is meant\n");
+      return;
+    }
+  if (!enter (visit))
+    return;
+  if (daemon_life (daemon) != CP_LIFE_SERVING
+      || members_leaving (&daemon->members))
     {
+      step (visit, CP_ATTEMPT_REFUSE);
       daemon_count (daemon, COUNT_REFUSED_LEAVING);
       refuse (visit, 503, "not-run", "this daemon is not serving\n");
       return;
     }
-  if (!right_incarnation (visit))
+  if (measure_leaving (&daemon->measure, visit->deadline_us))
     {
-      daemon_count (daemon, COUNT_REFUSED_INCARNATION);
-      refuse (visit, 503, "not-run", "another incarnation is meant\n");
+      step (visit, CP_ATTEMPT_REFUSE);
+      daemon_count (daemon, COUNT_REFUSED_LEAVING);
+      refuse (visit, 503, "not-run", "the target is leaving\n");
       return;
     }
   if (!find_own_target (visit))
     {
+      step (visit, CP_ATTEMPT_REFUSE);
       refuse (visit, 503, "not-run", "no target is beside this daemon\n");
       return;
     }
@@ -385,17 +536,45 @@
   __atomic_fetch_sub (&visit.inbound->in_flight, 1, __ATOMIC_RELAXED);
 }
 
+/* Adds the name of the target beside this daemon and of its service.  */
+static void
+dump_target (struct inbound *inbound, json_t *dump)
+{
+  struct daemon *daemon = inbound->daemon;
+  struct cp_document *document = configuration_get (&daemon->configuration);
+  const struct cp_service *service = NULL;
+  const struct cp_target *target = NULL;
+
+  if (document != NULL)
+    target = own_target (daemon, document, &service);
+  if (target != NULL)
+    {
+      json_object_set_new (dump, "target", json_string (target->name));
+      json_object_set_new (dump, "service", json_string (service->name));
+    }
+  cp_document_unref (document);
+}
+
 json_t *
 inbound_dump (struct inbound *inbound)
 {
   struct cp_report report;
-  char text[CP_REPORT_TEXT_BYTES];
+  json_t *load;
+  json_t *dump;
 
   inbound_report (inbound, &report);
-  cp_report_text (&report, text);
-  return json_pack (
-      "{s:i, s:o, s:i, s:s}", "in_flight",
+  load = json_pack (
+      "{s:I, s:I, s:I, s:I, s:I}", "in_flight", (json_int_t)report.in_flight,
+      "queued", (json_int_t)report.queued, "limit", (json_int_t)report.limit,
+      "errors_permille", (json_int_t)report.errors_permille, "age_us",
+      (json_int_t)report.age_us);
+  dump = json_pack (
+      "{s:i, s:o, s:i, s:o, s:I, s:I}", "in_flight",
       (int)__atomic_load_n (&inbound->in_flight, __ATOMIC_RELAXED),
       "admission", cp_admission_dump (&inbound->admission), "register_entries",
-      (int)cp_register_count (&inbound->attempts), "report", text);
+      (int)cp_register_count (&inbound->attempts), "load", load, "p50_us",
+      (json_int_t)cp_histogram_quantile (&inbound->latency, 0.5), "p99_us",
+      (json_int_t)cp_histogram_quantile (&inbound->latency, 0.99));
+  dump_target (inbound, dump);
+  return dump;
 }
--- a/cornelpickd/metrics.c
+++ b/cornelpickd/metrics.c
@@ -35,6 +35,8 @@
   = { "refused_full_total", "Attempts refused for lack of room." },
   [COUNT_REFUSED_DEADLINE]
   = { "refused_deadline_total", "Attempts whose time had run out." },
+  [COUNT_REFUSED_UNVERIFIED]
+  = { "refused_unverified_total", "Attempts refused for an unverified view." },
   [COUNT_RPC_CALLS] = { "rpc_calls_total", "RPC calls served." },
   [COUNT_RPC_REFUSED] = { "rpc_refused_total", "RPC calls refused." },
   [COUNT_CONFIGURATION_READS]
@@ -48,6 +50,26 @@
   [COUNT_PAUSES] = { "pauses_total", "Pauses of this process noticed." },
   [COUNT_LATE_STARTS]
   = { "late_starts_total", "Attempts started after their deadline." },
+  [COUNT_LEAVING_STARTS]
+  = { "leaving_starts_total",
+      "Attempts started later after the begin of the drain than allowed." },
+  [COUNT_PROBES] = { "probes_total", "Readings of the target's pages." },
+  [COUNT_PROBES_HUNG]
+  = { "probes_hung_total", "Readings cut off at their time limit." },
+  [COUNT_BUDGET_REFUSED]
+  = { "budget_refused_total", "Readings that the budget refused." },
+  [COUNT_QUERIES_REFUSED]
+  = { "queries_refused_total", "Load queries that the budget refused." },
+  [COUNT_LIST_READS] = { "list_reads_total", "Reads of the VM list." },
+  [COUNT_DIGESTS_SENT] = { "digests_sent_total", "Digests sent to peers." },
+  [COUNT_SECTIONS_FETCHED]
+  = { "sections_fetched_total", "Sections taken from peers." },
+  [COUNT_CONTROL_MESSAGES]
+  = { "control_messages_total",
+      "Messages for configuration and membership, both ways." },
+  [COUNT_CONTROL_BYTES]
+  = { "control_bytes_total",
+      "Bytes of these messages with their headers, both ways." },
 };
 
 char *
@@ -62,5 +84,6 @@
         "cornelpick_%s %" PRIu64 "\n",
         table[i].name, table[i].help, table[i].name, table[i].name,
         cp_counters_read (&daemon->counters, i));
+  metrics_gauges (daemon, text);
   return g_string_free (text, FALSE);
 }
--- a/cornelpickd/outbound.c
+++ b/cornelpickd/outbound.c
@@ -22,6 +22,7 @@
   outbound->daemon = daemon;
   pthread_mutex_init (&outbound->lock, NULL);
   CDS_INIT_LIST_HEAD (&outbound->balancers);
+  cp_peer_clocks_init (&outbound->peers, daemon->clock);
   snprintf (path, sizeof path, "%s/target.json", daemon->settings.charts);
   if (cp_chart_load (&outbound->chart, path, &cp_health_names, error) != 0)
     return -1;
@@ -40,6 +41,7 @@
     cp_balancer_finish (&entry->balancer);
     free (entry);
   }
+  cp_peer_clocks_finish (&outbound->peers);
   pthread_mutex_destroy (&outbound->lock);
 }
 
@@ -184,11 +186,12 @@
 {
   struct outbound *outbound = context;
   struct daemon *daemon = outbound->daemon;
-  struct cp_document *document;
+  struct cp_document *document = NULL;
 
   __atomic_fetch_add (&outbound->in_flight, 1, __ATOMIC_RELAXED);
   daemon_count (daemon, COUNT_CALLS);
-  document = configuration_get (&daemon->configuration);
+  if (configuration_usable (&daemon->configuration))
+    document = configuration_get (&daemon->configuration);
   if (document == NULL || daemon_life (daemon) != CP_LIFE_SERVING)
     {
       daemon_count (daemon, COUNT_NOT_RUN);
--- a/http/http.h
+++ b/http/http.h
@@ -91,9 +91,12 @@
   UPSTREAM_SILENT,      /* no first byte within first_byte_us */
   UPSTREAM_CALLER_GONE, /* the caller closed its connection */
   UPSTREAM_STOPPED,     /* the pool is stopping */
-  UPSTREAM_ABORTED      /* a callback asked to stop */
+  UPSTREAM_ABORTED,     /* a callback asked to stop */
+  UPSTREAM_RESULT_COUNT
 };
 
+extern const char *const upstream_result_names[UPSTREAM_RESULT_COUNT];
+
 struct upstream_call
 {
   const struct cp_address *address;
@@ -105,6 +108,7 @@
   uint64_t deadline_us;   /* absolute */
   uint64_t first_byte_us; /* absolute; 0 for none */
   bool fresh;             /* do not use a connection that was idle */
+  uint64_t idle_max_us;   /* nor one idle for longer; 0: the pool's limit */
   int caller_fd;          /* watched for its end, or -1 */
   bool background;        /* ends as soon as the pool is stopping */
   void *context;
@@ -112,6 +116,9 @@
   bool (*before_send) (void *context);
   /* Reads the request body: as request_read.  */
   ssize_t (*read_body) (void *context, char *buffer, size_t size);
+  /* Called when first_byte_us has passed; returns the time until which to wait
+     on, or 0 to give the connection up.  NULL gives up.  */
+  uint64_t (*on_silent) (void *context);
   /* Called once, before the body of the answer; false gives up.  */
   bool (*on_head) (void *context, const struct upstream_head *head);
   bool (*on_body) (void *context, const char *data, size_t size);
--- a/lib/settings.h
+++ b/lib/settings.h
@@ -5,6 +5,8 @@
    calls                  address for calls of applications and callers
    peers                  address for forwarded calls; the document's "daemon".
                           ONC RPC, UDP and TCP, is at the next port
+   peers_listen           where to listen for forwarded calls when addresses
+                          are translated on the way; default: peers
    admin                  address for /healthz, /state and /metrics
    configuration_service  address of the configuration service
    configuration_key      path of the document there; default /document
@@ -12,6 +14,9 @@
    charts                 folder with the state charts
    call_threads           threads for calls; default 64
    peer_threads           threads for forwarded calls; default 300
+   daemons_most           most daemons that the fleet may have; default 5000.
+                          It spreads the first reads of the platform while the
+                          size of the fleet is not known
    log_level, log_format  default info, text  */
 #ifndef CP_SETTINGS_H
 #define CP_SETTINGS_H
@@ -28,6 +33,7 @@
   char failure_domain[CP_NAME_BYTES];
   struct cp_address calls;
   struct cp_address peers;
+  struct cp_address peers_listen;
   struct cp_address admin;
   struct cp_address configuration_service;
   char configuration_key[128];
@@ -35,6 +41,7 @@
   char charts[256];
   unsigned call_threads;
   unsigned peer_threads;
+  unsigned daemons_most;
   enum cp_log_level log_level;
   enum cp_log_format log_format;
 };
