Let the configuration service be down while the VM list answers

Cause: the stand-in took both down at once, so that no fresh daemon could find its peers in an outage of the configuration service. Change: a control key "document_down" beside "down".

--- a/fakes/fakes.h
+++ b/fakes/fakes.h
@@ -71,6 +71,7 @@
   GString *vms;
   uint64_t reads;
   bool down;
+  bool document_down; /* the VM list still answers */
   bool stopping;
 };
 
--- a/fakes/platform.c
+++ b/fakes/platform.c
@@ -43,7 +43,7 @@
   else if (platform->version > after)
     text = strdup (platform->document->str);
   pthread_mutex_unlock (&platform->lock);
-  if (platform->down)
+  if (platform->down || platform->document_down)
     request_answer (request, 503, NULL, "text/plain", "down\n");
   else if (text == NULL)
     mg_printf (request->connection,
@@ -78,12 +78,13 @@
   request_answer (request, 200, NULL, "application/json", body);
 }
 
-/* Takes {"down": BOOL}, {"vms": [...]} and {"stale": DOCUMENT or null}.  */
+/* Takes {"down": BOOL}, {"document_down": BOOL}, {"vms": [...]} and {"stale": DOCUMENT or null}.  */
 static bool
 control (struct fake_platform *platform, const char *text, size_t length)
 {
   CP_AUTO_JSON json_t *root = json_loadb (text, length, 0, NULL);
   json_t *down = json_object_get (root, "down");
+  json_t *document_down = json_object_get (root, "document_down");
   json_t *stale = json_object_get (root, "stale");
 
   if (!json_is_object (root))
@@ -93,6 +94,8 @@
   CP_LOCK_SCOPE (&platform->lock);
   if (down != NULL)
     platform->down = json_is_true (down);
+  if (document_down != NULL)
+    platform->document_down = json_is_true (document_down);
   if (stale != NULL && platform->stale_document != NULL)
     {
       g_string_free (platform->stale_document, TRUE);
