--- /dev/null
+++ b/regress/path/check_fleet_partition.c
@@ -0,0 +1,111 @@
+/* Two halves of a fleet that do not reach each other keep serving; after
+   healing the newest version is in force everywhere.  */
+#include <signal.h>
+#include <stdio.h>
+
+#include "lib/cleanup.h"
+#include "regress/harness/spread.h"
+#include "regress/harness/suite.h"
+
+#define VMS 6
+#define DOMAINS 3
+
+/* Starts a fleet in which 1 to 3 reach the service and 4 to 6 do not.  */
+static void
+start_halves (struct fleet *fleet)
+{
+  fleet_allow_cuts ();
+  fleet_start (fleet, VMS, DOMAINS, NULL);
+  fleet_list (fleet, 0);
+  fleet_wait_calls (fleet, 1, 1);
+  fleet_cut (1, 3, 4, 6);
+  fleet_cut (4, 6, 250, 250);
+}
+
+START_TEST (both_halves_serve_and_the_newest_wins)
+{
+  struct fleet fleet;
+
+  start_halves (&fleet);
+  fleet_change (&fleet, NULL);
+  fleet_wait_version (&fleet, 1, 3, 2);
+  fleet_wait_calls (&fleet, 2, 10);
+  fleet_wait_calls (&fleet, 5, 10);
+  for (unsigned vm = 4; vm <= 6; vm++)
+    ck_assert_uint_eq (fleet_version (&fleet, vm), 1);
+  fleet_change (&fleet, NULL);
+  fleet_wait_version (&fleet, 1, 3, 3);
+  fleet_heal ();
+  fleet_wait_version (&fleet, 1, VMS, 3);
+  fleet_stop (&fleet);
+}
+END_TEST
+
+/* Each half sees its own replica of the service: the far one serves an older
+   version than the near one, but newer than what was in force.  */
+START_TEST (no_half_reverts_the_other)
+{
+  struct fleet fleet;
+  CP_AUTO_JSON json_t *control = NULL;
+  CP_AUTO_FREE char *text = NULL;
+
+  start_halves (&fleet);
+  fleet.version = 4;
+  fleet_change (&fleet, NULL);
+  fleet_wait_version (&fleet, 1, 3, 5);
+  fleet_heal ();
+  fleet_cut (1, 3, 4, 6);
+  fleet_cut (1, 3, 250, 250);
+  fleet.version = 3;
+  control = json_pack ("{s:o}", "stale", fleet_document (&fleet));
+  text = json_dumps (control, 0);
+  fleet_control (&fleet, 0, text);
+  fleet_wait_version (&fleet, 4, 6, 3);
+  for (unsigned vm = 1; vm <= 3; vm++)
+    ck_assert_uint_eq (fleet_version (&fleet, vm), 5);
+  fleet_heal ();
+  fleet_wait_version (&fleet, 1, VMS, 5);
+  fleet_stop (&fleet);
+}
+END_TEST
+
+/* A VM of the far half is replaced while it is cut off.  */
+START_TEST (a_daemon_replaced_in_the_far_half_comes_up_and_catches_up)
+{
+  struct fleet fleet;
+
+  fleet_allow_cuts ();
+  fleet_start (&fleet, VMS, DOMAINS, NULL);
+  fleet_list (&fleet, 0);
+  fleet_cut (1, 3, 4, 6);
+  fleet_control (&fleet, 0, "{\"document_down\": true}");
+  process_signal (&fleet.daemons[5], SIGKILL);
+  fleet_start_daemon (&fleet, 5);
+  fleet_wait_serving (&fleet, 5);
+  ck_assert_uint_eq (fleet_version (&fleet, 5), 1);
+  fleet_cut (4, 6, 250, 250);
+  fleet_control (&fleet, 0, "{\"document_down\": false}");
+  fleet_change (&fleet, NULL);
+  fleet_wait_version (&fleet, 1, 3, 2);
+  ck_assert_uint_eq (fleet_version (&fleet, 5), 1);
+  fleet_wait_calls (&fleet, 5, 5);
+  fleet_heal ();
+  fleet_wait_version (&fleet, 1, VMS, 2);
+  fleet_stop (&fleet);
+}
+END_TEST
+
+static void
+add_tests (TCase *tests)
+{
+  tcase_add_test (tests, both_halves_serve_and_the_newest_wins);
+  tcase_add_test (tests, no_half_reverts_the_other);
+  tcase_add_test (tests,
+                  a_daemon_replaced_in_the_far_half_comes_up_and_catches_up);
+}
+
+int
+main (void)
+{
+  return suite_run ("fleet_partition", add_tests, 90);
+}
--- /dev/null
+++ b/regress/path/check_fleet_pause.c
@@ -0,0 +1,167 @@
+/* A daemon that was stopped and goes on answers nothing from what it held
+   before somebody has confirmed it; a leaving VM gets no new work.  */
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "regress/harness/spread.h"
+#include "regress/harness/suite.h"
+
+#define VMS 4
+#define DOMAINS 2
+#define CALLERS 8
+
+/* Takes the route of the old view away.  */
+static void
+move_items (json_t *document)
+{
+  json_t *shop
+      = json_object_get (json_object_get (document, "sections"), "shop");
+
+  json_object_set_new (json_array_get (json_object_get (shop, "routes"), 0),
+                       "path", json_string ("/things/"));
+}
+
+/* A call that waits at the paused daemon.  */
+struct caller
+{
+  pthread_t thread;
+  struct fleet *fleet;
+  int status;
+};
+
+static void *
+call_items (void *context)
+{
+  struct caller *caller = context;
+  struct reply reply;
+
+  reply_init (&reply);
+  fleet_call (caller->fleet, &reply, 1, "GET", "/items/1", NULL, NULL);
+  caller->status = reply.status;
+  reply_finish (&reply);
+  return NULL;
+}
+
+/* Stops VM 1 for PAUSE_S while the document changes, with calls waiting at it
+   when it goes on.  */
+static void
+pause_and_call (struct fleet *fleet, unsigned pause_s)
+{
+  struct caller callers[CALLERS];
+
+  fleet_wait_calls (fleet, 1, 3);
+  process_signal (&fleet->daemons[1], SIGSTOP);
+  fleet_change (fleet, move_items);
+  fleet_wait_version (fleet, 2, VMS, fleet->version);
+  g_usleep (pause_s * G_USEC_PER_SEC);
+  for (unsigned i = 0; i < CALLERS; i++)
+    {
+      callers[i].fleet = fleet;
+      pthread_create (&callers[i].thread, NULL, call_items, &callers[i]);
+    }
+  g_usleep (G_USEC_PER_SEC / 2);
+  process_signal (&fleet->daemons[1], SIGCONT);
+  for (unsigned i = 0; i < CALLERS; i++)
+    {
+      pthread_join (callers[i].thread, NULL);
+      ck_assert_msg (callers[i].status == 404 || callers[i].status == 503,
+                     "status %d from the old view", callers[i].status);
+    }
+  fleet_wait_version (fleet, 1, 1, fleet->version);
+  fleet_wait_configuration (fleet, 1, "state", "current");
+  ck_assert_uint_ge (fleet_counter (fleet, 1, "pauses_total"), 1);
+}
+
+START_TEST (a_paused_daemon_checks_before_it_answers)
+{
+  struct fleet fleet;
+
+  fleet_start (&fleet, VMS, DOMAINS, NULL);
+  fleet_list (&fleet, 0);
+  pause_and_call (&fleet, 30);
+  fleet_stop (&fleet);
+}
+END_TEST
+
+/* While VM 1 is paused, VM 2 drains and ends; VM 1 sends it nothing that
+   runs.  */
+START_TEST (a_pause_and_a_drain_at_once)
+{
+  struct fleet fleet;
+
+  fleet_start (&fleet, VMS, DOMAINS, NULL);
+  fleet_list (&fleet, 0);
+  fleet_wait_calls (&fleet, 1, 3);
+  process_signal (&fleet.daemons[1], SIGSTOP);
+  kill (fleet.daemons[2].pid, SIGTERM);
+  g_usleep (3 * G_USEC_PER_SEC);
+  process_signal (&fleet.daemons[1], SIGCONT);
+  fleet_wait_calls (&fleet, 1, 10);
+  ck_assert_uint_ge (fleet_counter (&fleet, 1, "pauses_total"), 1);
+  fleet_stop (&fleet);
+}
+END_TEST
+
+static bool
+is_leaving (void *context)
+{
+  struct fleet *fleet = context;
+  json_t *state = fleet_state (fleet, 2);
+  json_t *members = json_object_get (state, "members");
+  char own[32];
+  bool leaving = false;
+  size_t i;
+  json_t *member;
+
+  snprintf (own, sizeof own, "%s.2", fleet->net);
+  json_array_foreach (members, i, member)
+  {
+    const char *ip = json_string_value (json_object_get (member, "ip"));
+
+    if (ip != NULL && strcmp (ip, own) == 0)
+      leaving = json_is_true (json_object_get (member, "leaving"));
+  }
+  json_decref (state);
+  return leaving;
+}
+
+/* The list says that VM 2 leaves; nobody but VM 2 needs to know.  */
+START_TEST (a_leaving_vm_gets_no_new_work)
+{
+  struct fleet fleet;
+  struct reply reply;
+  char from[64];
+
+  fleet_start (&fleet, VMS, DOMAINS, NULL);
+  fleet_list (&fleet, 2);
+  wait_until (is_leaving, &fleet);
+  reply_init (&reply);
+  for (unsigned i = 0; i < 40; i++)
+    {
+      fleet_call (&fleet, &reply, 1 + i % VMS, "GET", "/items/1", NULL, NULL);
+      if (reply.status != 200)
+        continue;
+      ck_assert (reply_header (&reply, "Cornelpick-Path", from, sizeof from));
+      ck_assert_ptr_null (strstr (from, "shop-2"));
+    }
+  reply_finish (&reply);
+  fleet_wait_calls (&fleet, 1, 10);
+  fleet_stop (&fleet);
+}
+END_TEST
+
+static void
+add_tests (TCase *tests)
+{
+  tcase_add_test (tests, a_paused_daemon_checks_before_it_answers);
+  tcase_add_test (tests, a_pause_and_a_drain_at_once);
+  tcase_add_test (tests, a_leaving_vm_gets_no_new_work);
+}
+
+int
+main (void)
+{
+  return suite_run ("fleet_pause", add_tests, 90);
+}
