Let the halves of a fleet find each other within a second of asking

Cause: a silent peer was passed over for up to 32 s, so that a fleet of six could take as long to notice the end of a partition; lint found a size of a pointer and casts.

--- a/bench/bench_fleet.c
+++ b/bench/bench_fleet.c
@@ -134,38 +134,6 @@
   usage->time_s = (double)g_get_monotonic_time () / 1e6;
 }
 
-/* Returns when VM logged that VERSION was in force, in microseconds of the
-   wall clock, or 0.  */
-static gint64
-in_force_at (const struct fleet *fleet, unsigned vm, uint64_t version)
-{
-  char path[192];
-  char wanted[64];
-  CP_AUTO_FREE char *text = NULL;
-  const char *at;
-  gint64 when = 0;
-
-  snprintf (path, sizeof path, "%s/daemon-%u.log", fleet->folder, vm);
-  snprintf (wanted, sizeof wanted, "Version %" G_GUINT64_FORMAT " is in force",
-            version);
-  if (!g_file_get_contents (path, &text, NULL, NULL))
-    return 0;
-  at = strstr (text, wanted);
-  if (at == NULL)
-    return 0;
-  while (at > text && at[-1] != '\n')
-    at--;
-  CP_AUTO_FREE char *stamp = g_strndup (at, strcspn (at, " "));
-  GDateTime *time = g_date_time_new_from_iso8601 (stamp, NULL);
-  if (time != NULL)
-    {
-      when = g_date_time_to_unix (time) * G_USEC_PER_SEC
-             + g_date_time_get_microsecond (time);
-      g_date_time_unref (time);
-    }
-  return when;
-}
-
 static int
 compare_doubles (const void *a, const void *b)
 {
@@ -187,7 +155,7 @@
       gint64 when;
       double ms;
 
-      while ((when = in_force_at (fleet, vm, fleet->version)) == 0)
+      while ((when = fleet_in_force_at (fleet, vm, fleet->version)) == 0)
         g_usleep (20000);
       ms = MAX (0, (double)(when - started) / 1000);
       g_array_append_val (times, ms);
@@ -300,6 +268,15 @@
   print_run (run, commit);
 }
 
+static double
+number_at (const struct run *run, size_t offset)
+{
+  double number;
+
+  memcpy (&number, (const char *)run + offset, sizeof number);
+  return number;
+}
+
 /* Prints the least-squares slopes over RUNS against the number at X.  */
 static void
 print_slopes (const struct run *runs, unsigned count, const char *against,
@@ -323,8 +300,8 @@
 
       for (unsigned i = 0; i < count; i++)
         {
-          double a = *(const double *)((const char *)&runs[i] + x);
-          double b = *(const double *)((const char *)&runs[i] + figures[f].at);
+          double a = number_at (&runs[i], x);
+          double b = number_at (&runs[i], figures[f].at);
 
           sx += a;
           sy += b;
--- a/cornelpickd/spread_rpc.c
+++ b/cornelpickd/spread_rpc.c
@@ -419,6 +419,8 @@
       || !call_digest (spread, &client, peer, true, &reply))
     {
       note_missed (spread->daemon, peer);
+      /* The attribute of the variable frees it.  */
+      /* cppcheck-suppress memleak */
       return false;
     }
   whole = copy_digest (offer, &reply);
--- a/lib/compose.c
+++ b/lib/compose.c
@@ -101,11 +101,17 @@
   return compile (composer, NULL, NULL, error);
 }
 
+/* A place in the order in which candidates are tried.  */
+struct turn
+{
+  struct cp_choice *choice;
+};
+
 static int
 compare_choices (const void *a, const void *b)
 {
-  const struct cp_choice *first = *(struct cp_choice *const *)a;
-  const struct cp_choice *second = *(struct cp_choice *const *)b;
+  const struct cp_choice *first = ((const struct turn *)a)->choice;
+  const struct cp_choice *second = ((const struct turn *)b)->choice;
   bool first_fleet = is_fleet (first->candidate);
 
   if (first_fleet != is_fleet (second->candidate))
@@ -135,23 +141,23 @@
 /* Starts with what is held.  Where nothing is, no single section is valid, so
    the fleet section is tried with each of the others.  */
 static void
-start_empty (const struct composer *composer, struct cp_choice **ordered,
+start_empty (const struct composer *composer, struct turn *ordered,
              unsigned count, struct cp_document **document)
 {
-  if (count == 0 || !is_fleet (ordered[0]->candidate))
+  if (count == 0 || !is_fleet (ordered[0].choice->candidate))
     return;
-  ordered[0]->chosen = true;
+  ordered[0].choice->chosen = true;
   for (unsigned i = 1; i < count && *document == NULL; i++)
-    try_one (composer, ordered[i], document);
-  ordered[0]->chosen = *document != NULL;
+    try_one (composer, ordered[i].choice, document);
+  ordered[0].choice->chosen = *document != NULL;
   if (*document == NULL && count > 1)
-    ordered[0]->error = ordered[1]->error;
+    ordered[0].choice->error = ordered[1].choice->error;
 }
 
 static struct cp_document *
 one_by_one (const struct composer *composer, struct cp_error *error)
 {
-  struct cp_choice *ordered[composer->count + 1];
+  struct turn ordered[composer->count + 1];
   unsigned count = 0;
   bool progress = true;
   struct cp_document *document;
@@ -162,7 +168,7 @@
 
       choice->chosen = false;
       if (choice->candidate != NULL)
-        ordered[count++] = choice;
+        ordered[count++].choice = choice;
     }
   qsort (ordered, count, sizeof *ordered, compare_choices);
   document = compile (composer, NULL, NULL, error);
@@ -172,7 +178,8 @@
     {
       progress = false;
       for (unsigned i = 0; i < count; i++)
-        if (!ordered[i]->chosen && try_one (composer, ordered[i], &document))
+        if (!ordered[i].choice->chosen
+            && try_one (composer, ordered[i].choice, &document))
           progress = true;
     }
   return document;
--- a/lib/members.h
+++ b/lib/members.h
@@ -29,9 +29,11 @@
 /* Answers missed in a row after which a member does not count as alive.  */
 #define CP_MEMBER_MISSED_MAX 3
 
-/* Time for which a silent member is not asked; it doubles with each miss.  */
-#define CP_MEMBER_SILENT_US (2 * CP_US_PER_S)
-#define CP_MEMBER_SILENT_MAX_US (32 * CP_US_PER_S)
+/* Time for which a silent member is not asked; it doubles with each miss.  The
+   longest is short, because the halves of a fleet find each other again only by
+   asking.  */
+#define CP_MEMBER_SILENT_US (500 * CP_US_PER_MS)
+#define CP_MEMBER_SILENT_MAX_US CP_US_PER_S
 
 struct cp_member
 {
--- a/regress/cut/cut.c
+++ b/regress/cut/cut.c
@@ -79,7 +79,7 @@
 static bool
 is_cut_peer (int fd)
 {
-  struct sockaddr_in address;
+  struct sockaddr_in address = { 0 };
   socklen_t length = sizeof address;
 
   return getpeername (fd, (struct sockaddr *)&address, &length) == 0
--- a/regress/harness/spread.c
+++ b/regress/harness/spread.c
@@ -79,6 +79,37 @@
       json_object_get (json_object_get (state, "configuration"), "version"));
 }
 
+gint64
+fleet_in_force_at (const struct fleet *fleet, unsigned vm, uint64_t version)
+{
+  char path[192];
+  char wanted[64];
+  CP_AUTO_FREE char *text = NULL;
+  CP_AUTO_FREE char *stamp = NULL;
+  GDateTime *time;
+  const char *at;
+  gint64 when;
+
+  snprintf (path, sizeof path, "%s/daemon-%u.log", fleet->folder, vm);
+  snprintf (wanted, sizeof wanted, "Version %" G_GUINT64_FORMAT " is in force",
+            version);
+  if (!g_file_get_contents (path, &text, NULL, NULL))
+    return 0;
+  at = strstr (text, wanted);
+  if (at == NULL)
+    return 0;
+  while (at > text && at[-1] != '\n')
+    at--;
+  stamp = g_strndup (at, strcspn (at, " "));
+  time = g_date_time_new_from_iso8601 (stamp, NULL);
+  if (time == NULL)
+    return 0;
+  when = g_date_time_to_unix (time) * G_USEC_PER_SEC
+         + g_date_time_get_microsecond (time);
+  g_date_time_unref (time);
+  return when;
+}
+
 /* What a test waits for.  */
 struct awaited
 {
--- a/regress/harness/spread.h
+++ b/regress/harness/spread.h
@@ -20,6 +20,11 @@
 /* Returns the version in force at a daemon; 0 when it does not answer.  */
 uint64_t fleet_version (struct fleet *fleet, unsigned vm);
 
+/* Returns when VM logged that VERSION was in force, in microseconds of the
+   wall clock, or 0 when it has not yet.  */
+gint64 fleet_in_force_at (const struct fleet *fleet, unsigned vm,
+                          uint64_t version);
+
 /* Waits until VERSION is in force at the VMs FROM to TO.  */
 void fleet_wait_version (struct fleet *fleet, unsigned from, unsigned to,
                          uint64_t version);
