--- a/cornelpickd/inbound.c
+++ b/cornelpickd/inbound.c
@@ -464,7 +464,8 @@
   daemon_count (daemon, result == CP_ADMISSION_DEADLINE
                             ? COUNT_REFUSED_DEADLINE
                             : COUNT_REFUSED_FULL);
-  refuse (visit, 503, "not-run", "the target has no room\n");
+  refuse (visit, result == CP_ADMISSION_FULL ? STATUS_NO_ROOM : 503, "not-run",
+          "the target has no room\n");
 }
 
 static bool
@@ -472,7 +473,7 @@
 {
   struct daemon *daemon = visit->inbound->daemon;
   struct cp_document *document = configuration_get (&daemon->configuration);
-  const struct cp_service *service;
+  const struct cp_service *service = NULL;
   const struct cp_target *target = NULL;
 
   if (document != NULL)
