Let stand-ins of small fleets use fewer threads

Cause: make check failed in 7 tests of four programs, each with a condition that did not come about while daemons wrote no line of log; the machine then had between 21000 and 32000 threads, of 32768 that it allows, most of them of stand-ins with 300 and 400 threads each.

--- a/fakes/fakes.h
+++ b/fakes/fakes.h
@@ -119,4 +119,11 @@
 /* Prepares CONDITION for fake_wait_until.  */
 void fake_condition_init (pthread_cond_t *condition);
 
+/* Sets how many threads the stand-ins that start later use; 0 for their usual
+   number.  Small fleets need few, and a machine has a limit of threads.  */
+void fake_set_threads (unsigned threads);
+
+/* Returns what was set, or USUAL.  */
+unsigned fake_threads (unsigned usual);
+
 #endif
--- a/fakes/main.c
+++ b/fakes/main.c
@@ -15,6 +15,7 @@
   char *document;
   char *control;
   gint64 seed;
+  gint threads;
 };
 
 static int
@@ -40,6 +41,8 @@
             "Start the target with these values, a JSON object", "JSON" },
           { "seed", 's', 0, G_OPTION_ARG_INT64, &options->seed,
             "Seed of the service times", "NUMBER" },
+          { "threads", 0, 0, G_OPTION_ARG_INT, &options->threads,
+            "Serve with so many threads", "NUMBER" },
           G_OPTION_ENTRY_NULL };
   GOptionContext *context = g_option_context_new (NULL);
   GError *fault = NULL;
@@ -134,6 +137,8 @@
   pthread_sigmask (SIG_BLOCK, &signals, NULL);
   signal (SIGPIPE, SIG_IGN);
   mg_init_library (0);
+  if (options.threads > 0)
+    fake_set_threads ((unsigned)options.threads);
   if (options.target != NULL)
     return run_target (&options, &address, &signals);
   return run_platform (&options, &address, &signals);
--- a/fakes/platform.c
+++ b/fakes/platform.c
@@ -180,8 +180,8 @@
   platform->listener.clock = &cp_clock_boot;
   platform->listener.handle = handle;
   platform->listener.context = platform;
-  return listener_start (&platform->listener, address, PLATFORM_THREADS,
-                         error);
+  return listener_start (&platform->listener, address,
+                         fake_threads (PLATFORM_THREADS), error);
 }
 
 void
--- a/fakes/target.c
+++ b/fakes/target.c
@@ -429,7 +429,8 @@
   target->listener.clock = &cp_clock_boot;
   target->listener.handle = handle;
   target->listener.context = target;
-  return listener_start (&target->listener, address, TARGET_THREADS, error);
+  return listener_start (&target->listener, address,
+                         fake_threads (TARGET_THREADS), error);
 }
 
 void
--- a/fakes/wait.c
+++ b/fakes/wait.c
@@ -49,3 +49,17 @@
     }
   return count == 0;
 }
+
+static unsigned threads_set;
+
+void
+fake_set_threads (unsigned threads)
+{
+  threads_set = threads;
+}
+
+unsigned
+fake_threads (unsigned usual)
+{
+  return threads_set == 0 ? usual : threads_set;
+}
--- a/regress/harness/harness.c
+++ b/regress/harness/harness.c
@@ -20,6 +20,10 @@
 #define PORT_RELAYED 7500
 #define PORT_ADMIN 7402
 #define PORT_PLATFORM 9000
+#define PLATFORM_THREADS 32
+#define PLATFORM_THREADS_EACH 3 /* a watch and a read for each VM, and more   \
+                                 */
+#define TARGET_THREADS "128"
 #define PLATFORM_VM 250
 #define ARGUMENTS_MAX 16
 #define POLL_US 10000
@@ -223,12 +227,15 @@
   char address[56];
   char log[256];
   char document[256];
+  char threads[16];
 
   log_path (fleet, "platform", 0, log);
   snprintf (document, sizeof document, "%s/document.json", fleet->folder);
+  snprintf (threads, sizeof threads, "%u",
+            PLATFORM_THREADS + PLATFORM_THREADS_EACH * fleet->n_vms);
   process_start (&fleet->platform, log, "fakes/cornelpick-fakes", "--listen",
                  fleet_address (fleet, PLATFORM_VM, PORT_PLATFORM, address),
-                 "--document", document, NULL);
+                 "--document", document, "--threads", threads, NULL);
 }
 
 void
@@ -244,8 +251,8 @@
   snprintf (seed, sizeof seed, "%u", vm);
   process_start (&fleet->targets[vm], log, "fakes/cornelpick-fakes",
                  "--listen", fleet_address (fleet, vm, PORT_TARGET, address),
-                 "--target", name, "--seed", seed, "--control",
-                 control == NULL ? "{}" : control, NULL);
+                 "--target", name, "--seed", seed, "--threads", TARGET_THREADS,
+                 "--control", control == NULL ? "{}" : control, NULL);
 }
 
 void
