Make the tests of silent connections meet one

Change: duplicates are a fault for orders only, which is what is promised; the tests repeat warm-up and silence, up to ten rounds, until a call met a silent connection, and fail otherwise. Exactly one silent connection is asserted for orders now instead of reads.

--- a/regress/harness/campaign.c
+++ b/regress/harness/campaign.c
@@ -175,7 +175,9 @@
       totals->told[TOLD_UNKNOWN], totals->told[TOLD_REFUSED],
       totals->told[TOLD_NOTHING], totals->runs);
   ck_assert_uint_eq (totals->false_not_run, 0);
-  ck_assert_uint_eq (totals->duplicates, 0);
+  /* Idempotent calls may run again, as retries and hedges.  */
+  if (strcmp (campaign->method, "POST") == 0)
+    ck_assert_uint_eq (totals->duplicates, 0);
   ck_assert_uint_eq (totals->false_ran, 0);
   ck_assert_uint_eq (totals->mixed, 0);
   ck_assert_uint_eq (totals->cut, 0);
--- a/regress/path/check_attempts_silence.c
+++ b/regress/path/check_attempts_silence.c
@@ -8,7 +8,8 @@
 #include "regress/harness/relay.h"
 #include "regress/harness/suite.h"
 
-#define CALLS_WARM 100
+#define CALLS_WARM 25
+#define ROUNDS_MAX 10
 #define CALLERS_WARM 4
 #define CALLS 200
 
@@ -18,6 +19,7 @@
   struct relay relay;
   struct campaign campaign;
   struct campaign_totals totals;
+  unsigned calls; /* made so far */
 };
 
 /* Makes calls with several callers, so that some connections are kept.  */
@@ -35,6 +37,7 @@
   campaign->first_vm = campaign->last_vm = 1;
   campaign->n_callers = callers;
   campaign->calls_each = calls;
+  place->calls += callers * calls;
   campaign_start (campaign);
 }
 
@@ -65,20 +68,37 @@
   relay_stop (&place->relay);
 }
 
+/* Warms connections, silences them and makes calls, until one has met a silent
+   connection: a call may go to the other target, or find that the connections
+   were idle for too long.  */
+static void
+meet_silence (struct place *place, enum relay_mode mode, const char *method)
+{
+  for (unsigned round = 0; round < ROUNDS_MAX; round++)
+    {
+      run_calls (place, CALLERS_WARM, CALLS_WARM, "POST");
+      campaign_check (&place->campaign, &place->totals);
+      ck_assert_uint_eq (place->totals.told[TOLD_RAN],
+                         CALLERS_WARM * CALLS_WARM);
+      relay_silence (&place->relay, mode);
+      run_calls (place, 1, CALLS, method);
+      campaign_check (&place->campaign, &place->totals);
+      if (relay_swallowed (&place->relay) > 0)
+        return;
+      ck_assert_uint_eq (place->totals.told[TOLD_RAN], CALLS);
+    }
+  ck_abort_msg ("no call met a silent connection");
+}
+
 START_TEST (idempotent_calls_succeed_elsewhere)
 {
   static struct place place;
   unsigned swallowed;
 
   begin (&place);
-  relay_silence (&place.relay, RELAY_SWALLOW);
-  run_calls (&place, 1, CALLS, "GET");
-  campaign_check (&place.campaign, &place.totals);
+  meet_silence (&place, RELAY_SWALLOW, "GET");
   ck_assert_uint_eq (place.totals.told[TOLD_RAN], CALLS);
-  ck_assert_uint_eq (
-      fleet_counter (&place.fleet, 1, "silent_connections_total"), 1);
   swallowed = relay_swallowed (&place.relay);
-  ck_assert_uint_gt (swallowed, 0);
   run_calls (&place, CALLERS_WARM, CALLS, "GET");
   campaign_check (&place.campaign, &place.totals);
   ck_assert_uint_eq (relay_swallowed (&place.relay), swallowed);
@@ -91,11 +111,10 @@
   static struct place place;
 
   begin (&place);
-  relay_silence (&place.relay, RELAY_SWALLOW);
-  run_calls (&place, 1, CALLS, "POST");
-  campaign_check (&place.campaign, &place.totals);
+  meet_silence (&place, RELAY_SWALLOW, "POST");
   ck_assert_uint_eq (place.totals.told[TOLD_RAN], CALLS);
-  ck_assert_uint_gt (relay_swallowed (&place.relay), 0);
+  ck_assert_uint_eq (
+      fleet_counter (&place.fleet, 1, "silent_connections_total"), 1);
   end (&place);
 }
 END_TEST
@@ -105,12 +124,10 @@
   static struct place place;
 
   begin (&place);
-  relay_silence (&place.relay, RELAY_DROP_ANSWER);
-  run_calls (&place, 1, CALLS, "POST");
-  campaign_check (&place.campaign, &place.totals);
+  meet_silence (&place, RELAY_DROP_ANSWER, "POST");
   ck_assert_uint_eq (place.totals.told[TOLD_UNKNOWN], 1);
   ck_assert_uint_eq (place.totals.told[TOLD_RAN], CALLS - 1);
-  ck_assert_uint_eq (place.totals.runs, CALLERS_WARM * CALLS_WARM + CALLS);
+  ck_assert_uint_eq (place.totals.runs, place.calls);
   end (&place);
 }
 END_TEST
@@ -127,15 +144,22 @@
   static struct place place;
 
   begin (&place);
-  relay_hold (&place.relay, true);
-  run_calls (&place, 1, CALLS, "POST");
-  campaign_check (&place.campaign, &place.totals);
-  ck_assert_uint_eq (place.totals.told[TOLD_RAN], CALLS);
-  relay_hold (&place.relay, false);
+  for (unsigned round = 0; round < ROUNDS_MAX; round++)
+    {
+      run_calls (&place, CALLERS_WARM, CALLS_WARM, "POST");
+      campaign_check (&place.campaign, &place.totals);
+      relay_hold (&place.relay, true);
+      run_calls (&place, 1, CALLS, "POST");
+      campaign_check (&place.campaign, &place.totals);
+      ck_assert_uint_eq (place.totals.told[TOLD_RAN], CALLS);
+      relay_hold (&place.relay, false);
+      if (fleet_counter (&place.fleet, 1, "silent_connections_total") > 0)
+        break;
+    }
   wait_until (was_refused, &place.fleet);
   run_calls (&place, 1, 1, "POST");
   campaign_check (&place.campaign, &place.totals);
-  ck_assert_uint_eq (place.totals.runs, CALLERS_WARM * CALLS_WARM + CALLS + 1);
+  ck_assert_uint_eq (place.totals.runs, place.calls);
   end (&place);
 }
 END_TEST
