--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 # make run      first look: one call through two daemons
 # make check    run the tests
 # make bench    print figures
+# make soak     mix faults for SECONDS (600) with SEED (1)
 # make figures  add the figures of this commit to bench/*.jsonl
 # make report   plots and a page of the figures kept, in build/report
 # make fuzz     fuzz documents and messages
@@ -35,6 +36,10 @@
 	$(MAKE) all
 	$(MAKE) -C regress check
 
+soak: packages
+	$(MAKE) all
+	$(MAKE) -C regress soak SECONDS=$(SECONDS) SEED=$(SEED)
+
 bench: packages
 	$(MAKE) all
 	$(MAKE) -C bench run
@@ -90,5 +95,6 @@
 	rm -rf build build-*
 
 
-.PHONY: all $(DIRS) packages run check bench figures report fuzz format format-check lint \
+.PHONY: all $(DIRS) packages run check soak bench figures report fuzz format \
+	format-check lint \
 	lint-tidy lint-cppcheck lint-pages install clean
