--- a/Makefile
+++ b/Makefile
@@ -56,6 +56,8 @@
 	    | scripts/keep-figures bench/results.jsonl
 	BUILD=$(abspath $(BUILD)) TOP=$(abspath $(TOP)) $(BUILD)/bench/bench_slopes \
 	    | scripts/keep-figures bench/slopes.jsonl
+	scripts/replay-figures $(BUILD)/cornelpick/cornelpick charts \
+	    regress/traces/*.jsonl | scripts/keep-figures bench/results.jsonl
 	scripts/check-capacity --write
 
 report:
--- a/cornelpick/replay.c
+++ b/cornelpick/replay.c
@@ -53,8 +53,8 @@
             const struct cp_replay_finding *findings, unsigned count)
 {
   CP_AUTO_JSON json_t *object = json_pack (
-      "{s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "trace",
-      trace->name, "deployment", trace->deployment, "picker", picker, "calls",
+      "{s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:I}", "trace", trace->name,
+      "deployment", trace->deployment, "picker", picker, "calls",
       (json_int_t)result->calls, "errors", (json_int_t)result->errors,
       "retries", (json_int_t)result->retries, "p50_us",
       (json_int_t)result->p50_us, "p99_us", (json_int_t)result->p99_us,
