--- a/cornelpickd/call.c
+++ b/cornelpickd/call.c
@@ -198,7 +198,13 @@
       bool not_run;
 
       if (!make_round (call, &round))
-        break;
+        {
+          if (rounds > 1)
+            cp_retry_return (&call->policy->retry);
+          break;
+        }
+      if (rounds > 1)
+        daemon_count (daemon, COUNT_RETRIES);
       if (call->answer.head_sent)
         {
           end_answer (call, &round);
@@ -209,7 +215,6 @@
         outcome = ATTEMPT_UNKNOWN;
       if (!may_try_again (call, &round, not_run, rounds))
         break;
-      daemon_count (daemon, COUNT_RETRIES);
     }
   answer_outcome (call, outcome);
 }
--- a/lib/retry.c
+++ b/lib/retry.c
@@ -87,6 +87,14 @@
   return verdict;
 }
 
+void
+cp_retry_return (struct cp_retry *retry)
+{
+  CP_LOCK_SCOPE (&retry->lock);
+  retry->tokens += 1;
+  retry->verdicts[CP_RETRY_ALLOWED]--;
+}
+
 unsigned
 cp_retry_after_s (struct cp_retry *retry, const struct cp_random *random)
 {
--- a/lib/retry.h
+++ b/lib/retry.h
@@ -87,6 +87,9 @@
 enum cp_retry_verdict cp_retry_judge (struct cp_retry *retry,
                                       const struct cp_retry_case *what);
 
+/* Gives back the token of a retry for which there was no target.  */
+void cp_retry_return (struct cp_retry *retry);
+
 /* Returns the seconds after which a caller that was given up may come back:
    1 to CP_RETRY_AFTER_MAX_S, more the fewer attempts find room, spread at
    random so that callers do not come back together.  */
--- a/regress/path/check_overload.c
+++ b/regress/path/check_overload.c
@@ -1,6 +1,7 @@
 /* Measuring, admission, retries and hedges over real processes.  */
 #include <curl/curl.h>
 #include <pthread.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,6 +11,7 @@
 #include "regress/harness/suite.h"
 
 #define WINDOW_US 1000000
+#define REFUSED_WAIT_US 2000
 #define PROBES_PER_WINDOW 2 /* 12 ms/s allow two probes of 6 ms */
 
 /* Reads when the stand-in's pages were read.  */
@@ -153,12 +155,287 @@
 }
 END_TEST
 
+/* Callers at one VM, each with a connection of its own.  */
+struct crowd
+{
+  struct fleet *fleet;
+  unsigned vm;
+  unsigned calls; /* of each caller */
+  bool stop;      /* ends the callers early */
+  unsigned answered;
+  unsigned refused; /* 503 with the outcome not-run */
+  unsigned other;
+};
+
+struct crowd_caller
+{
+  pthread_t thread;
+  struct crowd *crowd;
+};
+
+static void *
+crowd_run (void *context)
+{
+  struct crowd *crowd = ((struct crowd_caller *)context)->crowd;
+
+  for (unsigned i = 0; i < crowd->calls; i++)
+    {
+      char outcome[32];
+      int status;
+
+      if (__atomic_load_n (&crowd->stop, __ATOMIC_RELAXED))
+        break;
+      status = call_once (crowd->fleet, crowd->vm, "GET", "/items/1", NULL,
+                          outcome);
+      /* A caller that was refused comes back a little later.  */
+      if (status != 200)
+        g_usleep (REFUSED_WAIT_US);
+      if (status == 200)
+        __atomic_fetch_add (&crowd->answered, 1, __ATOMIC_RELAXED);
+      else if (status == 503 && strcmp (outcome, "not-run") == 0)
+        __atomic_fetch_add (&crowd->refused, 1, __ATOMIC_RELAXED);
+      else
+        __atomic_fetch_add (&crowd->other, 1, __ATOMIC_RELAXED);
+    }
+  return NULL;
+}
+
+static void
+crowd_start (struct crowd *crowd, struct crowd_caller *callers, unsigned count)
+{
+  for (unsigned i = 0; i < count; i++)
+    {
+      callers[i].crowd = crowd;
+      pthread_create (&callers[i].thread, NULL, crowd_run, &callers[i]);
+    }
+}
+
+static void
+crowd_join (struct crowd_caller *callers, unsigned count)
+{
+  for (unsigned i = 0; i < count; i++)
+    pthread_join (callers[i].thread, NULL);
+}
+
+/* The service has one target, beside VM 1; the others belong to a second
+   service, so that their daemons are known.  */
+static void
+one_target (json_t *document)
+{
+  json_t *sections = json_object_get (document, "sections");
+  json_t *shop = json_object_get (sections, "shop");
+  json_t *side = json_deep_copy (shop);
+  size_t i;
+  json_t *route;
+
+  json_object_del (json_object_get (shop, "targets"), "shop-2");
+  json_object_del (json_object_get (shop, "targets"), "shop-3");
+  json_object_set_new (shop, "slots", json_integer (4));
+  json_object_del (json_object_get (side, "targets"), "shop-1");
+  json_array_foreach (json_object_get (side, "routes"), i, route)
+  {
+    json_object_set_new (route, "host", json_string ("side.example"));
+  }
+  json_object_set_new (sections, "side", side);
+}
+
+START_TEST (a_flooding_vm_leaves_another_its_share)
+{
+  struct fleet fleet;
+  struct crowd flood = { .fleet = &fleet, .vm = 2, .calls = 100000 };
+  struct crowd small = { .fleet = &fleet, .vm = 3, .calls = 150 };
+  struct crowd_caller flooders[24];
+  struct crowd_caller caller;
+
+  fleet_start (&fleet, 3, 3, one_target);
+  fleet_control (&fleet, 1, "{\"service_ms\": 10, \"slots\": 4}");
+  crowd_start (&flood, flooders, 24);
+  while (fleet_counter (&fleet, 1, "refused_full_total") < 20)
+    g_usleep (10000);
+  crowd_start (&small, &caller, 1);
+  crowd_join (&caller, 1);
+  __atomic_store_n (&flood.stop, true, __ATOMIC_RELAXED);
+  crowd_join (flooders, 24);
+  /* One caller uses at most one slot of four, its share is two.  */
+  ck_assert_uint_eq (small.answered, small.calls);
+  ck_assert_uint_gt (flood.refused, 0);
+  ck_assert_uint_eq (flood.other, 0);
+  fleet_stop (&fleet);
+}
+END_TEST
+
+/* Counts the lines of a target's journal.  */
+static unsigned
+journal_lines (struct fleet *fleet, unsigned vm)
+{
+  char address[56];
+  struct reply reply;
+  unsigned lines = 0;
+
+  reply_init (&reply);
+  http_call (&reply, fleet_address (fleet, vm, 8080, address), "GET",
+             "/fake/journal", NULL, NULL, 10000);
+  for (const char *at = reply.body->str; (at = strchr (at, '\n')) != NULL;
+       at++)
+    lines++;
+  reply_finish (&reply);
+  return lines;
+}
+
+START_TEST (what_is_shed_was_not_run)
+{
+  struct fleet fleet;
+  struct crowd crowd = { .fleet = &fleet, .vm = 2, .calls = 40 };
+  struct crowd_caller callers[24];
+
+  fleet_start (&fleet, 3, 3, one_target);
+  fleet_control (&fleet, 1, "{\"service_ms\": 10, \"slots\": 4}");
+  crowd_start (&crowd, callers, 24);
+  crowd_join (callers, 24);
+  ck_assert_uint_gt (crowd.refused, 0);
+  ck_assert_uint_eq (crowd.other, 0);
+  ck_assert_uint_eq (crowd.answered + crowd.refused, 24 * 40);
+  /* Every run beyond the answers is a hedge or retry, of which there can be
+     none: there is no other target.  */
+  ck_assert_uint_eq (journal_lines (&fleet, 1), crowd.answered);
+  fleet_stop (&fleet);
+}
+END_TEST
+
+START_TEST (retries_and_hedges_add_at_most_their_shares)
+{
+  struct fleet fleet;
+  struct crowd crowd = { .fleet = &fleet, .vm = 1, .calls = 300 };
+  struct crowd_caller callers[4];
+  uint64_t calls;
+  uint64_t retries;
+  uint64_t hedges;
+
+  fleet_start (&fleet, 3, 3, NULL);
+  /* One target is slow, one never answers.  */
+  fleet_control (&fleet, 2, "{\"service_ms\": 30}");
+  fleet_control (&fleet, 3, "{\"mode\": \"silent\"}");
+  crowd_start (&crowd, callers, 4);
+  crowd_join (callers, 4);
+  calls = fleet_counter (&fleet, 1, "calls_total");
+  retries = fleet_counter (&fleet, 1, "retries_total");
+  hedges = fleet_counter (&fleet, 1, "hedges_total");
+  ck_assert_uint_eq (calls, 4 * 300);
+  ck_assert_uint_le (retries, 10 + calls / 10);
+  ck_assert_uint_le (hedges, calls / 20);
+  ck_assert_uint_eq (fleet_counter (&fleet, 1, "attempts_total"),
+                     calls + retries + hedges);
+  fleet_stop (&fleet);
+}
+END_TEST
+
+/* What a test of hedges waits for.  */
+static bool
+target_is_free (void *context)
+{
+  struct fleet *fleet = context;
+  CP_AUTO_JSON json_t *state = fleet_state (fleet, 2);
+  json_t *admission
+      = json_object_get (json_object_get (state, "inbound"), "admission");
+
+  return json_integer_value (json_object_get (admission, "in_flight")) == 0;
+}
+
+START_TEST (a_hedge_wins_and_the_loser_is_cancelled)
+{
+  struct fleet fleet;
+  struct reply reply;
+  bool won = false;
+
+  fleet_start (&fleet, 2, 2, NULL);
+  for (unsigned i = 0; i < 400; i++)
+    ck_assert_int_eq (call_once (&fleet, 1, "GET", "/items/1", NULL, NULL),
+                      200);
+  /* Without a hedge every call to VM 2's target would take until its
+     deadline.  */
+  fleet_control (&fleet, 2, "{\"mode\": \"silent\"}");
+  for (unsigned i = 0; i < 500 && !won; i++)
+    {
+      CP_AUTO_JSON json_t *state = NULL;
+      json_t *hedge;
+
+      reply_init (&reply);
+      fleet_call (&fleet, &reply, 1, "GET", "/items/1", NULL, NULL);
+      ck_assert_int_eq (reply.status, 200);
+      ck_assert_ptr_nonnull (
+          strstr (reply.body->str, "\"target\": \"shop-1\""));
+      reply_finish (&reply);
+      state = fleet_state (&fleet, 1);
+      hedge = json_object_get (
+          json_object_get (json_object_get (state, "policies"), "shop"),
+          "hedge");
+      won = json_integer_value (json_object_get (hedge, "won")) > 0;
+    }
+  ck_assert (won);
+  wait_until (target_is_free, &fleet);
+  fleet_stop (&fleet);
+}
+END_TEST
+
+START_TEST (a_call_that_is_given_up_is_answered_at_once)
+{
+  struct fleet fleet;
+  struct reply reply;
+  char value[64];
+  gint64 before;
+
+  fleet_start (&fleet, 1, 1, NULL);
+  process_signal (&fleet.targets[1], SIGKILL);
+  reply_init (&reply);
+  before = g_get_monotonic_time ();
+  fleet_call (&fleet, &reply, 1, "POST", "/orders", NULL, "leopard");
+  ck_assert_int_eq (reply.status, 503);
+  /* The deadline of this route is 10 s: the answer must not wait for it.  */
+  ck_assert_int_lt (g_get_monotonic_time () - before, 10 * G_USEC_PER_SEC);
+  ck_assert (reply_header (&reply, "Cornelpick-Outcome", value, sizeof value));
+  ck_assert_str_eq (value, "not-run");
+  ck_assert (reply_header (&reply, "Retry-After", value, sizeof value));
+  ck_assert_int_ge (atoi (value), 1);
+  ck_assert_int_le (atoi (value), 10);
+  reply_finish (&reply);
+  fleet_stop (&fleet);
+}
+END_TEST
+
+START_TEST (without_the_right_nothing_is_retried)
+{
+  struct fleet fleet;
+  struct reply reply;
+
+  fleet_start (&fleet, 2, 2, NULL);
+  process_signal (&fleet.targets[1], SIGKILL);
+  process_signal (&fleet.targets[2], SIGKILL);
+  reply_init (&reply);
+  for (unsigned i = 0; i < 10; i++)
+    {
+      fleet_call (&fleet, &reply, 1, "GET", "/items/1",
+                  "Cornelpick-Retry: none", NULL);
+      ck_assert_int_eq (reply.status, 503);
+    }
+  ck_assert_uint_eq (fleet_counter (&fleet, 1, "retries_total"), 0);
+  ck_assert_uint_eq (fleet_counter (&fleet, 1, "hedges_total"), 0);
+  reply_finish (&reply);
+  fleet_stop (&fleet);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
   tcase_add_test (tests, the_budget_holds_by_the_target_s_own_count);
   tcase_add_test (tests, a_hung_page_is_backed_off_and_calls_go_on);
   tcase_add_test (tests, a_target_that_says_it_leaves_gets_no_new_work);
+  tcase_add_test (tests, a_flooding_vm_leaves_another_its_share);
+  tcase_add_test (tests, what_is_shed_was_not_run);
+  tcase_add_test (tests, retries_and_hedges_add_at_most_their_shares);
+  tcase_add_test (tests, a_hedge_wins_and_the_loser_is_cancelled);
+  tcase_add_test (tests, a_call_that_is_given_up_is_answered_at_once);
+  tcase_add_test (tests, without_the_right_nothing_is_retried);
 }
 
 int
