--- a/fakes/fakes.h
+++ b/fakes/fakes.h
@@ -96,6 +96,7 @@
   uint64_t vms_lag_us;
   uint64_t reads;
   bool down;
+  bool document_down; /* the VM list still answers */
   bool stopping;
 };
 
--- a/http/hedged.c
+++ b/http/hedged.c
@@ -3,14 +3,15 @@
 #include "http/internal.h"
 
 /* The two transfers share the multi handle of the first connection, so that
-   one wait covers both.  The second one has a new connection, which is not
-   kept.  */
+   one wait covers both.  The second one has a new connection, which is closed
+   when its transfer ends: it must not outlive the race, whose memory its
+   callbacks use.  */
 struct race
 {
   struct upstream_pool *pool;
   const struct upstream_hedge *hedge;
-  struct upstream *upstream;
-  CURL *easy[UPSTREAM_HEDGED];
+  struct upstream *upstream; /* of the first transfer */
+  struct upstream second;
   struct transfer transfers[UPSTREAM_HEDGED];
   bool running[UPSTREAM_HEDGED];
   enum upstream_result *results;
@@ -19,18 +20,31 @@
   bool watch_caller;
 };
 
+static CURL *
+easy_of (const struct race *race, unsigned index)
+{
+  return index == 0 ? race->upstream->easy : race->second.easy;
+}
+
 static void
 begin (struct race *race, unsigned index, const struct upstream_call *call)
 {
   struct transfer *transfer = &race->transfers[index];
 
+  struct upstream *upstream = index == 0 ? race->upstream : &race->second;
+
   transfer->call = call;
   transfer->first_byte_us = call->first_byte_us;
   transfer->head.length = -1;
   race->running[index] = true;
   race->begun++;
-  upstream_set_options (race->pool, race->easy[index], transfer);
-  curl_multi_add_handle (race->upstream->multi, race->easy[index]);
+  upstream_set_options (race->pool, upstream, transfer);
+  if (index > 0)
+    {
+      curl_easy_setopt (upstream->easy, CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt (upstream->easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+  curl_multi_add_handle (race->upstream->multi, upstream->easy);
 }
 
 /* Ends one transfer with RESULT.  */
@@ -39,7 +53,7 @@
 {
   if (!race->running[index])
     return;
-  curl_multi_remove_handle (race->upstream->multi, race->easy[index]);
+  curl_multi_remove_handle (race->upstream->multi, easy_of (race, index));
   race->running[index] = false;
   if (result != UPSTREAM_COMPLETE && !race->transfers[index].sent)
     result = UPSTREAM_NOT_SENT;
@@ -58,7 +72,7 @@
   while ((message = curl_multi_info_read (race->upstream->multi, &left))
          != NULL)
     {
-      unsigned index = message->easy_handle == race->easy[0] ? 0 : 1;
+      unsigned index = message->easy_handle == easy_of (race, 0) ? 0 : 1;
       CURLcode code = message->data.result;
 
       if (message->msg == CURLMSG_DONE)
@@ -88,8 +102,8 @@
   second = race->hedge->begin (race->hedge->context);
   if (second == NULL)
     return;
-  race->easy[1] = curl_easy_init ();
-  if (race->easy[1] == NULL)
+  race->second.easy = curl_easy_init ();
+  if (race->second.easy == NULL)
     abort ();
   begin (race, 1, second);
   *until_us = now_us;
@@ -112,7 +126,8 @@
 wait_for_progress (struct race *race)
 {
   int caller_fd = race->transfers[0].call->caller_fd;
-  struct curl_waitfd fd = { caller_fd, CURL_WAIT_POLLIN, 0 };
+  struct curl_waitfd fds[] = { { race->pool->cut_fd, CURL_WAIT_POLLIN, 0 },
+                               { caller_fd, CURL_WAIT_POLLIN, 0 } };
   uint64_t now_us = cp_clock_now_us (race->pool->clock);
   uint64_t until_us = UINT64_MAX;
 
@@ -128,9 +143,11 @@
   if (!is_running (race))
     return;
   consider_second (race, now_us, &until_us);
-  curl_multi_poll (race->upstream->multi, &fd, race->watch_caller ? 1 : 0,
+  curl_multi_poll (race->upstream->multi, fds, race->watch_caller ? 2 : 1,
                    upstream_wait_ms (now_us, until_us), NULL);
-  if (!race->watch_caller || fd.revents == 0)
+  if (fds[0].revents != 0)
+    end_all (race, UPSTREAM_STOPPED);
+  if (!race->watch_caller || fds[1].revents == 0)
     return;
   if (upstream_fd_at_end (caller_fd))
     end_all (race, UPSTREAM_CALLER_GONE);
@@ -147,6 +164,7 @@
   struct race race = { .pool = pool,
                        .hedge = hedge,
                        .upstream = upstream_take (pool, first),
+                       .second.fd = -1,
                        .results = results,
                        .decided_begin = hedge->start_us == 0,
                        .watch_caller = first->caller_fd >= 0 };
@@ -154,7 +172,6 @@
 
   results[0] = UPSTREAM_NOT_SENT;
   results[1] = UPSTREAM_NOT_SENT;
-  race.easy[0] = race.upstream->easy;
   begin (&race, 0, first);
   for (;;)
     {
@@ -166,8 +183,8 @@
       if (!is_running (&race))
         break;
     }
-  if (race.easy[1] != NULL)
-    curl_easy_cleanup (race.easy[1]);
+  if (race.second.easy != NULL)
+    curl_easy_cleanup (race.second.easy);
   upstream_give_back (pool, race.upstream, &race.transfers[0], results[0],
                       results[0] == UPSTREAM_COMPLETE);
   for (unsigned i = 0; i < UPSTREAM_HEDGED; i++)
--- a/http/internal.h
+++ b/http/internal.h
@@ -12,6 +12,7 @@
   CURL *easy;
   CURLM *multi;
   uint64_t idle_since_us;
+  int fd; /* the connection's socket, or -1 */
 };
 
 /* One call on one connection.  */
@@ -36,8 +37,9 @@
                          const struct transfer *transfer,
                          enum upstream_result result, bool keep);
 
-/* Sets all options of EASY for TRANSFER.  */
-void upstream_set_options (const struct upstream_pool *pool, CURL *easy,
+/* Sets all options of the connection's handle for TRANSFER.  */
+void upstream_set_options (const struct upstream_pool *pool,
+                           struct upstream *upstream,
                            struct transfer *transfer);
 
 /* Returns the result of a transfer that libcurl ended with CODE.  */
