--- a/lib/health.c
+++ b/lib/health.c
@@ -13,7 +13,7 @@
 #define ERROR_FADE_US (5.0 * (double)CP_US_PER_S)
 #define ERROR_FLOOR 0.02
 #define REFUSED_SHARE 0.2
-#define REFUSED_FADE_US (0.2 * (double)CP_US_PER_S)
+#define REFUSED_FADE_US (0.02 * (double)CP_US_PER_S)
 #define DOUBT_FAILURES 2
 #define EJECT_FAILURES 5
 #define EJECT_ERROR_SHARE 0.5
--- a/lib/picker_hot_cold.c
+++ b/lib/picker_hot_cold.c
@@ -11,6 +11,7 @@
 #define COST_BAND_NOISE 1.3
 #define FAILURE_COST_US 1e6
 #define PRESSURE_POWER 4.0
+#define FREE_USE 0.25
 #define NEAR_USE 0.2
 #define NEAR_USE_END 0.9
 #define ERROR_USE 10.0
@@ -20,6 +21,7 @@
 {
   unsigned index;
   double load;
+  double limit;
   double use; /* share of the target's limit that is in flight */
   double cost_us;
   double errors; /* share of failed calls */
@@ -51,7 +53,8 @@
   option->index = index;
   option->near = state->same_domain;
   option->errors = cp_health_errors (&state->health, view->now_us);
-  option->use = (load + 1) / limit_of (state, view);
+  option->limit = limit_of (state, view);
+  option->use = (load + 1) / option->limit;
   option->load = load;
   option->cost_us
       = latency * (1 + pow (option->use, PRESSURE_POWER))
@@ -139,17 +142,21 @@
   return true;
 }
 
-/* The key by which sampled options are compared: use, with an allowance for
-   the near ones that ends before these fill.  A target that fails fast is
-   never full; its errors stand in.  */
+/* The key by which options are compared: use, with an allowance for the near
+   ones that ends before these fill.  While most slots are free, whole calls
+   are compared, since an estimate's fraction is no reason.  A target that
+   fails fast is never full; its errors stand in.  */
 static double
 key_of (const struct option *option)
 {
+  double use = option->use;
   double near = 0;
 
-  if (option->near && option->use < NEAR_USE_END)
-    near = NEAR_USE * (1 - option->use / NEAR_USE_END);
-  return option->use + option->errors * ERROR_USE - near;
+  if (use < FREE_USE)
+    use = (round (option->load) + 1) / option->limit;
+  if (option->near && use < NEAR_USE_END)
+    near = NEAR_USE * (1 - use / NEAR_USE_END);
+  return use + option->errors * ERROR_USE - near;
 }
 
 /* Returns the index of the least used option, a random one among equals.  */
--- a/regress/harness/relay.c
+++ b/regress/harness/relay.c
@@ -1,4 +1,5 @@
 #include <check.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <string.h>
 #include <sys/eventfd.h>
@@ -12,6 +13,16 @@
 #define BUFFER_BYTES 65536
 #define POLL_MS 20
 
+/* Without this, Nagle's algorithm and delayed acknowledgements add 40 ms to
+   each call, and the target behind the relay is passed over as slow.  */
+static void
+send_at_once (int fd)
+{
+  const int on = 1;
+
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
 static int
 connect_to_server (const struct relay *relay, const struct cp_address *from)
 {
@@ -23,7 +34,10 @@
   own.socket.v4.sin_port = 0;
   ck_assert_int_eq (bind (fd, &own.socket.any, own.length), 0);
   if (connect (fd, &server.socket.any, server.length) == 0)
-    return fd;
+    {
+      send_at_once (fd);
+      return fd;
+    }
   close (fd);
   return -1;
 }
@@ -44,6 +58,7 @@
         close (server);
       return;
     }
+  send_at_once (client);
   relay->connections[relay->n_connections++]
       = (struct relayed){ { client, server }, RELAY_PASS };
 }
--- a/regress/path/check_attempts_silence.c
+++ b/regress/path/check_attempts_silence.c
@@ -46,7 +46,9 @@
   char from[56];
   struct fleet *fleet = &place->fleet;
 
-  fleet_start (fleet, 3, 3, campaign_gate);
+  /* One failure domain: with more, calls one at a time would all go to the
+     target beside VM 1, and none through the relay.  */
+  fleet_start (fleet, 3, 1, campaign_gate);
   process_signal (&fleet->daemons[2], SIGKILL);
   relay_start (&place->relay, fleet_address (fleet, 2, 7400, address),
                fleet_address (fleet, 1, 1, from),
@@ -54,6 +56,9 @@
   fleet->relayed_vm = 2;
   fleet_start_daemon (fleet, 2);
   fleet_wait_serving (fleet, 2);
+  /* Equal service times, so that neither target is passed over as slow.  */
+  for (unsigned vm = 2; vm <= 3; vm++)
+    fleet_control (fleet, vm, "{\"service_ms\": 0, \"fixed_ms\": 20}");
   run_calls (place, CALLERS_WARM, CALLS_WARM, "POST");
   campaign_check (&place->campaign, &place->totals);
   ck_assert_uint_eq (place->totals.told[TOLD_RAN], CALLERS_WARM * CALLS_WARM);
--- a/regress/path/check_overload.c
+++ b/regress/path/check_overload.c
@@ -132,6 +132,22 @@
 }
 END_TEST
 
+/* Returns whether VM 1's outbound side knows that the target leaves; then it
+   sends the call to no inbound side that could count a refusal.  */
+static bool
+is_seen_leaving (struct fleet *fleet)
+{
+  json_t *state = fleet_state (fleet, 1);
+  json_t *services
+      = json_object_get (json_object_get (state, "outbound"), "services");
+  json_t *target = json_array_get (json_object_get (services, "shop"), 0);
+  const char *health = json_string_value (json_object_get (target, "health"));
+  bool leaving = health != NULL && strcmp (health, "leaving") == 0;
+
+  json_decref (state);
+  return leaving;
+}
+
 START_TEST (a_target_that_says_it_leaves_gets_no_new_work)
 {
   struct fleet fleet;
@@ -148,7 +164,9 @@
                     503);
   ck_assert_str_eq (outcome, "not-run");
   ck_assert_uint_eq (fleet_runs (&fleet, "GET"), at_first);
-  ck_assert_uint_ge (fleet_counter (&fleet, 1, "refused_leaving_total"), 1);
+  ck_assert_msg (fleet_counter (&fleet, 1, "refused_leaving_total") >= 1
+                     || is_seen_leaving (&fleet),
+                 "neither side knows that the target leaves");
   fleet_stop (&fleet);
 }
 END_TEST
