--- a/regress/harness/relay.c
+++ b/regress/harness/relay.c
@@ -13,16 +13,6 @@
 #define BUFFER_BYTES 65536
 #define POLL_MS 20
 
-/* Without this, Nagle's algorithm and delayed acknowledgements add 40 ms to
-   each call, and the target behind the relay is passed over as slow.  */
-static void
-send_at_once (int fd)
-{
-  const int on = 1;
-
-  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-}
-
 static int
 connect_to_server (const struct relay *relay, const struct cp_address *from)
 {
@@ -34,10 +24,7 @@
   own.socket.v4.sin_port = 0;
   ck_assert_int_eq (bind (fd, &own.socket.any, own.length), 0);
   if (connect (fd, &server.socket.any, server.length) == 0)
-    {
-      send_at_once (fd);
-      return fd;
-    }
+    return fd;
   close (fd);
   return -1;
 }
@@ -47,6 +34,7 @@
 {
   int client = accept4 (relay->listen_fd, NULL, NULL, SOCK_CLOEXEC);
   int server;
+  int one = 1;
 
   if (client < 0)
     return;
@@ -58,7 +46,8 @@
         close (server);
       return;
     }
-  send_at_once (client);
+  setsockopt (client, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+  setsockopt (server, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
   relay->connections[relay->n_connections++]
       = (struct relayed){ { client, server }, RELAY_PASS };
 }
