--- a/regress/harness/spread.c
+++ b/regress/harness/spread.c
@@ -1,4 +1,3 @@
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -59,9 +58,10 @@
 {
   FILE *file = fopen (cut_path, "a");
 
-  ck_assert_ptr_nonnull (file);
+  if (file == NULL)
+    abort ();
   fprintf (file, "%u %u %u %u\n", from, to, other_from, other_to);
-  ck_assert_int_eq (fclose (file), 0);
+  fclose (file);
 }
 
 void
--- a/regress/path/check_fleet_pause.c
+++ b/regress/path/check_fleet_pause.c
@@ -127,26 +127,43 @@
   return leaving;
 }
 
+/* Calls through each VM in turn; returns whether VM 2's target answered.  */
+static bool
+reaches_second (struct fleet *fleet, unsigned calls)
+{
+  struct reply reply;
+  char path[64];
+  bool reached = false;
+
+  reply_init (&reply);
+  for (unsigned i = 0; i < calls; i++)
+    {
+      fleet_call (fleet, &reply, 1 + i % VMS, "GET", "/items/1", NULL, NULL);
+      if (reply_header (&reply, "Cornelpick-Path", path, sizeof path)
+          && strstr (path, "shop-2") != NULL)
+        reached = true;
+    }
+  reply_finish (&reply);
+  return reached;
+}
+
+static bool
+second_is_reached (void *context)
+{
+  return reaches_second (context, VMS);
+}
+
 /* The list says that VM 2 leaves; nobody but VM 2 needs to know.  */
 START_TEST (a_leaving_vm_gets_no_new_work)
 {
   struct fleet fleet;
-  struct reply reply;
-  char from[64];
 
   fleet_start (&fleet, VMS, DOMAINS, NULL);
+  fleet_list (&fleet, 0);
+  wait_until (second_is_reached, &fleet);
   fleet_list (&fleet, 2);
   wait_until (is_leaving, &fleet);
-  reply_init (&reply);
-  for (unsigned i = 0; i < 40; i++)
-    {
-      fleet_call (&fleet, &reply, 1 + i % VMS, "GET", "/items/1", NULL, NULL);
-      if (reply.status != 200)
-        continue;
-      ck_assert (reply_header (&reply, "Cornelpick-Path", from, sizeof from));
-      ck_assert_ptr_null (strstr (from, "shop-2"));
-    }
-  reply_finish (&reply);
+  ck_assert (!reaches_second (&fleet, 40));
   fleet_wait_calls (&fleet, 1, 10);
   fleet_stop (&fleet);
 }
