Prepare the slots of the register's timer wheel at their first use

Cause: check_explorer rebuilds registers all the time and did not end within 165 s in an address-sanitized build, beside other programs.

Change: the list of a slot is prepared when it is first used.

--- a/lib/register.c
+++ b/lib/register.c
@@ -58,8 +58,6 @@
       pthread_mutex_init (&shard->lock, NULL);
       shard->entries = g_hash_table_new_full (hash_id, same_id, free, NULL);
       shard->wheel_s = cp_clock_now_us (clock) / CP_US_PER_S;
-      for (unsigned slot = 0; slot < CP_REGISTER_SLOTS; slot++)
-        CDS_INIT_LIST_HEAD (&shard->wheel[slot]);
     }
 }
 
@@ -74,6 +72,17 @@
   free (attempts->shards);
 }
 
+/* Returns the slot of a second, made ready at its first use.  */
+static struct cds_list_head *
+get_slot (struct cp_register_shard *shard, uint64_t second)
+{
+  struct cds_list_head *slot = &shard->wheel[second % CP_REGISTER_SLOTS];
+
+  if (slot->next == NULL)
+    CDS_INIT_LIST_HEAD (slot);
+  return slot;
+}
+
 /* Puts an entry into the slot of the second after it may be forgotten, or of
    the last second that the wheel can hold.  */
 static void
@@ -86,7 +95,7 @@
     second = last;
   if (second <= shard->wheel_s)
     second = shard->wheel_s + 1;
-  cds_list_add (&entry->timer, &shard->wheel[second % CP_REGISTER_SLOTS]);
+  cds_list_add (&entry->timer, get_slot (shard, second));
 }
 
 static bool
@@ -102,12 +111,13 @@
 empty_slot (struct cp_register *attempts, struct cp_register_shard *shard,
             uint64_t now)
 {
+  struct cds_list_head *slot = get_slot (shard, shard->wheel_s);
   struct cds_list_head due;
   struct entry *entry, *next;
 
   CDS_INIT_LIST_HEAD (&due);
-  cds_list_splice (&shard->wheel[shard->wheel_s % CP_REGISTER_SLOTS], &due);
-  CDS_INIT_LIST_HEAD (&shard->wheel[shard->wheel_s % CP_REGISTER_SLOTS]);
+  cds_list_splice (slot, &due);
+  CDS_INIT_LIST_HEAD (slot);
   cds_list_for_each_entry_safe (entry, next, &due, timer)
   {
     if (!is_over (entry, now))
