--- a/cornelpickd/inbound.c
+++ b/cornelpickd/inbound.c
@@ -11,6 +11,7 @@
 /* A connection idle for longer is not used for a call that runs once.  */
 #define IDLE_ONCE_US (CP_US_PER_S)
 #define SLOTS_DEFAULT 12
+#define OWN_HEADERS_BYTES 768
 
 /* A forwarded call at the inbound side.  */
 struct visit
@@ -111,15 +112,18 @@
   struct cp_report report;
   char load[CP_REPORT_TEXT_BYTES];
   char clock[CP_PEER_CLOCK_TEXT_BYTES];
+  char attempt[CP_ID_TEXT_BYTES];
 
   inbound_report (visit->inbound, &report);
   cp_report_text (&report, load);
   cp_peer_clock_text (daemon->incarnation, cp_clock_now_us (daemon->clock),
                       clock);
+  cp_id_text (&visit->attempt, attempt);
   snprintf (text, size,
             HEADER_OUTCOME ": %s\r\n" HEADER_LOAD ": %s\r\n" HEADER_CLOCK
-                           ": %s\r\n" HEADER_FROM ": %s\r\n",
-            outcome, load, clock, daemon->settings.vm);
+                           ": %s\r\n" HEADER_FROM ": %s\r\n" HEADER_ATTEMPT
+                           ": %s\r\n",
+            outcome, load, clock, daemon->settings.vm, attempt);
 }
 
 /* Records a step of the visit; DURATION_US as the kind says.  */
@@ -151,7 +155,7 @@
 refuse (struct visit *visit, int status, const char *outcome,
         const char *reason)
 {
-  char headers[512];
+  char headers[OWN_HEADERS_BYTES];
 
   if (!visit->started)
     visit_record (visit, CP_DECISION_REFUSE, reason, status,
@@ -283,8 +287,19 @@
 on_head (void *context, const struct upstream_head *head)
 {
   struct visit *visit = context;
-  char headers[512];
-
+  const char *asked = request_header (visit->request, HEADER_REQUEST);
+  char answered[CP_ID_TEXT_BYTES];
+  char headers[OWN_HEADERS_BYTES];
+
+  /* A target may repeat the request ID; another one shows that this answer is
+     not for this request.  */
+  if (asked != NULL
+      && head_value (head, HEADER_REQUEST, answered, sizeof answered)
+      && strcmp (asked, answered) != 0)
+    {
+      daemon_count (visit->inbound->daemon, COUNT_MIXED_ANSWERS);
+      return false;
+    }
   own_headers (visit, "ran", headers, sizeof headers);
   return answer_head (&visit->answer, head, headers);
 }
@@ -449,7 +464,8 @@
   daemon_count (daemon, result == CP_ADMISSION_DEADLINE
                             ? COUNT_REFUSED_DEADLINE
                             : COUNT_REFUSED_FULL);
-  refuse (visit, 503, "not-run", "the target has no room\n");
+  refuse (visit, result == CP_ADMISSION_FULL ? STATUS_NO_ROOM : 503, "not-run",
+          "the target has no room\n");
 }
 
 static bool
@@ -457,7 +473,7 @@
 {
   struct daemon *daemon = visit->inbound->daemon;
   struct cp_document *document = configuration_get (&daemon->configuration);
-  const struct cp_service *service;
+  const struct cp_service *service = NULL;
   const struct cp_target *target = NULL;
 
   if (document != NULL)
--- a/fakes/platform.c
+++ b/fakes/platform.c
@@ -92,8 +92,8 @@
   request_answer (request, 200, NULL, "application/json", body);
 }
 
-/* Takes {"down": BOOL}, {"document_down": BOOL}, {"vms": [...]}, {"vms_lag_ms":
-   TIME} and {"stale": DOCUMENT or null}.  */
+/* Takes {"down": BOOL}, {"document_down": BOOL}, {"vms": [...]},
+   {"vms_lag_ms": TIME} and {"stale": DOCUMENT or null}.  */
 static bool
 control (struct fake_platform *platform, const char *text, size_t length)
 {
@@ -180,8 +180,8 @@
   platform->listener.clock = &cp_clock_boot;
   platform->listener.handle = handle;
   platform->listener.context = platform;
-  return listener_start (&platform->listener, address, PLATFORM_THREADS,
-                         error);
+  return listener_start (&platform->listener, address,
+                         fake_threads (PLATFORM_THREADS), error);
 }
 
 void
--- a/lib/members.h
+++ b/lib/members.h
@@ -30,8 +30,8 @@
 #define CP_MEMBER_MISSED_MAX 3
 
 /* Time for which a silent member is not asked; it doubles with each miss.  The
-   longest is short, because the halves of a fleet find each other again only by
-   asking.  */
+   longest is short, because the halves of a fleet find each other again only
+   by asking.  */
 #define CP_MEMBER_SILENT_US (500 * CP_US_PER_MS)
 #define CP_MEMBER_SILENT_MAX_US CP_US_PER_S
 
--- a/regress/harness/harness.c
+++ b/regress/harness/harness.c
@@ -20,6 +20,10 @@
 #define PORT_RELAYED 7500
 #define PORT_ADMIN 7402
 #define PORT_PLATFORM 9000
+#define PLATFORM_THREADS 32
+#define PLATFORM_THREADS_EACH 3 /* a watch and a read for each VM, and more   \
+                                 */
+#define TARGET_THREADS "128"
 #define PLATFORM_VM 250
 #define ARGUMENTS_MAX 16
 #define POLL_US 10000
@@ -224,12 +228,15 @@
   char address[56];
   char log[256];
   char document[256];
+  char threads[16];
 
   log_path (fleet, "platform", 0, log);
   snprintf (document, sizeof document, "%s/document.json", fleet->folder);
+  snprintf (threads, sizeof threads, "%u",
+            PLATFORM_THREADS + PLATFORM_THREADS_EACH * fleet->n_vms);
   process_start (&fleet->platform, log, "fakes/cornelpick-fakes", "--listen",
                  fleet_address (fleet, PLATFORM_VM, PORT_PLATFORM, address),
-                 "--document", document, NULL);
+                 "--document", document, "--threads", threads, NULL);
 }
 
 void
@@ -245,8 +252,8 @@
   snprintf (seed, sizeof seed, "%u", vm);
   process_start (&fleet->targets[vm], log, "fakes/cornelpick-fakes",
                  "--listen", fleet_address (fleet, vm, PORT_TARGET, address),
-                 "--target", name, "--seed", seed, "--control",
-                 control == NULL ? "{}" : control, NULL);
+                 "--target", name, "--seed", seed, "--threads", TARGET_THREADS,
+                 "--control", control == NULL ? "{}" : control, NULL);
 }
 
 void
@@ -342,6 +349,13 @@
 void
 fleet_start (struct fleet *fleet, unsigned n_vms, unsigned n_domains,
              void (*edit) (json_t *document))
+{
+  fleet_start_relayed (fleet, n_vms, n_domains, edit, 0);
+}
+
+void
+fleet_start_relayed (struct fleet *fleet, unsigned n_vms, unsigned n_domains,
+                     void (*edit) (json_t *document), unsigned relayed_vm)
 {
   json_t *document;
 
@@ -352,6 +366,7 @@
   strcpy (fleet->folder, "/tmp/cornelpick-fleet-XXXXXX");
   require (mkdtemp (fleet->folder) != NULL, "cannot make a folder");
   fleet->n_vms = n_vms;
+  fleet->relayed_vm = relayed_vm;
   fleet->n_domains = n_domains;
   fleet->version = 1;
   fleet->edit = edit;
@@ -487,6 +502,7 @@
   struct curl_slist *list = header_list (headers);
   char url[512];
   long status = 0;
+  CURLcode code;
 
   snprintf (url, sizeof url, "http://%s%s", address, path);
   g_string_truncate (reply->head, 0);
@@ -509,8 +525,10 @@
   curl_easy_setopt (easy, CURLOPT_HEADERDATA, reply->head);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, append_text);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, reply->body);
-  if (curl_easy_perform (easy) == CURLE_OK)
+  code = curl_easy_perform (easy);
+  if (code == CURLE_OK)
     curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &status);
+  reply->refused = code == CURLE_COULDNT_CONNECT;
   reply->status = (int)status;
   curl_slist_free_all (list);
   curl_easy_cleanup (easy);
