--- a/bench/bench_heal.c
+++ b/bench/bench_heal.c
@@ -56,7 +56,7 @@
       sum += ms;
       most = MAX (most, ms);
     }
-  printf ("{\"bench\": \"heal\", \"daemons\": %u, \"rounds\": %u, "
+  printf ("{\"bench\": \"heal\", \"daemons\": %u, \"rounds\": %d, "
           "\"mean_ms\": %.0f, \"most_ms\": %.0f}\n",
           daemons, ROUNDS, sum / ROUNDS, most);
   fflush (stdout);
