--- a/regress/harness/harness.c
+++ b/regress/harness/harness.c
@@ -21,8 +21,9 @@
 #define PORT_ADMIN 7402
 #define PORT_PLATFORM 9000
 #define PLATFORM_THREADS 32
-#define PLATFORM_THREADS_EACH 3 /* a watch and a read for each VM, and more   \
-                                 */
+#define PLATFORM_THREADS_EACH                                                 \
+  3 /* a watch and a read for each VM, and more                               \
+     */
 #define TARGET_THREADS "128"
 #define PLATFORM_VM 250
 #define ARGUMENTS_MAX 16
