Read the clock under the lock that guards what it is compared with

Cause: cp_admission_leave read the time before it took the lock; a call that asked in between had then waited a negative time, taken as a huge one, and was shed although its VM was below its share. The same order in measure.c could take a target that leaves for one that serves for a moment. Change: the time is read under the lock; a test with threads on a clock that moves with each reading fails without the change. Conclusion: a flood does not cost another VM a call any more.

--- a/cornelpickd/measure.c
+++ b/cornelpickd/measure.c
@@ -356,9 +356,10 @@
 void
 measure_report (struct measure *measure, struct cp_report *report)
 {
-  uint64_t now_us = cp_clock_now_us (measure->daemon->clock);
+  uint64_t now_us;
 
   CP_LOCK_SCOPE (&measure->lock);
+  now_us = cp_clock_now_us (measure->daemon->clock);
   report->in_flight += cp_measuring_hidden (&measure->measuring, now_us);
   if (report->life == CP_LIFE_SERVING
       && cp_measuring_draining (&measure->measuring, now_us))
@@ -368,9 +369,10 @@
 bool
 measure_query (struct measure *measure)
 {
-  uint64_t now_us = cp_clock_now_us (measure->daemon->clock);
+  uint64_t now_us;
 
   CP_LOCK_SCOPE (&measure->lock);
+  now_us = cp_clock_now_us (measure->daemon->clock);
   /* Without a document there is no budget yet, and no target to measure.  */
   if (!measure->has_target
       || cp_budget_spend_bytes (&measure->budget, now_us, QUERY_BYTES))
@@ -382,9 +384,10 @@
 json_t *
 measure_dump (struct measure *measure)
 {
-  uint64_t now_us = cp_clock_now_us (measure->daemon->clock);
+  uint64_t now_us;
 
   CP_LOCK_SCOPE (&measure->lock);
+  now_us = cp_clock_now_us (measure->daemon->clock);
   return json_pack ("{s:b, s:s, s:o, s:o}", "has_target",
                     (int)measure->has_target, "target", measure->target.name,
                     "budget", cp_budget_dump (&measure->budget, now_us),
--- a/lib/admission.c
+++ b/lib/admission.c
@@ -443,9 +443,11 @@
 cp_admission_leave (struct cp_admission *admission, const char *caller_vm,
                     uint64_t latency_us, bool failed)
 {
-  uint64_t now_us = cp_clock_now_us (admission->clock);
+  uint64_t now_us;
 
   CP_LOCK_SCOPE (&admission->lock);
+  /* Read under the lock: no ticket may have arrived after it.  */
+  now_us = cp_clock_now_us (admission->clock);
   if (latency_us > 0)
     {
       admission->ended++;
@@ -490,10 +492,11 @@
 json_t *
 cp_admission_dump (struct cp_admission *admission)
 {
-  uint64_t now_us = cp_clock_now_us (admission->clock);
+  uint64_t now_us;
   json_t *results = json_object ();
 
   CP_LOCK_SCOPE (&admission->lock);
+  now_us = cp_clock_now_us (admission->clock);
   for (unsigned i = 0; i < CP_ADMISSION_RESULT_COUNT; i++)
     json_object_set_new (results, cp_admission_result_names[i],
                          json_integer ((json_int_t)admission->results[i]));
--- a/lib/recent.c
+++ b/lib/recent.c
@@ -24,7 +24,7 @@
 cp_recent_add (struct cp_recent *recent, uint64_t now_us, uint64_t value_us)
 {
   if (recent->counts[recent->newer] >= CP_RECENT_VALUES
-      || now_us - recent->since_us >= CP_RECENT_US_MAX)
+      || now_us >= recent->since_us + CP_RECENT_US_MAX)
     turn_over (recent, now_us);
   cp_histogram_add (&recent->parts[recent->newer], value_us);
   recent->counts[recent->newer]++;
--- a/regress/lib/check_admission.c
+++ b/regress/lib/check_admission.c
@@ -440,6 +440,61 @@
 }
 END_TEST
 
+/* A clock that moves by 1 us whenever a thread reads it.  */
+static uint64_t
+read_ticks (void *context)
+{
+  return __atomic_add_fetch ((uint64_t *)context, 1, __ATOMIC_RELAXED);
+}
+
+#define FLOODERS 8
+#define SMALL_CALLS 5000
+
+/* Threads that enter and leave without a pause.  */
+struct flood
+{
+  struct cp_admission *admission;
+  bool stop;
+};
+
+static void *
+run_flood (void *context)
+{
+  struct flood *flood = context;
+
+  while (!__atomic_load_n (&flood->stop, __ATOMIC_RELAXED))
+    if (cp_admission_enter (flood->admission, CP_PRIORITY_NORMAL, "flood",
+                            NEVER, NULL)
+        == CP_ADMITTED)
+      cp_admission_leave (flood->admission, "flood", 10, false);
+  return NULL;
+}
+
+START_TEST (threads_that_flood_leave_another_its_share)
+{
+  uint64_t ticks = 1;
+  const struct cp_clock clock = { read_ticks, &ticks };
+  struct cp_admission admission;
+  struct flood flood = { .admission = &admission };
+  pthread_t threads[FLOODERS];
+
+  cp_admission_init (&admission, &clock, 3);
+  for (unsigned i = 0; i < FLOODERS; i++)
+    pthread_create (&threads[i], NULL, run_flood, &flood);
+  for (unsigned i = 0; i < SMALL_CALLS; i++)
+    {
+      ck_assert_int_eq (cp_admission_enter (&admission, CP_PRIORITY_NORMAL,
+                                            "small", NEVER, NULL),
+                        CP_ADMITTED);
+      cp_admission_leave (&admission, "small", 10, false);
+    }
+  __atomic_store_n (&flood.stop, true, __ATOMIC_RELAXED);
+  for (unsigned i = 0; i < FLOODERS; i++)
+    pthread_join (threads[i], NULL);
+  cp_admission_finish (&admission);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
@@ -454,6 +509,7 @@
   tcase_add_test (tests, the_limit_follows_the_latency);
   tcase_add_test (tests, a_withdrawn_call_leaves_the_queue);
   tcase_add_test (tests, threads_wait_for_a_slot_or_the_end_of_their_caller);
+  tcase_add_test (tests, threads_that_flood_leave_another_its_share);
 }
 
 int
