--- a/bench/bench_slopes.c
+++ b/bench/bench_slopes.c
@@ -277,7 +277,7 @@
   require (cp_chart_load (&chart, path, &cp_health_names, &error) == 0, path);
   before = allocated ();
   cp_balancer_init (&balancer, &cp_picker_two_choices, &chart, &cp_clock_boot,
-                    "shop", "domain-1");
+                    "shop", "vm-1", "domain-1");
   cp_balancer_update (&balancer, &document->services[0], 1000);
   cost->balancer_bytes = allocated () - before;
   cp_balancer_finish (&balancer);
--- a/lib/balancer.c
+++ b/lib/balancer.c
@@ -338,7 +338,8 @@
   cp_balancer_view (balancer, random, now_us, &view);
   if (tried->count > 0)
     {
-      untried = calloc (balancer->n_targets + 1, sizeof *untried);
+      untried = calloc (balancer->n_targets + 1,
+                        sizeof (struct cp_target_state *));
       if (untried == NULL)
         return false;
       view.targets = untried;
--- a/lib/picker_hot_cold.c
+++ b/lib/picker_hot_cold.c
@@ -10,7 +10,6 @@
 #define COST_BAND_LEAST 0.1
 #define COST_BAND_NOISE 1.3
 #define FAILURE_COST_US 1e6
-#define PRESSURE_POWER 4.0
 #define FREE_USE 0.25
 #define NEAR_USE 0.2
 #define NEAR_USE_END 0.9
@@ -49,6 +48,7 @@
   const struct cp_target_state *state = view->targets[index];
   double load = cp_estimate_load (state, view);
   double latency = cp_estimate_latency_us (state, view);
+  double use_squared;
 
   option->index = index;
   option->near = state->same_domain;
@@ -56,8 +56,9 @@
   option->limit = limit_of (state, view);
   option->use = (load + 1) / option->limit;
   option->load = load;
+  use_squared = option->use * option->use;
   option->cost_us
-      = latency * (1 + pow (option->use, PRESSURE_POWER))
+      = latency * (1 + use_squared * use_squared)
         + (state->same_domain ? 0 : (double)view->remote_us)
         + cp_health_errors (&state->health, view->now_us) * FAILURE_COST_US;
 }
@@ -163,9 +164,13 @@
 static unsigned
 least_used (const struct cp_pick_view *view, const struct options *options)
 {
-  unsigned first = (unsigned)cp_random_below (view->random, options->count);
-  const struct option *best = &options->list[first];
+  const struct option *best = &options->list[0];
+  unsigned first;
 
+  if (options->count < 2)
+    return best->index;
+  first = (unsigned)cp_random_below (view->random, options->count);
+  best = &options->list[first];
   for (unsigned i = 1; i < options->count; i++)
     {
       const struct option *option
@@ -181,7 +186,7 @@
 pick_hot_cold (void *context, const struct cp_pick_view *view,
                const char **reason)
 {
-  struct options options;
+  struct options options = { .count = 0 };
 
   (void)context;
   sample (view, &options);
