--- a/cornelpick/replay.c
+++ b/cornelpick/replay.c
@@ -56,9 +56,10 @@
       "{s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "trace",
       trace->name, "deployment", trace->deployment, "picker", picker, "calls",
       (json_int_t)result->calls, "errors", (json_int_t)result->errors,
-      "retries", (json_int_t)result->retries, "p50_us",
-      (json_int_t)result->p50_us, "p99_us", (json_int_t)result->p99_us,
-      "p999_us", (json_int_t)result->p999_us);
+      "retries", (json_int_t)result->retries, "waits",
+      (json_int_t)result->waits, "p50_us", (json_int_t)result->p50_us,
+      "p99_us", (json_int_t)result->p99_us, "p999_us",
+      (json_int_t)result->p999_us);
   json_t *targets = json_object ();
   json_t *outcomes = json_array ();
   CP_AUTO_FREE char *text = NULL;
