--- a/bench/bench_heal.c
+++ b/bench/bench_heal.c
@@ -56,7 +56,7 @@
       sum += ms;
       most = MAX (most, ms);
     }
-  printf ("{\"bench\": \"heal\", \"daemons\": %u, \"rounds\": %u, "
+  printf ("{\"bench\": \"heal\", \"daemons\": %u, \"rounds\": %d, "
           "\"mean_ms\": %.0f, \"most_ms\": %.0f}\n",
           daemons, ROUNDS, sum / ROUNDS, most);
   fflush (stdout);
@@ -70,6 +70,7 @@
 
   fleet_call_threads = 4;
   fleet_peer_threads = 4;
+  fleet_without_targets = true;
   fleet_allow_cuts ();
   for (unsigned i = 0; i < G_N_ELEMENTS (sizes); i++)
     run_fleet (sizes[i]);
