--- a/lib/balancer.c
+++ b/lib/balancer.c
@@ -438,6 +438,11 @@
       add_service_latency (balancer, state, (double)latency_us);
       add_latency (balancer, state, (double)latency_us, now_us);
     }
+  else if ((double)latency_us > state->latency_us && state->latency_us > 0)
+    {
+      /* It gave no answer for so long, which is evidence that it is slow.  */
+      add_latency (balancer, state, (double)latency_us, now_us);
+    }
   if (cp_health_result (&state->health, balancer->chart, result, now_us,
                         may_eject (balancer)))
     health_changed (balancer, state, result_names[result]);
