--- a/cornelpickd/attempt.c
+++ b/cornelpickd/attempt.c
@@ -213,16 +213,6 @@
   return headers;
 }
 
-static char *
-full_path (const struct request *request)
-{
-  const struct mg_request_info *info = request->info;
-
-  if (info->query_string == NULL)
-    return g_strdup (info->request_uri);
-  return g_strconcat (info->request_uri, "?", info->query_string, NULL);
-}
-
 /* Nothing came back in the time expected: asks the inbound side over a path of
    its own.  Only an attempt that never arrived there is given up for good; one
    in its hands is waited for.  */
@@ -280,7 +270,7 @@
 {
   struct call *call = attempt->call;
 
-  sending->path = full_path (call->request);
+  sending->path = request_path (call->request);
   sending->headers = peer_headers (attempt);
   sending->upstream = (struct upstream_call){
     .address = attempt->target.has_daemon ? &attempt->target.daemon
--- a/cornelpickd/inbound.c
+++ b/cornelpickd/inbound.c
@@ -327,16 +327,6 @@
   return headers;
 }
 
-static char *
-full_path (const struct request *request)
-{
-  const struct mg_request_info *info = request->info;
-
-  if (info->query_string == NULL)
-    return g_strdup (info->request_uri);
-  return g_strconcat (info->request_uri, "?", info->query_string, NULL);
-}
-
 static void
 finish_visit (struct visit *visit, enum upstream_result result)
 {
@@ -375,7 +365,7 @@
 call_target (struct visit *visit)
 {
   struct daemon *daemon = visit->inbound->daemon;
-  CP_AUTO_FREE char *path = full_path (visit->request);
+  CP_AUTO_FREE char *path = request_path (visit->request);
   struct curl_slist *headers = target_headers (visit);
   struct upstream_call call
       = { .address = &visit->target.address,
@@ -487,59 +477,67 @@
   return target != NULL;
 }
 
+/* Refuses a call that was not entered; it has not run.  */
 static void
-serve (struct visit *visit)
+refuse_early (struct visit *visit, enum daemon_counter counter, int status,
+              const char *reason)
+{
+  daemon_count (visit->inbound->daemon, counter);
+  refuse (visit, status, "not-run", reason);
+}
+
+/* Refuses a call that was entered and has not started.  */
+static void
+refuse_entered (struct visit *visit, enum daemon_counter counter,
+                const char *reason)
+{
+  step (visit, CP_ATTEMPT_REFUSE);
+  refuse_early (visit, counter, 503, reason);
+}
+
+/* Checks what does not need the register.  Returns false when the call was
+   refused.  */
+static bool
+check_visit (struct visit *visit)
 {
   struct daemon *daemon = visit->inbound->daemon;
+  const char *address = visit->request->info->remote_addr;
 
   if (!configuration_usable (&daemon->configuration))
-    {
-      daemon_count (daemon, COUNT_REFUSED_UNVERIFIED);
-      refuse (visit, 503, "not-run", "this daemon has no verified view\n");
-      return;
-    }
-  if (!members_known (&daemon->members, visit->request->info->remote_addr))
-    {
-      daemon_count (daemon, COUNT_REFUSED_PEERS);
-      refuse (visit, 403, "not-run", "this address is no peer\n");
-      return;
-    }
-  if (!read_headers (visit))
-    {
-      daemon_count (daemon, COUNT_BAD_REQUESTS);
-      refuse (visit, 400, "not-run", "a header of the attempt is missing\n");
-      return;
-    }
-  if (!right_incarnation (visit))
-    {
-      daemon_count (daemon, COUNT_REFUSED_INCARNATION);
-      refuse (visit, 503, "not-run", "another incarnation is meant\n");
-      return;
-    }
-  if (!enter (visit))
+    refuse_early (visit, COUNT_REFUSED_UNVERIFIED, 503,
+                  "this daemon has no verified view\n");
+  else if (!members_known (&daemon->members, address))
+    refuse_early (visit, COUNT_REFUSED_PEERS, 403,
+                  "this address is no peer\n");
+  else if (!read_headers (visit))
+    refuse_early (visit, COUNT_BAD_REQUESTS, 400,
+                  "a header of the attempt is missing\n");
+  else if (!right_incarnation (visit))
+    refuse_early (visit, COUNT_REFUSED_INCARNATION, 503,
+                  "another incarnation is meant\n");
+  else
+    return true;
+  return false;
+}
+
+static void
+serve (struct visit *visit)
+{
+  struct daemon *daemon = visit->inbound->daemon;
+
+  if (!check_visit (visit) || !enter (visit))
     return;
   if (daemon_life (daemon) != CP_LIFE_SERVING
       || members_leaving (&daemon->members))
-    {
-      step (visit, CP_ATTEMPT_REFUSE);
-      daemon_count (daemon, COUNT_REFUSED_LEAVING);
-      refuse (visit, 503, "not-run", "this daemon is not serving\n");
-      return;
-    }
-  if (measure_leaving (&daemon->measure, visit->deadline_us))
-    {
-      step (visit, CP_ATTEMPT_REFUSE);
-      daemon_count (daemon, COUNT_REFUSED_LEAVING);
-      refuse (visit, 503, "not-run", "the target is leaving\n");
-      return;
-    }
-  if (!find_own_target (visit))
-    {
-      step (visit, CP_ATTEMPT_REFUSE);
-      refuse (visit, 503, "not-run", "no target is beside this daemon\n");
-      return;
-    }
-  admit (visit);
+    refuse_entered (visit, COUNT_REFUSED_LEAVING,
+                    "this daemon is not serving\n");
+  else if (measure_leaving (&daemon->measure, visit->deadline_us))
+    refuse_entered (visit, COUNT_REFUSED_LEAVING, "the target is leaving\n");
+  else if (!find_own_target (visit))
+    refuse_entered (visit, COUNT_REFUSED_LEAVING,
+                    "no target is beside this daemon\n");
+  else
+    admit (visit);
 }
 
 void
--- a/http/http.h
+++ b/http/http.h
@@ -60,6 +60,9 @@
 /* Ends the connections and the threads.  */
 void listener_stop (struct listener *listener);
 
+/* Returns the path with its query, as it was sent; the caller frees it.  */
+char *request_path (const struct request *request);
+
 /* Returns the value of a header, or NULL.  */
 const char *request_header (const struct request *request, const char *name);
 
--- a/http/listener.c
+++ b/http/listener.c
@@ -84,6 +84,16 @@
   return NULL;
 }
 
+char *
+request_path (const struct request *request)
+{
+  const struct mg_request_info *info = request->info;
+
+  if (info->query_string == NULL)
+    return g_strdup (info->request_uri);
+  return g_strconcat (info->request_uri, "?", info->query_string, NULL);
+}
+
 static unsigned
 count_header (const struct mg_request_info *info, const char *name)
 {
--- a/regress/harness/harness.c
+++ b/regress/harness/harness.c
@@ -26,37 +26,12 @@
      */
 #define TARGET_THREADS "128"
 #define PLATFORM_VM 250
-#define ARGUMENTS_MAX 16
 #define POLL_US 10000
-#define STOP_WAIT_US (60 * G_USEC_PER_SEC)
 
 int fleet_call_threads = 32;
 bool fleet_without_targets;
 int fleet_peer_threads = 64;
 
-/* Fails the test, or the bench, which runs without check.  */
-static void
-require (bool holds, const char *format, ...)
-{
-  va_list arguments;
-
-  if (holds)
-    return;
-  va_start (arguments, format);
-  vfprintf (stderr, format, arguments);
-  va_end (arguments);
-  fputc ('\n', stderr);
-  abort ();
-}
-
-static const char *
-build_folder (void)
-{
-  const char *build = getenv ("BUILD");
-
-  return build == NULL ? "build" : build;
-}
-
 static const char *
 top_folder (void)
 {
@@ -65,63 +40,6 @@
   return top == NULL ? "." : top;
 }
 
-void
-process_start (struct process *process, const char *log, const char *program,
-               ...)
-{
-  char path[512];
-  char *arguments[ARGUMENTS_MAX];
-  unsigned count = 1;
-  va_list list;
-
-  snprintf (path, sizeof path, "%s/%s", build_folder (), program);
-  arguments[0] = path;
-  va_start (list, program);
-  do
-    {
-      require (count < ARGUMENTS_MAX, "too many arguments");
-      arguments[count] = va_arg (list, char *);
-    }
-  while (arguments[count++] != NULL);
-  va_end (list);
-  process->pid = fork ();
-  require (process->pid >= 0, "cannot start a process");
-  if (process->pid > 0)
-    return;
-  int fd = open (log, O_WRONLY | O_CREAT | O_APPEND, 0644);
-  dup2 (fd, STDOUT_FILENO);
-  dup2 (fd, STDERR_FILENO);
-  execv (path, arguments);
-  _exit (127);
-}
-
-static int
-wait_for_end (struct process *process)
-{
-  gint64 until = g_get_monotonic_time () + STOP_WAIT_US;
-  int status = 0;
-
-  while (waitpid (process->pid, &status, WNOHANG) == 0)
-    {
-      require (g_get_monotonic_time () < until, "process %d does not end",
-               (int)process->pid);
-      g_usleep (POLL_US);
-    }
-  process->pid = 0;
-  return status;
-}
-
-int
-process_signal (struct process *process, int signal)
-{
-  if (process->pid == 0)
-    return 0;
-  kill (process->pid, signal);
-  if (signal != SIGKILL && signal != SIGTERM)
-    return 0;
-  return wait_for_end (process);
-}
-
 const char *
 fleet_address (const struct fleet *fleet, unsigned vm, unsigned port,
                char text[56])
@@ -211,8 +129,8 @@
   char path[256];
 
   snprintf (path, sizeof path, "%s/%s", fleet->folder, name);
-  require (json_dump_file (value, path, JSON_INDENT (2)) == 0,
-           "cannot write %s", path);
+  harness_require (json_dump_file (value, path, JSON_INDENT (2)) == 0,
+                   "cannot write %s", path);
   json_decref (value);
 }
 
@@ -360,12 +278,12 @@
 {
   json_t *document;
 
-  require (n_domains > 0, "a fleet needs a failure domain");
+  harness_require (n_domains > 0, "a fleet needs a failure domain");
   memset (fleet, 0, sizeof *fleet);
   snprintf (fleet->net, sizeof fleet->net, "127.%d.%d",
             1 + (int)getpid () % 250, (int)getpid () / 250 % 250);
   strcpy (fleet->folder, "/tmp/cornelpick-fleet-XXXXXX");
-  require (mkdtemp (fleet->folder) != NULL, "cannot make a folder");
+  harness_require (mkdtemp (fleet->folder) != NULL, "cannot make a folder");
   fleet->n_vms = n_vms;
   fleet->relayed_vm = relayed_vm;
   fleet->n_domains = n_domains;
@@ -417,7 +335,7 @@
     if (processes[i].pid != 0)
       kill (processes[i].pid, SIGTERM);
   for (unsigned i = 1; i <= count; i++)
-    if (processes[i].pid != 0 && wait_for_end (&processes[i]) != 0)
+    if (processes[i].pid != 0 && process_wait (&processes[i]) != 0)
       clean = false;
   return clean;
 }
@@ -431,7 +349,8 @@
     kill (fleet->platform.pid, SIGTERM);
   stop_all (fleet->targets, fleet->n_vms);
   process_signal (&fleet->platform, SIGTERM);
-  require (clean, "a daemon did not end with status 0; see %s", fleet->folder);
+  harness_require (clean, "a daemon did not end with status 0; see %s",
+                   fleet->folder);
   remove_folder (fleet->folder);
 }
 
@@ -455,106 +374,10 @@
   http_call (&reply,
              fleet_address (fleet, PLATFORM_VM, PORT_PLATFORM, address), "PUT",
              "/document", NULL, text, 5000);
-  require (reply.status == 200, "status %d", reply.status);
+  harness_require (reply.status == 200, "status %d", reply.status);
   reply_finish (&reply);
 }
 
-void
-reply_init (struct reply *reply)
-{
-  reply->status = 0;
-  reply->head = g_string_new (NULL);
-  reply->body = g_string_new (NULL);
-}
-
-void
-reply_finish (struct reply *reply)
-{
-  g_string_free (reply->head, TRUE);
-  g_string_free (reply->body, TRUE);
-}
-
-static size_t
-append_text (char *data, size_t size, size_t count, void *context)
-{
-  g_string_append_len (context, data, (gssize)(size * count));
-  return size * count;
-}
-
-static struct curl_slist *
-header_list (const char *headers)
-{
-  struct curl_slist *list = curl_slist_append (NULL, "Expect:");
-  gchar **lines = g_strsplit (headers == NULL ? "" : headers, "\n", -1);
-
-  for (gchar **line = lines; *line != NULL; line++)
-    if (**line != '\0')
-      list = curl_slist_append (list, *line);
-  g_strfreev (lines);
-  return list;
-}
-
-void
-http_call (struct reply *reply, const char *address, const char *method,
-           const char *path, const char *headers, const char *body,
-           long timeout_ms)
-{
-  CURL *easy = curl_easy_init ();
-  struct curl_slist *list = header_list (headers);
-  char url[512];
-  long status = 0;
-  CURLcode code;
-
-  snprintf (url, sizeof url, "http://%s%s", address, path);
-  g_string_truncate (reply->head, 0);
-  g_string_truncate (reply->body, 0);
-  curl_easy_setopt (easy, CURLOPT_URL, url);
-  curl_easy_setopt (easy, CURLOPT_PROXY, "");
-  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, list);
-  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, timeout_ms);
-  if (body != NULL)
-    {
-      curl_easy_setopt (easy, CURLOPT_POSTFIELDS, body);
-      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE, (long)strlen (body));
-    }
-  if (strcmp (method, "HEAD") == 0)
-    curl_easy_setopt (easy, CURLOPT_NOBODY, 1L);
-  else
-    curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, method);
-  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, append_text);
-  curl_easy_setopt (easy, CURLOPT_HEADERDATA, reply->head);
-  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, append_text);
-  curl_easy_setopt (easy, CURLOPT_WRITEDATA, reply->body);
-  code = curl_easy_perform (easy);
-  if (code == CURLE_OK)
-    curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &status);
-  reply->refused = code == CURLE_COULDNT_CONNECT;
-  reply->status = (int)status;
-  curl_slist_free_all (list);
-  curl_easy_cleanup (easy);
-}
-
-bool
-reply_header (const struct reply *reply, const char *name, char *value,
-              size_t size)
-{
-  gchar **lines = g_strsplit (reply->head->str, "\r\n", -1);
-  size_t length = strlen (name);
-  bool found = false;
-
-  for (gchar **line = lines; *line != NULL && !found; line++)
-    if (strncasecmp (*line, name, length) == 0 && (*line)[length] == ':')
-      {
-        const char *start = *line + length + 1;
-
-        g_strlcpy (value, start + strspn (start, " "), size);
-        found = true;
-      }
-  g_strfreev (lines);
-  return found;
-}
-
 void
 fleet_call (struct fleet *fleet, struct reply *reply, unsigned vm,
             const char *method, const char *path, const char *headers,
@@ -579,7 +402,7 @@
   else
     fleet_address (fleet, vm, PORT_TARGET, address);
   http_call (&reply, address, "POST", "/fake/control", NULL, json, 5000);
-  require (reply.status == 200, "status %d", reply.status);
+  harness_require (reply.status == 200, "status %d", reply.status);
   reply_finish (&reply);
 }
 
@@ -599,7 +422,7 @@
       reply_init (&reply);
       http_call (&reply, fleet_address (fleet, vm, PORT_TARGET, address),
                  "GET", "/fake/journal", NULL, NULL, 10000);
-      require (reply.status == 200, "status %d", reply.status);
+      harness_require (reply.status == 200, "status %d", reply.status);
       for (at = reply.body->str; (at = strstr (at, request)) != NULL; at++)
         runs++;
       reply_finish (&reply);
@@ -636,8 +459,9 @@
              "/metrics", NULL, NULL, 10000);
   snprintf (line, sizeof line, "\ncornelpick_%s ", name);
   at = strstr (reply.body->str, line);
-  require (at != NULL, "no counter %s", name);
-  value = strtoull (at + strlen (line), NULL, 10);
+  harness_require (at != NULL, "no counter %s", name);
+  if (at != NULL)
+    value = strtoull (at + strlen (line), NULL, 10);
   reply_finish (&reply);
   return value;
 }
@@ -649,8 +473,8 @@
 
   while (!condition (context))
     {
-      require (g_get_monotonic_time () < until,
-               "the condition did not come about");
+      harness_require (g_get_monotonic_time () < until,
+                       "the condition did not come about");
       g_usleep (POLL_US);
     }
 }
--- a/regress/harness/harness.h
+++ b/regress/harness/harness.h
@@ -16,6 +16,10 @@
 #define FLEET_VMS_MAX 150
 #define FLEET_WAIT_US (60 * G_USEC_PER_SEC)
 
+/* Fails the test, or the bench, which runs without check, unless HOLDS.  */
+void harness_require (bool holds, const char *format, ...)
+    __attribute__ ((format (printf, 2, 3)));
+
 /* One process.  */
 struct process
 {
@@ -77,6 +81,9 @@
    wait status, else 0.  */
 int process_signal (struct process *process, int signal);
 
+/* Waits for the end of a process and returns its wait status.  */
+int process_wait (struct process *process);
+
 /* Starts PROGRAM of the build with the arguments that follow, up to NULL.  Its
    output is added to LOG.  */
 void process_start (struct process *process, const char *log,
--- /dev/null
+++ b/regress/harness/process.c
@@ -0,0 +1,93 @@
+#include <fcntl.h>
+#include <glib.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "regress/harness/harness.h"
+
+#define ARGUMENTS_MAX 16
+#define POLL_US 10000
+#define STOP_WAIT_US (60 * G_USEC_PER_SEC)
+
+void
+harness_require (bool holds, const char *format, ...)
+{
+  va_list arguments;
+
+  if (holds)
+    return;
+  va_start (arguments, format);
+  vfprintf (stderr, format, arguments);
+  va_end (arguments);
+  fputc ('\n', stderr);
+  abort ();
+}
+
+static const char *
+build_folder (void)
+{
+  const char *build = getenv ("BUILD");
+
+  return build == NULL ? "build" : build;
+}
+
+void
+process_start (struct process *process, const char *log, const char *program,
+               ...)
+{
+  char path[512];
+  char *arguments[ARGUMENTS_MAX];
+  unsigned count = 1;
+  va_list list;
+
+  snprintf (path, sizeof path, "%s/%s", build_folder (), program);
+  arguments[0] = path;
+  va_start (list, program);
+  do
+    {
+      harness_require (count < ARGUMENTS_MAX, "too many arguments");
+      arguments[count] = va_arg (list, char *);
+    }
+  while (arguments[count++] != NULL);
+  va_end (list);
+  process->pid = fork ();
+  harness_require (process->pid >= 0, "cannot start a process");
+  if (process->pid > 0)
+    return;
+  int fd = open (log, O_WRONLY | O_CREAT | O_APPEND, 0644);
+  dup2 (fd, STDOUT_FILENO);
+  dup2 (fd, STDERR_FILENO);
+  execv (path, arguments);
+  _exit (127);
+}
+
+int
+process_wait (struct process *process)
+{
+  gint64 until = g_get_monotonic_time () + STOP_WAIT_US;
+  int status = 0;
+
+  while (waitpid (process->pid, &status, WNOHANG) == 0)
+    {
+      harness_require (g_get_monotonic_time () < until,
+                       "process %d does not end", (int)process->pid);
+      g_usleep (POLL_US);
+    }
+  process->pid = 0;
+  return status;
+}
+
+int
+process_signal (struct process *process, int signal)
+{
+  if (process->pid == 0)
+    return 0;
+  kill (process->pid, signal);
+  if (signal != SIGKILL && signal != SIGTERM)
+    return 0;
+  return process_wait (process);
+}
