Watch a caller only once its body has been read

Cause: check_attempts_cancel failed now and then: an order whose caller had left ran to its end. While a daemon connects to the next hop, body bytes that came after the head make the caller's socket readable; this was taken for bytes after the request and switched the watch off for good. Ruled out: the search for the socket (it was found), and bodies read later (a pause of 300 ms passes). Change: the socket is watched from the end of the body on.

--- a/http/hedged.c
+++ b/http/hedged.c
@@ -130,6 +130,8 @@
                                { caller_fd, CURL_WAIT_POLLIN, 0 } };
   uint64_t now_us = cp_clock_now_us (race->pool->clock);
   uint64_t until_us = UINT64_MAX;
+  bool watched
+      = race->watch_caller && upstream_watches_caller (&race->transfers[0]);
 
   for (unsigned i = 0; i < UPSTREAM_HEDGED; i++)
     if (race->running[i])
@@ -143,11 +145,11 @@
   if (!is_running (race))
     return;
   consider_second (race, now_us, &until_us);
-  curl_multi_poll (race->upstream->multi, fds, race->watch_caller ? 2 : 1,
+  curl_multi_poll (race->upstream->multi, fds, watched ? 2 : 1,
                    upstream_wait_ms (now_us, until_us), NULL);
   if (fds[0].revents != 0)
     end_all (race, UPSTREAM_STOPPED);
-  if (!race->watch_caller || fds[1].revents == 0)
+  if (!watched || fds[1].revents == 0)
     return;
   if (upstream_fd_at_end (caller_fd))
     end_all (race, UPSTREAM_CALLER_GONE);
@@ -167,7 +169,7 @@
                        .second.fd = -1,
                        .results = results,
                        .decided_begin = hedge->start_us == 0,
-                       .watch_caller = first->caller_fd >= 0 };
+                       .watch_caller = true };
   int running;
 
   results[0] = UPSTREAM_NOT_SENT;
--- a/http/internal.h
+++ b/http/internal.h
@@ -21,6 +21,8 @@
   const struct upstream_call *call;
   uint64_t first_byte_us; /* 0 for no limit */
   struct upstream_head head;
+  int64_t body_passed; /* bytes of the request's body */
+  bool body_ended;
   bool sent;
   bool resent;
   bool head_passed;
@@ -51,6 +53,10 @@
 enum upstream_result upstream_check_time (struct transfer *transfer,
                                           uint64_t now_us, uint64_t *until_us);
 
+/* Returns whether the caller's socket is watched: bytes on it that are still
+   to be read as the request's body would hide its end.  */
+bool upstream_watches_caller (const struct transfer *transfer);
+
 /* Returns the time to wait in milliseconds, rounded up and bounded.  */
 int upstream_wait_ms (uint64_t now_us, uint64_t until_us);
 
--- a/http/upstream.c
+++ b/http/upstream.c
@@ -258,10 +258,15 @@
   ssize_t length = transfer->call->read_body (transfer->call->context, buffer,
                                               size * count);
 
-  if (length >= 0)
-    return (size_t)length;
-  transfer->gave_up = true;
-  return CURL_READFUNC_ABORT;
+  if (length < 0)
+    {
+      transfer->gave_up = true;
+      return CURL_READFUNC_ABORT;
+    }
+  transfer->body_passed += length;
+  if (length == 0 || transfer->body_passed == transfer->call->body_size)
+    transfer->body_ended = true;
+  return (size_t)length;
 }
 
 static size_t
@@ -435,6 +440,13 @@
   return UPSTREAM_COMPLETE;
 }
 
+bool
+upstream_watches_caller (const struct transfer *transfer)
+{
+  return transfer->call->caller_fd >= 0
+         && (!transfer->call->has_body || transfer->body_ended);
+}
+
 /* What a transfer waits for besides its own connection.  */
 enum watched
 {
@@ -456,7 +468,8 @@
           [WATCH_CALLER] = { call->caller_fd, CURL_WAIT_POLLIN, 0 } };
   uint64_t now = cp_clock_now_us (pool->clock);
   uint64_t until = UINT64_MAX;
-  unsigned end = *watch_caller ? WATCH_COUNT : WATCH_CALLER;
+  bool watched = *watch_caller && upstream_watches_caller (transfer);
+  unsigned end = watched ? WATCH_COUNT : WATCH_CALLER;
   enum upstream_result result = upstream_check_time (transfer, now, &until);
 
   if (result != UPSTREAM_COMPLETE)
@@ -465,7 +478,7 @@
                    NULL);
   if (fds[WATCH_STOP].revents != 0)
     return UPSTREAM_STOPPED;
-  if (!*watch_caller || fds[WATCH_CALLER].revents == 0)
+  if (!watched || fds[WATCH_CALLER].revents == 0)
     return UPSTREAM_COMPLETE;
   if (upstream_fd_at_end (call->caller_fd))
     return UPSTREAM_CALLER_GONE;
@@ -490,7 +503,7 @@
 run_transfer (struct upstream_pool *pool, struct upstream *upstream,
               struct transfer *transfer)
 {
-  bool watch_caller = transfer->call->caller_fd >= 0;
+  bool watch_caller = true;
 
   for (;;)
     {
--- a/regress/path/check_attempts_cancel.c
+++ b/regress/path/check_attempts_cancel.c
@@ -3,13 +3,18 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
+#include "lib/address.h"
 #include "regress/harness/campaign.h"
 #include "regress/harness/script_target.h"
 #include "regress/harness/suite.h"
 
 #define LEAVE_MS 300
+#define LEAVE_LATE_MS 20
+#define LATE_BODIES 40
+#define LATE_STEP_US 50
 #define HOPS 12
 
 /* Waits until no call is in flight at an inbound side.  */
@@ -47,6 +52,49 @@
 }
 END_TEST
 
+/* Sends an order in two parts, the body after PAUSE_US, and leaves.  */
+static void
+send_in_parts_and_leave (struct fleet *fleet, unsigned pause_us)
+{
+  static const char head[] = "POST /orders HTTP/1.1\r\nHost: shop.example\r\n"
+                             "Content-Length: 7\r\n\r\n";
+  struct cp_address address;
+  char text[56];
+  int fd;
+
+  ck_assert (
+      cp_address_parse (&address, fleet_address (fleet, 1, 8000, text)));
+  fd = socket (AF_INET, SOCK_STREAM, 0);
+  ck_assert_int_eq (connect (fd, &address.socket.any, address.length), 0);
+  ck_assert_int_eq (send (fd, head, sizeof head - 1, 0), sizeof head - 1);
+  g_usleep (pause_us);
+  ck_assert_int_eq (send (fd, "leopard", 7, 0), 7);
+  g_usleep (LEAVE_LATE_MS * 1000);
+  close (fd);
+}
+
+START_TEST (a_caller_whose_body_came_late_cancels_too)
+{
+  static struct fleet fleet;
+  struct reply reply;
+  char address[56];
+
+  fleet_start (&fleet, 2, 2, campaign_gate);
+  fleet_control (&fleet, 2, "{\"fixed_ms\": 8000}");
+  /* The body comes before, while and after the daemons connect.  */
+  for (unsigned i = 0; i < LATE_BODIES; i++)
+    send_in_parts_and_leave (&fleet, i * LATE_STEP_US);
+  wait_until (is_free, &fleet);
+  reply_init (&reply);
+  http_call (&reply, fleet_address (&fleet, 2, 8080, address), "GET",
+             "/fake/journal", NULL, NULL, 5000);
+  ck_assert_msg (strstr (reply.body->str, "ended") == NULL, "%s",
+                 reply.body->str);
+  reply_finish (&reply);
+  fleet_stop (&fleet);
+}
+END_TEST
+
 START_TEST (no_attempt_starts_without_time)
 {
   static struct fleet fleet;
@@ -150,6 +198,7 @@
 add_tests (TCase *tests)
 {
   tcase_add_test (tests, a_caller_that_leaves_cancels_at_the_target);
+  tcase_add_test (tests, a_caller_whose_body_came_late_cancels_too);
   tcase_add_test (tests, no_attempt_starts_without_time);
   tcase_add_test (tests, deadlines_shrink_over_twelve_hops);
   tcase_add_test (tests, a_chain_ends_when_its_time_is_over);
