Say what the constants of picking and health mean

Cause: a newcomer could not tell the unit or the role of most of them. Measured: check_health and check_picker pass as before.

--- a/lib/balancer.c
+++ b/lib/balancer.c
@@ -7,21 +7,42 @@
 #include "lib/cleanup.h"
 #include "lib/subset.h"
 
+/* Weights of a new value in moving means: a target's latency, the service's
+   latency and its noise, the load that others bring, and its drift.  */
 #define LATENCY_WEIGHT 0.25
 #define SERVICE_LATENCY_WEIGHT 0.03
+#define LOAD_WEIGHT 0.03
+#define DRIFT_WEIGHT 0.2
+
+/* A reported latency counts when own calls have said nothing for so long.  */
 #define REPORT_LATENCY_WAIT_US (100 * CP_US_PER_MS)
+
+/* Noise of latencies, as a share: before the first call, and the most that one
+   call may show.  */
 #define NOISE_FIRST 0.5
 #define NOISE_MOST 1.0
-#define LOAD_WEIGHT 0.03
-#define DRIFT_WEIGHT 0.2
-#define DRIFT_LEAST_S 0.0005
+
+/* Drift of a target's load, in calls squared per second: before the first
+   reports, and the least time between two reports that tell it.  */
 #define DRIFT_FIRST 1000.0
+#define DRIFT_LEAST_S 0.0005
+
+/* Reports beyond these can not be true.  */
 #define LOAD_MOST 1000000
 #define AGE_MOST_US (600 * CP_US_PER_S)
+
+/* A target whose report is older is asked by RPC.  */
 #define STALE_US (1 * CP_US_PER_S)
+
+/* How often the health of all targets is brought up to date.  */
 #define TICK_US (50 * CP_US_PER_MS)
+
+/* A target on probation gets one of so many calls, or one after so long.  */
 #define TRIAL_EVERY 250
 #define TRIAL_IDLE_US (5 * CP_US_PER_S)
+
+/* A call is silent after this multiple of the mean latency, at least so long.
+ */
 #define SILENCE_FACTOR 10
 #define SILENCE_LEAST_US (100 * CP_US_PER_MS)
 
--- a/lib/health.c
+++ b/lib/health.c
@@ -4,21 +4,38 @@
 #include "lib/clock.h"
 #include "lib/health.h"
 
+/* A cold target's share of calls rises from the first share to its whole one
+   within this time.  */
 #define RAMP_US (2 * CP_US_PER_S)
 #define RAMP_FIRST_SHARE 0.1
+
+/* Time that an ejected target gets no calls; it doubles up to the second.  */
 #define BACKOFF_FIRST_US (2 * CP_US_PER_S)
 #define BACKOFF_MOST_US (60 * CP_US_PER_S)
+
+/* A target that leaves counts as gone after this time.  */
 #define LEAVING_MOST_US (40 * CP_US_PER_S)
+
+/* Weight of a call in the share of errors, which fades with this time constant
+   and counts as none below the floor.  */
 #define ERROR_WEIGHT 0.125
 #define ERROR_FADE_US (5.0 * (double)CP_US_PER_S)
 #define ERROR_FLOOR 0.02
+
+/* A refusal counts as this share of errors, which fades likewise.  */
 #define REFUSED_SHARE 0.2
 #define REFUSED_FADE_US (0.02 * (double)CP_US_PER_S)
+
+/* Failures in a row, or a share of errors, that make a target suspect or
+   ejected; missed contacts in a row that make it gone; successes in a row that
+   clear it.  */
 #define DOUBT_FAILURES 2
 #define EJECT_FAILURES 5
 #define EJECT_ERROR_SHARE 0.5
 #define VANISH_NO_CONTACTS 2
 #define CLEAR_SUCCESSES 3
+
+/* Within this time a report may be older than the one that it follows.  */
 #define LIFE_ORDER_US (1 * CP_US_PER_S)
 
 static const char *const state_names[CP_HEALTH_STATE_COUNT] = {
--- a/lib/picker_hot_cold.c
+++ b/lib/picker_hot_cold.c
@@ -2,17 +2,35 @@
 
 #include "lib/picker.h"
 
+/* Targets that one decision assesses.  */
 #define SAMPLE_MOST 12
+
+/* A target is hot when more than this share of its limit is in use, ...  */
 #define HOT_USE 0.9
+/* ... when it has more calls in flight than this multiple of the mean and
+   these further calls, ...  */
 #define HOT_MEAN_FACTOR 2.0
 #define HOT_MEAN_EXTRA 3.0
+/* ... or when more than this share of its recent calls failed.  */
 #define HOT_ERRORS 0.1
+
+/* Cold targets count as equally fast when their costs differ by less than this
+   share, and this multiple of the noise of their latencies.  */
 #define COST_BAND_LEAST 0.1
 #define COST_BAND_NOISE 1.3
+
+/* Cost of a target all of whose calls fail, in microseconds.  */
 #define FAILURE_COST_US 1e6
+
+/* Below this share of its limit a target's load is compared in whole calls. */
 #define FREE_USE 0.25
+
+/* Allowance, as a share of the limit, for a target in the own failure domain.
+   It falls to 0 at the second share.  */
 #define NEAR_USE 0.2
 #define NEAR_USE_END 0.9
+
+/* Share of the limit that a target all of whose calls fail seems to use.  */
 #define ERROR_USE 10.0
 
 /* A target as the rule sees it.  */
