--- a/bench/bench_path.c
+++ b/bench/bench_path.c
@@ -44,37 +44,12 @@
   uint64_t failed;
 };
 
-static size_t
-discard (char *data, size_t size, size_t count, void *context)
-{
-  (void)data;
-  (void)context;
-  return size * count;
-}
-
-static CURL *
-open_connection (const char *address, struct curl_slist *headers)
-{
-  CURL *easy = curl_easy_init ();
-  char url[128];
-
-  snprintf (url, sizeof url, "http://%s/items/1", address);
-  curl_easy_setopt (easy, CURLOPT_URL, url);
-  curl_easy_setopt (easy, CURLOPT_PROXY, "");
-  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
-  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, discard);
-  return easy;
-}
-
 static void
 timed_call (struct caller *caller, CURL *easy, struct cp_histogram *histogram)
 {
   uint64_t start = cp_clock_now_us (&cp_clock_boot);
-  long status = 0;
+  long status = kept_connection_call (easy);
 
-  if (curl_easy_perform (easy) == CURLE_OK)
-    curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &status);
   cp_histogram_add (histogram, cp_clock_now_us (&cp_clock_boot) - start);
   caller->calls++;
   if (status != 200)
@@ -89,9 +64,9 @@
   struct caller *caller = context;
   struct curl_slist *headers = curl_slist_append (NULL, "Host: shop.example");
   char address[56];
-  CURL *direct = open_connection (
+  CURL *direct = kept_connection_open (
       fleet_address (caller->fleet, 1, 8080, address), headers);
-  CURL *through = open_connection (
+  CURL *through = kept_connection_open (
       fleet_address (caller->fleet, 1, 8000, address), headers);
   uint64_t interval_us = CP_US_PER_S * PACED_CALLERS / PACED_RATE_PER_S;
   uint64_t next = cp_clock_now_us (&cp_clock_boot)
@@ -121,7 +96,7 @@
   struct caller *caller = context;
   struct curl_slist *headers = curl_slist_append (NULL, "Host: shop.example");
   char address[56];
-  CURL *through = open_connection (
+  CURL *through = kept_connection_open (
       fleet_address (caller->fleet, 1 + caller->number % 3, 8000, address),
       headers);
   uint64_t end = cp_clock_now_us (&cp_clock_boot) + FULL_SECONDS * CP_US_PER_S;
@@ -269,7 +244,7 @@
   fleet_address (fleet, 2, 8000, address);
   for (unsigned i = 0; i < CONNECTIONS; i++)
     {
-      connections[i] = open_connection (address, headers);
+      connections[i] = kept_connection_open (address, headers);
       curl_easy_setopt (connections[i], CURLOPT_TIMEOUT_MS, 5000L);
       curl_easy_perform (connections[i]);
     }
--- a/bench/bench_slopes.c
+++ b/bench/bench_slopes.c
@@ -16,7 +16,6 @@
 #include "regress/harness/harness.h"
 
 #define PORT_ADMIN 7402
-#define PORT_CALLS 8000
 #define CALLERS 4
 #define LOST_SHARE_MAX 0.01
 #define WARM_CALLS 200
@@ -69,68 +68,17 @@
   return value;
 }
 
-/* A caller with one kept connection.  */
-struct caller
-{
-  pthread_t thread;
-  char url[128];
-  unsigned calls;
-  unsigned lost;
-};
-
-static size_t
-discard (char *data, size_t size, size_t count, void *context)
-{
-  (void)data;
-  (void)context;
-  return size * count;
-}
-
-static void *
-make_calls (void *context)
-{
-  struct caller *caller = context;
-  CURL *easy = curl_easy_init ();
-  struct curl_slist *headers = curl_slist_append (NULL, "Host: shop.example");
-
-  curl_easy_setopt (easy, CURLOPT_URL, caller->url);
-  curl_easy_setopt (easy, CURLOPT_PROXY, "");
-  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
-  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, discard);
-  for (unsigned i = 0; i < caller->calls; i++)
-    {
-      long status = 0;
-
-      if (curl_easy_perform (easy) == CURLE_OK)
-        curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &status);
-      caller->lost += status != 200;
-    }
-  curl_slist_free_all (headers);
-  curl_easy_cleanup (easy);
-  return NULL;
-}
-
 /* Makes calls through VM 1.  Returns how many had another status than 200.  */
 static unsigned
 load (struct fleet *fleet, unsigned calls)
 {
-  struct caller callers[CALLERS] = { 0 };
-  char address[56];
+  struct kept_caller callers[CALLERS];
   unsigned lost = 0;
 
   for (unsigned i = 0; i < CALLERS; i++)
-    {
-      callers[i].calls = calls;
-      snprintf (callers[i].url, sizeof callers[i].url, "http://%s/items/1",
-                fleet_address (fleet, 1, PORT_CALLS, address));
-      pthread_create (&callers[i].thread, NULL, make_calls, &callers[i]);
-    }
+    kept_caller_start (&callers[i], fleet, 1, calls);
   for (unsigned i = 0; i < CALLERS; i++)
-    {
-      pthread_join (callers[i].thread, NULL);
-      lost += callers[i].lost;
-    }
+    lost += kept_caller_join (&callers[i]);
   require (lost <= LOST_SHARE_MAX * CALLERS * calls, "calls were lost");
   return lost;
 }
--- a/regress/harness/harness.h
+++ b/regress/harness/harness.h
@@ -7,8 +7,10 @@
 #ifndef HARNESS_H
 #define HARNESS_H
 
+#include <curl/curl.h>
 #include <glib.h>
 #include <jansson.h>
+#include <pthread.h>
 #include <stdbool.h>
 #include <stdint.h>
 #include <sys/types.h>
@@ -128,6 +130,29 @@
 /* Reads one counter of a daemon, without its prefix "cornelpick_".  */
 uint64_t fleet_counter (struct fleet *fleet, unsigned vm, const char *name);
 
+/* Opens a handle that calls /items/1 at ADDRESS over one kept connection and
+   drops the bodies.  */
+CURL *kept_connection_open (const char *address, struct curl_slist *headers);
+
+/* Makes one call.  Returns its status, 0 when there was no whole answer.  */
+long kept_connection_call (CURL *connection);
+
+/* A thread that makes calls through one daemon, one after the other over a
+   kept connection.  */
+struct kept_caller
+{
+  pthread_t thread;
+  char address[56];
+  unsigned calls;
+  unsigned lost; /* answered with another status than 200 */
+};
+
+void kept_caller_start (struct kept_caller *caller, const struct fleet *fleet,
+                        unsigned vm, unsigned calls);
+
+/* Waits for the last call; returns how many were lost.  */
+unsigned kept_caller_join (struct kept_caller *caller);
+
 /* Waits until CONDITION holds; fails the test after FLEET_WAIT_US.  */
 void wait_until (bool (*condition) (void *context), void *context);
 
--- a/regress/path/check_path.c
+++ b/regress/path/check_path.c
@@ -1,6 +1,4 @@
 /* The whole path over real processes.  */
-#include <curl/curl.h>
-#include <pthread.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -65,70 +63,18 @@
 }
 END_TEST
 
-/* A caller with one kept connection.  */
-struct caller
-{
-  pthread_t thread;
-  char url[128];
-  unsigned lost;
-};
-
-static size_t
-discard (char *data, size_t size, size_t count, void *context)
-{
-  (void)data;
-  (void)context;
-  return size * count;
-}
-
-static void *
-make_calls (void *context)
-{
-  struct caller *caller = context;
-  CURL *easy = curl_easy_init ();
-  struct curl_slist *headers = curl_slist_append (NULL, "Host: shop.example");
-
-  curl_easy_setopt (easy, CURLOPT_URL, caller->url);
-  curl_easy_setopt (easy, CURLOPT_PROXY, "");
-  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
-  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, discard);
-  for (unsigned i = 0; i < CALLS_EACH; i++)
-    {
-      long status = 0;
-
-      if (curl_easy_perform (easy) == CURLE_OK)
-        curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &status);
-      if (status != 200)
-        caller->lost++;
-    }
-  curl_slist_free_all (headers);
-  curl_easy_cleanup (easy);
-  return NULL;
-}
-
 START_TEST (ten_thousand_calls_over_kept_connections)
 {
   struct fleet fleet;
-  struct caller callers[CALLERS];
+  struct kept_caller callers[CALLERS];
 
   fleet_start (&fleet, 3, 3, NULL);
   for (unsigned vm = 1; vm <= 3; vm++)
     fleet_control (&fleet, vm, "{\"service_ms\": 0.2}");
   for (unsigned i = 0; i < CALLERS; i++)
-    {
-      char address[56];
-
-      callers[i].lost = 0;
-      snprintf (callers[i].url, sizeof callers[i].url, "http://%s/items/%u",
-                fleet_address (&fleet, 1 + i % 3, 8000, address), i);
-      pthread_create (&callers[i].thread, NULL, make_calls, &callers[i]);
-    }
+    kept_caller_start (&callers[i], &fleet, 1 + i % 3, CALLS_EACH);
   for (unsigned i = 0; i < CALLERS; i++)
-    {
-      pthread_join (callers[i].thread, NULL);
-      ck_assert_uint_eq (callers[i].lost, 0);
-    }
+    ck_assert_uint_eq (kept_caller_join (&callers[i]), 0);
   fleet_stop (&fleet);
 }
 END_TEST
