Give every answer of ours a request ID

Cause: docs/PROMISES.md says that each answer of ours carries Cornelpick-Request, but a daemon that was not serving, or had no route, left it out. Change: one function refuses these.

--- a/cornelpickd/outbound.c
+++ b/cornelpickd/outbound.c
@@ -138,17 +138,20 @@
   call->may_retry = retry == NULL || strcmp (retry, "none") != 0;
 }
 
+/* Refuses a request for which no attempt was made.  */
 static void
-answer_no_route (struct request *request, bool known_path)
+refuse (struct request *request, int status, const char *text)
 {
-  static const char headers[] = HEADER_OUTCOME ": not-run\r\n";
-
-  if (known_path)
-    request_answer (request, 405, headers, "text/plain",
-                    "No route takes this method.\n");
-  else
-    request_answer (request, 404, headers, "text/plain",
-                    "No route takes this host and path.\n");
+  struct cp_id id;
+  char id_text[CP_ID_TEXT_BYTES];
+  char headers[160];
+
+  cp_id_create (&id, cp_random_thread ());
+  cp_id_text (&id, id_text);
+  snprintf (headers, sizeof headers,
+            HEADER_REQUEST ": %s\r\n" HEADER_OUTCOME ": not-run\r\n%s",
+            id_text, status == 503 ? "Retry-After: 1\r\n" : "");
+  request_answer (request, status, headers, "text/plain", text);
 }
 
 static void
@@ -165,7 +168,10 @@
   if (call.route == NULL)
     {
       daemon_count (outbound->daemon, COUNT_NO_ROUTE);
-      answer_no_route (request, known_path);
+      if (known_path)
+        refuse (request, 405, "No route takes this method.\n");
+      else
+        refuse (request, 404, "No route takes this host and path.\n");
       return;
     }
   set_limits (&call);
@@ -195,9 +201,7 @@
   if (document == NULL || daemon_life (daemon) != CP_LIFE_SERVING)
     {
       daemon_count (daemon, COUNT_NOT_RUN);
-      request_answer (request, 503,
-                      HEADER_OUTCOME ": not-run\r\nRetry-After: 1\r\n",
-                      "text/plain", "This daemon is not serving.\n");
+      refuse (request, 503, "This daemon is not serving.\n");
     }
   else
     serve (outbound, request, document);
--- a/regress/path/check_path.c
+++ b/regress/path/check_path.c
@@ -50,11 +50,15 @@
 {
   struct fleet fleet;
   struct reply reply;
+  char value[128];
 
   fleet_start (&fleet, 1, 1, NULL);
   reply_init (&reply);
   fleet_call (&fleet, &reply, 1, "GET", "/nothing", NULL, NULL);
   ck_assert_int_eq (reply.status, 404);
+  ck_assert (reply_header (&reply, "Cornelpick-Request", value, sizeof value));
+  ck_assert (reply_header (&reply, "Cornelpick-Outcome", value, sizeof value));
+  ck_assert_str_eq (value, "not-run");
   fleet_call (&fleet, &reply, 1, "DELETE", "/items/1", NULL, NULL);
   ck_assert_int_eq (reply.status, 405);
   ck_assert_uint_eq (fleet_counter (&fleet, 1, "attempts_total"), 0);
