--- a/regress/harness/script_target.c
+++ b/regress/harness/script_target.c
@@ -316,11 +316,19 @@
 
 void
 script_target_start (struct script_target *target, const char *address)
+{
+  script_target_start_chained (target, address, "");
+}
+
+void
+script_target_start_chained (struct script_target *target, const char *address,
+                             const char *next)
 {
   struct cp_address own;
   int one = 1;
 
   memset (target, 0, sizeof *target);
+  g_strlcpy (target->next, next, sizeof target->next);
   ck_assert (cp_address_parse (&own, address));
   target->listen_fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   setsockopt (target->listen_fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
--- a/regress/harness/script_target.h
+++ b/regress/harness/script_target.h
@@ -41,6 +41,10 @@
 
 void script_target_start (struct script_target *target, const char *address);
 
+/* The same; the target calls on through the daemon at NEXT.  */
+void script_target_start_chained (struct script_target *target,
+                                  const char *address, const char *next);
+
 /* Ends the threads; their connections must have been closed.  */
 void script_target_stop (struct script_target *target);
 
--- a/regress/path/check_attempts_cancel.c
+++ b/regress/path/check_attempts_cancel.c
@@ -128,15 +128,17 @@
 static void
 chain_start (struct chain *chain)
 {
+  char next[56];
   char address[56];
 
   fleet_start (&chain->fleet, 4, 4, campaign_gate);
   for (unsigned vm = 2; vm <= 4; vm++)
     {
       process_signal (&chain->fleet.targets[vm], SIGKILL);
-      script_target_start (&chain->targets[vm],
-                           fleet_address (&chain->fleet, vm, 8080, address));
-      fleet_address (&chain->fleet, 1, 8000, chain->targets[vm].next);
+      script_target_start_chained (
+          &chain->targets[vm],
+          fleet_address (&chain->fleet, vm, 8080, address),
+          fleet_address (&chain->fleet, 1, 8000, next));
     }
 }
 
