Cut test fleets by relays on loopback, not by a preloaded library

Ruled out: network namespaces (need root), cutting inside the daemons (tests the product's own code instead of its network).

The daemons of such a fleet listen at shifted ports (new setting rpc_listen, beside peers_listen); relays in a thread of the test hold the known addresses and pass on TCP and UDP from the sender's IP number. Across a cut, datagrams vanish and connections are reset, as strict as before.

--- a/cornelpickd/rpc.c
+++ b/cornelpickd/rpc.c
@@ -228,10 +228,8 @@
 rpc_start (struct rpc_server *server, struct daemon *daemon,
            struct cp_error *error)
 {
-  struct cp_address own;
-  const struct cp_address *address = &own;
+  const struct cp_address *address = &daemon->settings.rpc_listen;
 
-  cp_address_rpc (&daemon->settings.peers, &own);
   memset (server, 0, sizeof *server);
   server->daemon = daemon;
   served = daemon;
--- a/lib/settings.c
+++ b/lib/settings.c
@@ -40,6 +40,7 @@
   { "calls", SETTING_ADDRESS, true, FIELD (calls), 0 },
   { "peers", SETTING_ADDRESS, true, FIELD (peers), 0 },
   { "peers_listen", SETTING_ADDRESS, false, FIELD (peers_listen), 0 },
+  { "rpc_listen", SETTING_ADDRESS, false, FIELD (rpc_listen), 0 },
   { "admin", SETTING_ADDRESS, true, FIELD (admin), 0 },
   { "configuration_service", SETTING_ADDRESS, true,
     FIELD (configuration_service), 0 },
@@ -189,6 +190,8 @@
     return -1;
   if (settings->peers_listen.length == 0)
     settings->peers_listen = settings->peers;
+  if (settings->rpc_listen.length == 0)
+    cp_address_rpc (&settings->peers, &settings->rpc_listen);
   if (settings->vm_list.length == 0)
     settings->vm_list = settings->configuration_service;
   return 0;
--- a/lib/settings.h
+++ b/lib/settings.h
@@ -7,6 +7,7 @@
                           ONC RPC, UDP and TCP, is at the next port
    peers_listen           where to listen for forwarded calls when addresses
                           are translated on the way; default: peers
+   rpc_listen             the same for ONC RPC; default: the port after peers
    admin                  address for /healthz, /state and /metrics
    configuration_service  address of the configuration service
    configuration_key      path of the document there; default /document
@@ -34,6 +35,7 @@
   struct cp_address calls;
   struct cp_address peers;
   struct cp_address peers_listen;
+  struct cp_address rpc_listen;
   struct cp_address admin;
   struct cp_address configuration_service;
   char configuration_key[128];
--- a/regress/harness/harness.c
+++ b/regress/harness/harness.c
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include "lib/cleanup.h"
+#include "regress/harness/cuts.h"
 #include "regress/harness/harness.h"
 
 #define PORT_CALLS 8000
@@ -30,6 +31,7 @@
 
 int fleet_call_threads = 32;
 bool fleet_without_targets;
+bool fleet_behind_cuts;
 int fleet_peer_threads = 64;
 
 static const char *
@@ -153,9 +155,12 @@
   snprintf (document, sizeof document, "%s/document.json", fleet->folder);
   snprintf (threads, sizeof threads, "%u",
             PLATFORM_THREADS + PLATFORM_THREADS_EACH * fleet->n_vms);
-  process_start (&fleet->platform, log, "fakes/cornelpick-fakes", "--listen",
-                 fleet_address (fleet, PLATFORM_VM, PORT_PLATFORM, address),
-                 "--document", document, "--threads", threads, NULL);
+  process_start (
+      &fleet->platform, log, "fakes/cornelpick-fakes", "--listen",
+      fleet_address (fleet, PLATFORM_VM,
+                     fleet_behind_cuts ? CUTS_PORT_PLATFORM : PORT_PLATFORM,
+                     address),
+      "--document", document, "--threads", threads, NULL);
 }
 
 void
@@ -181,6 +186,7 @@
   char calls[56];
   char peers[56];
   char listen[56];
+  char rpc[56];
   char admin[56];
   char platform[56];
   char charts[256];
@@ -198,14 +204,20 @@
   write_file (
       fleet, name,
       json_pack (
-          "{s:s#, s:s, s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:s}",
+          "{s:s#, s:s, s:s, s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:s}",
           "vm", name, (int)(strlen (name) - strlen (".json")),
           "failure_domain", domain, "calls",
           fleet_address (fleet, vm, PORT_CALLS, calls), "peers",
           fleet_address (fleet, vm, PORT_PEERS, peers), "peers_listen",
           fleet_address (fleet, vm,
-                         fleet->relayed_vm == vm ? PORT_RELAYED : PORT_PEERS,
+                         fleet->relayed_vm == vm || fleet_behind_cuts
+                             ? PORT_RELAYED
+                             : PORT_PEERS,
                          listen),
+          "rpc_listen",
+          fleet_address (fleet, vm,
+                         fleet_behind_cuts ? CUTS_PORT_RPC : PORT_PEERS + 1,
+                         rpc),
           "admin", fleet_address (fleet, vm, PORT_ADMIN, admin),
           "configuration_service",
           fleet_address (fleet, PLATFORM_VM, PORT_PLATFORM, platform),
@@ -293,6 +305,8 @@
   if (edit != NULL)
     edit (document);
   write_file (fleet, "document.json", document);
+  if (fleet_behind_cuts)
+    cuts_start (fleet->net, n_vms);
   fleet_start_platform (fleet);
   for (unsigned i = 1; i <= n_vms && !fleet_without_targets; i++)
     fleet_start_target (fleet, i, NULL);
@@ -349,6 +363,7 @@
     kill (fleet->platform.pid, SIGTERM);
   stop_all (fleet->targets, fleet->n_vms);
   process_signal (&fleet->platform, SIGTERM);
+  cuts_stop ();
   harness_require (clean, "a daemon did not end with status 0; see %s",
                    fleet->folder);
   remove_folder (fleet->folder);
--- a/regress/harness/harness.h
+++ b/regress/harness/harness.h
@@ -56,6 +56,9 @@
 extern int fleet_call_threads;
 extern int fleet_peer_threads;
 
+/* Fleets that are started from now on are behind relays that can be cut.  */
+extern bool fleet_behind_cuts;
+
 /* Fleets that are started from now on have no targets, which take hundreds of
    threads each.  */
 extern bool fleet_without_targets;
--- a/regress/harness/spread.c
+++ b/regress/harness/spread.c
@@ -4,13 +4,12 @@
 #include <unistd.h>
 
 #include "lib/cleanup.h"
+#include "regress/harness/cuts.h"
 #include "regress/harness/spread.h"
 
 #define PORT_PLATFORM 9000
 #define PLATFORM_VM 250
 
-static char cut_path[128];
-
 void
 fleet_list (struct fleet *fleet, unsigned leaving)
 {
@@ -41,33 +40,19 @@
 void
 fleet_allow_cuts (void)
 {
-  char library[512];
-  const char *build = getenv ("BUILD");
-
-  snprintf (library, sizeof library, "%s/regress/cut/cut.so",
-            build == NULL ? "build" : build);
-  snprintf (cut_path, sizeof cut_path, "/tmp/cornelpick-cut-%d",
-            (int)getpid ());
-  fleet_heal ();
-  setenv ("LD_PRELOAD", library, 1);
-  setenv ("CORNELPICK_CUT", cut_path, 1);
+  fleet_behind_cuts = true;
 }
 
 void
 fleet_cut (unsigned from, unsigned to, unsigned other_from, unsigned other_to)
 {
-  FILE *file = fopen (cut_path, "a");
-
-  if (file == NULL)
-    abort ();
-  fprintf (file, "%u %u %u %u\n", from, to, other_from, other_to);
-  fclose (file);
+  cuts_add (from, to, other_from, other_to);
 }
 
 void
 fleet_heal (void)
 {
-  unlink (cut_path);
+  cuts_heal ();
 }
 
 uint64_t
--- a/regress/harness/spread.h
+++ b/regress/harness/spread.h
@@ -1,5 +1,5 @@
 /* Help for tests of the exchange between daemons: the VM list, versions in
-   force, and cuts of the network (see regress/cut/cut.c).  */
+   force, and cuts of the network (regress/harness/cuts.h).  */
 #ifndef HARNESS_SPREAD_H
 #define HARNESS_SPREAD_H
 
