--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 DIR := .
 include mk/common.mk
 
-DIRS := lib rpc http cornelpickd fakes cornelpick regress
+DIRS := lib rpc net platform meshd http cornelpickd fakes cornelpick regress
 SOURCES := $(shell git ls-files '*.c' '*.h' | grep -v '^rpc/')
 LINT_SOURCES := $(filter %.c,$(SOURCES))
 
@@ -20,10 +20,15 @@
 $(DIRS):
 	$(MAKE) -C $@ all
 
-rpc http: lib
+rpc http net: lib
+platform: lib net
+meshd: lib rpc net platform
 cornelpickd fakes: lib rpc http
 cornelpick: lib rpc http cornelpickd fakes
-regress: lib rpc http cornelpickd fakes cornelpick
+regress: lib rpc net platform meshd http cornelpickd fakes cornelpick
+
+# The daemon on the users' platform; deploy/system.toml builds it so.
+platform-daemon: meshd
 
 packages:
 	scripts/install-packages
@@ -97,6 +102,7 @@
 	rm -rf build build-*
 
 
-.PHONY: all $(DIRS) packages run check soak bench figures report fuzz format \
+
+.PHONY: all $(DIRS) platform-daemon packages run check soak bench figures report fuzz format \
 	format-check lint \
 	lint-tidy lint-cppcheck lint-pages install clean
--- /dev/null
+++ b/lib/repeat.h
@@ -0,0 +1,38 @@
+/* The budget of repeats that all daemons share, as one daemon sees it.
+
+   In any window, a service may get RATIO repeats a request plus a slack.  The
+   ratio holds for each daemon on its own requests; the slack is divided by the
+   number of daemons that are alive.  Requests are those of the window that
+   slides, so what was not used is not saved up.  The window is kept in
+   CP_REPEAT_STEPS steps.  Pure; not thread-safe.  */
+#ifndef CP_REPEAT_H
+#define CP_REPEAT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define CP_REPEAT_STEPS 50
+
+struct cp_repeat_step
+{
+  uint64_t number; /* of the step since time 0 */
+  uint32_t requests;
+  uint32_t repeats;
+};
+
+struct cp_repeat
+{
+  uint64_t step_us;
+  struct cp_repeat_step steps[CP_REPEAT_STEPS];
+};
+
+void cp_repeat_init (struct cp_repeat *repeat, uint64_t window_us);
+
+/* Counts a request, at its first attempt.  */
+void cp_repeat_request (struct cp_repeat *repeat, uint64_t now_us);
+
+/* Takes one repeat if the budget has room.  SLACK is this daemon's part.  */
+bool cp_repeat_take (struct cp_repeat *repeat, uint64_t now_us, double ratio,
+                     double slack);
+
+#endif
--- /dev/null
+++ b/lib/table.c
@@ -0,0 +1,230 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "lib/table.h"
+
+#define HOST_BYTES 256
+
+static void
+free_route (void *item)
+{
+  struct cp_table_route *route = item;
+
+  for (unsigned i = 0; i < route->n_parts; i++)
+    g_free (route->parts[i].service);
+  g_free (route->name);
+  g_free (route->host);
+  g_free (route->prefix);
+  g_free (route);
+}
+
+static void
+free_service (void *item)
+{
+  struct cp_service_rule *service = item;
+
+  g_free (service->name);
+  g_free (service->health_path);
+  g_free (service);
+}
+
+static void
+free_routes (void *item)
+{
+  g_ptr_array_unref (item);
+}
+
+struct cp_table *
+cp_table_create (uint64_t version)
+{
+  struct cp_table *table = g_new0 (struct cp_table, 1);
+
+  table->references = 1;
+  table->version = version;
+  table->hosts
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_routes);
+  table->services
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_service);
+  return table;
+}
+
+struct cp_table *
+cp_table_ref (struct cp_table *table)
+{
+  table->references++;
+  return table;
+}
+
+void
+cp_table_unref (struct cp_table *table)
+{
+  if (table == NULL || --table->references > 0)
+    return;
+  g_hash_table_unref (table->hosts);
+  g_hash_table_unref (table->services);
+  g_free (table);
+}
+
+struct cp_table_route *
+cp_table_add_route (struct cp_table *table, const char *host,
+                    const char *prefix)
+{
+  struct cp_table_route *route = g_new0 (struct cp_table_route, 1);
+  GPtrArray *routes;
+
+  route->host = g_ascii_strdown (host, -1);
+  route->prefix = g_strdup (prefix);
+  routes = g_hash_table_lookup (table->hosts, route->host);
+  if (routes == NULL)
+    {
+      routes = g_ptr_array_new_with_free_func (free_route);
+      g_hash_table_insert (table->hosts, g_strdup (route->host), routes);
+    }
+  g_ptr_array_add (routes, route);
+  table->n_routes++;
+  return route;
+}
+
+void
+cp_table_add_part (struct cp_table_route *route, const char *service,
+                   unsigned weight)
+{
+  struct cp_route_part *part;
+
+  if (route->n_parts == CP_TABLE_PARTS_MAX)
+    return;
+  part = &route->parts[route->n_parts++];
+  part->service = g_strdup (service);
+  part->weight = weight;
+}
+
+struct cp_service_rule *
+cp_table_add_service (struct cp_table *table, const char *name)
+{
+  struct cp_service_rule *service = g_new0 (struct cp_service_rule, 1);
+
+  service->name = g_strdup (name);
+  g_hash_table_replace (table->services, service->name, service);
+  return service;
+}
+
+static int
+by_length (const void *a, const void *b)
+{
+  const struct cp_table_route *const *first = a;
+  const struct cp_table_route *const *second = b;
+  size_t first_length = strlen ((*first)->prefix);
+  size_t second_length = strlen ((*second)->prefix);
+
+  return (first_length < second_length) - (first_length > second_length);
+}
+
+static bool
+same_parts (const struct cp_table_route *a, const struct cp_table_route *b)
+{
+  if (a->n_parts != b->n_parts)
+    return false;
+  for (unsigned i = 0; i < a->n_parts; i++)
+    if (strcmp (a->parts[i].service, b->parts[i].service) != 0
+        || a->parts[i].weight != b->parts[i].weight)
+      return false;
+  return true;
+}
+
+static void
+carry_over (struct cp_table_route *route, const struct cp_table *old)
+{
+  const struct cp_table_route *before
+      = old == NULL ? NULL : cp_table_route (old, route->host, route->prefix);
+
+  if (before == NULL || strcmp (before->prefix, route->prefix) != 0)
+    return;
+  route->answer_bytes = before->answer_bytes;
+  if (!same_parts (route, before))
+    return;
+  for (unsigned i = 0; i < route->n_parts; i++)
+    route->parts[i].credit = before->parts[i].credit;
+}
+
+void
+cp_table_finish_build (struct cp_table *table, const struct cp_table *old)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, table->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      GPtrArray *routes = value;
+
+      g_ptr_array_sort (routes, by_length);
+      for (unsigned i = 0; i < routes->len; i++)
+        carry_over (routes->pdata[i], old);
+    }
+}
+
+/* Writes HOST to KEY in lower case and without its port.  Returns false when
+   it is too long to be a host name.  */
+static bool
+host_key (const char *host, char key[HOST_BYTES])
+{
+  size_t length = strcspn (host, ":");
+
+  if (host[0] == '[')
+    length = strcspn (host, "]") + 1;
+  if (length >= HOST_BYTES)
+    return false;
+  for (size_t i = 0; i < length; i++)
+    key[i] = (char)g_ascii_tolower (host[i]);
+  key[length] = '\0';
+  return true;
+}
+
+struct cp_table_route *
+cp_table_route (const struct cp_table *table, const char *host,
+                const char *target)
+{
+  char key[HOST_BYTES];
+  GPtrArray *routes;
+
+  if (host == NULL || !host_key (host, key))
+    return NULL;
+  routes = g_hash_table_lookup (table->hosts, key);
+  for (unsigned i = 0; routes != NULL && i < routes->len; i++)
+    {
+      struct cp_table_route *route = routes->pdata[i];
+
+      if (g_str_has_prefix (target, route->prefix))
+        return route;
+    }
+  return NULL;
+}
+
+const struct cp_service_rule *
+cp_table_service (const struct cp_table *table, const char *name)
+{
+  return g_hash_table_lookup (table->services, name);
+}
+
+const char *
+cp_table_pick_part (struct cp_table_route *route)
+{
+  struct cp_route_part *best = NULL;
+  int64_t total = 0;
+
+  for (unsigned i = 0; i < route->n_parts; i++)
+    {
+      struct cp_route_part *part = &route->parts[i];
+
+      if (part->weight == 0)
+        continue;
+      part->credit += part->weight;
+      total += part->weight;
+      if (best == NULL || part->credit > best->credit)
+        best = part;
+    }
+  if (best == NULL)
+    return NULL;
+  best->credit -= total;
+  return best->service;
+}
--- /dev/null
+++ b/meshd/daemon.h
@@ -0,0 +1,59 @@
+/* The daemon on the users' platform: the parts, and what passes between them.
+
+   Everything runs on one loop; see docs/design/platform.md.  */
+#ifndef MESHD_DAEMON_H
+#define MESHD_DAEMON_H
+
+#include "lib/chart.h"
+#include "lib/error.h"
+#include "meshd/inbound.h"
+#include "meshd/outbound.h"
+#include "platform/registry.h"
+#include "platform/settings.h"
+#include "platform/store.h"
+
+struct mesh_daemon
+{
+  uv_loop_t loop;
+  struct platform_settings settings;
+  const char *settings_path;
+  struct cp_chart chart;
+  int state;
+  uint64_t started_us;
+  uint64_t term_us; /* when SIGTERM came, or 0 */
+  struct platform_store store;
+  struct platform_registry registry;
+  struct cp_roster roster;
+  struct mesh_peers peers;
+  struct mesh_inbound inbound;
+  struct mesh_outbound outbound;
+  struct net_server ready;
+  struct net_server metrics;
+  bool has_metrics;
+  bool left; /* peers were told that this daemon goes away */
+  struct mesh_way *seeds[PLATFORM_SEEDS_MAX];
+  unsigned n_seeds;
+  uint64_t pulled_us;       /* when a peer was last asked for changes */
+  uint64_t behind_revision; /* of a peer that knew more, */
+  uint64_t behind_us;       /* and since when */
+  uint64_t checked_us;      /* when the settings file was last looked at */
+  struct timespec settings_time;
+  uv_timer_t tick;
+  uv_signal_t signals[3];
+  struct cp_seeded_random random;
+};
+
+/* Sets DAEMON up from the settings at PATH and starts it.  METRICS_PORT is 0
+   for no metrics.  Returns 0, or -1 with ERROR set.  */
+int mesh_daemon_init (struct mesh_daemon *daemon, const char *path,
+                      const char *charts, unsigned metrics_port,
+                      struct cp_error *error);
+
+/* Runs until the daemon has left.  */
+void mesh_daemon_run (struct mesh_daemon *daemon);
+void mesh_daemon_finish (struct mesh_daemon *daemon);
+
+/* Appends all counters and gauges in the Prometheus text format.  */
+void mesh_metrics_write (const struct mesh_daemon *daemon, GString *text);
+
+#endif
--- /dev/null
+++ b/meshd/inbound.c
@@ -0,0 +1,529 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "meshd/inbound.h"
+#include "meshd/inbound_internal.h"
+#include "meshd/log.h"
+#include "platform/headers.h"
+
+/* Slots assumed of a server that has not said how many it has; both users'
+   servers have more.  */
+#define CAPACITY_UNKNOWN 10
+
+/* Time for queue checks while anything waits, in ms.  */
+#define QUEUE_TICK_MS 10
+#define TICK_MS 100
+
+/* Longest wait for a slot as a share of the objective.  A request that waited
+   half of it and is then served at the usual third is still in time.  */
+#define WAIT_SHARE 0.5
+
+/* How long a job whose link broke is kept for its sender.  A sender comes back
+   within the time to notice silence and to connect.  */
+#define LOST_US UINT64_C (3000000)
+
+/* An idempotent job whose link broke is ended after this long: its caller has
+   either gone or been served elsewhere.  */
+#define LOST_IDEMPOTENT_US UINT64_C (400000)
+
+/* How long after its deadline a job may run before the server is given up;
+   the server itself answers at the deadline.  */
+#define OVERTIME_US UINT64_C (150000)
+
+static uint64_t
+now_us (void)
+{
+  return cp_clock_now_us (&cp_clock_boot);
+}
+
+static guint
+key_hash (const void *item)
+{
+  const struct mesh_job_key *key = item;
+
+  return (guint)(key->stream * 2654435761U ^ key->source);
+}
+
+static gboolean
+key_equal (const void *a, const void *b)
+{
+  return memcmp (a, b, sizeof (struct mesh_job_key)) == 0;
+}
+
+void
+mesh_inbound_load (const struct mesh_inbound *inbound,
+                   struct cp_server_load *load)
+{
+  *load = (struct cp_server_load){
+    .running = inbound->gate.running,
+    .queued = inbound->gate.queued,
+    .limit = inbound->gate.limit,
+    .slowness_percent = inbound->slowness_percent,
+    .pace_permille = (unsigned)(inbound->pace * 1000),
+  };
+}
+
+static void
+fill_load (struct mesh_inbound *inbound, struct cp_peer_load *load)
+{
+  struct cp_server_load own;
+
+  mesh_inbound_load (inbound, &own);
+  mesh_load_write (load, &own, inbound->instance);
+}
+
+static void
+job_free (struct mesh_job *job)
+{
+  cds_list_del (&job->node);
+  g_hash_table_remove (job->inbound->by_stream, &job->key);
+  if (job->kept != NULL)
+    g_byte_array_unref (job->kept);
+  g_byte_array_unref (job->body);
+  g_free (job->request_id);
+  g_free (job->instance);
+  g_free (job->head);
+  g_free (job);
+}
+
+/* Delivers the one message that JOB ends with, or keeps it for a sender that
+   may come back.  */
+static void
+job_end (struct mesh_job *job, const struct cp_peer_message *message)
+{
+  struct mesh_inbound *inbound = job->inbound;
+
+  job->state = MESH_JOB_ENDED;
+  if (job->silent)
+    job_free (job);
+  else if (job->link != NULL)
+    {
+      struct mesh_link *link = job->link;
+
+      job_free (job);
+      mesh_link_send (link, message);
+    }
+  else if (job->local)
+    {
+      job_free (job);
+      inbound->events->reply (inbound->context, message);
+    }
+  else
+    job->kept = mesh_encode (message);
+}
+
+static void
+log_end (const struct mesh_job *job, const char *outcome, const char *reason,
+         unsigned status)
+{
+  const struct mesh_inbound *inbound = job->inbound;
+  char id[128];
+
+  if (!mesh_log_due (MESH_LOG_JOB_END))
+    return;
+  mesh_log (MESH_LOG_JOB_END,
+            "\"request\":\"%s\",\"stream\":%" G_GUINT64_FORMAT
+            ",\"outcome\":\"%s\",\"reason\":\"%s\",\"status\":%u,"
+            "\"waited_us\":%" G_GUINT64_FORMAT ",\"ran_us\":%" G_GUINT64_FORMAT
+            ",\"running\":%u,\"queued\":%u,\"limit\":%u,\"slowness\":%u",
+            mesh_log_quote (job->request_id, id, sizeof id), job->key.stream,
+            outcome, reason, status,
+            job->started_us == 0 ? now_us () - job->entry.arrived_us
+                                 : job->started_us - job->entry.arrived_us,
+            job->started_us == 0 ? 0 : now_us () - job->started_us,
+            inbound->gate.running, inbound->gate.queued, inbound->gate.limit,
+            inbound->slowness_percent);
+}
+
+void
+mesh_job_refuse (struct mesh_job *job, enum mesh_reason reason, bool reached)
+{
+  struct mesh_inbound *inbound = job->inbound;
+  struct cp_peer_message message = { .kind = CP_PEER_REFUSAL };
+  struct cp_peer_refusal *refusal = &message.cp_peer_message_u.refusal;
+
+  refusal->stream = job->key.stream;
+  refusal->reason = reason;
+  refusal->reached = reached;
+  fill_load (inbound, &refusal->load);
+  inbound->counts.refused[reason]++;
+  log_end (job, "refused", mesh_reason_names[reason], 0);
+  job_end (job, &message);
+}
+
+void
+mesh_job_fail (struct mesh_job *job, enum mesh_reason reason)
+{
+  struct mesh_inbound *inbound = job->inbound;
+  struct cp_peer_message message = { .kind = CP_PEER_FAILURE };
+  struct cp_peer_failure *failure = &message.cp_peer_message_u.failure;
+
+  failure->stream = job->key.stream;
+  failure->reason = reason;
+  fill_load (inbound, &failure->load);
+  inbound->counts.failed[reason]++;
+  log_end (job, "failed", mesh_reason_names[reason], 0);
+  job_end (job, &message);
+}
+
+void
+mesh_job_answer (struct mesh_job *job, const struct net_message *answer)
+{
+  struct mesh_inbound *inbound = job->inbound;
+  struct cp_peer_message message = { .kind = CP_PEER_ANSWER };
+  struct cp_peer_answer *to = &message.cp_peer_message_u.answer;
+  GString *head = g_string_sized_new (256);
+
+  platform_write_answer (head, &answer->headers);
+  to->stream = job->key.stream;
+  to->status = answer->parser.status_code;
+  to->head = head->str;
+  to->body.cp_peer_body_len = answer->body->len;
+  to->body.cp_peer_body_val = (char *)answer->body->data;
+  fill_load (inbound, &to->load);
+  inbound->counts.answered++;
+  log_end (job, "answered", "", to->status);
+  job_end (job, &message);
+  g_string_free (head, TRUE);
+}
+
+/* Starts JOB, which has a slot.  */
+static void
+job_start (struct mesh_job *job)
+{
+  struct mesh_inbound *inbound = job->inbound;
+  uint64_t now = now_us ();
+
+  job->state = MESH_JOB_RUNNING;
+  if (job->deadline_us <= now
+      || (inbound->leave_us != 0 && now > inbound->leave_us))
+    {
+      enum mesh_reason reason
+          = job->deadline_us <= now ? MESH_REASON_WAITED : MESH_REASON_LEAVING;
+      cp_gate_done (&inbound->gate);
+      mesh_job_refuse (job, reason, false);
+      return;
+    }
+  job->started_us = now;
+  inbound->counts.admitted++;
+  mesh_server_send (inbound, job);
+}
+
+void
+mesh_inbound_run_next (struct mesh_inbound *inbound)
+{
+  struct cp_gate_entry *entry;
+
+  while ((entry = cp_gate_next (&inbound->gate)) != NULL)
+    job_start (caa_container_of (entry, struct mesh_job, entry));
+}
+
+void
+mesh_inbound_slot_free (struct mesh_inbound *inbound)
+{
+  cp_gate_done (&inbound->gate);
+  mesh_inbound_run_next (inbound);
+}
+
+/* Refuses those whose wait is over.  */
+static void
+on_queue_timer (uv_timer_t *timer)
+{
+  struct mesh_inbound *inbound = timer->data;
+  struct cp_gate_entry *entry;
+
+  while ((entry = cp_gate_expired (&inbound->gate, now_us ())) != NULL)
+    mesh_job_refuse (caa_container_of (entry, struct mesh_job, entry),
+                     MESH_REASON_WAITED, false);
+  if (inbound->gate.queued == 0)
+    uv_timer_stop (timer);
+}
+
+static struct mesh_job *
+job_create (struct mesh_inbound *inbound, struct mesh_link *link,
+            const struct cp_peer_request *request)
+{
+  struct mesh_job *job = g_new0 (struct mesh_job, 1);
+  uint64_t now = now_us ();
+  uint64_t objective_us = request->objective * CP_US_PER_MS;
+
+  job->inbound = inbound;
+  job->link = link;
+  job->local = link == NULL;
+  job->key.source = link == NULL ? inbound->incarnation : link->incarnation;
+  job->key.stream = request->stream;
+  job->request_id = g_strdup (request->request_id);
+  job->instance = g_strdup (request->instance);
+  job->head = g_strdup (request->head);
+  job->body = g_byte_array_new ();
+  g_byte_array_append (job->body,
+                       (const guint8 *)request->body.cp_peer_body_val,
+                       request->body.cp_peer_body_len);
+  job->idempotent = request->idempotent;
+  job->objective_us = objective_us;
+  job->deadline_us = now + request->left * CP_US_PER_MS;
+  job->entry.priority = request->priority;
+  job->entry.give_up_us
+      = MIN (job->deadline_us, now + (uint64_t)(WAIT_SHARE * objective_us));
+  cds_list_add_tail (&job->node, &inbound->jobs);
+  g_hash_table_insert (inbound->by_stream, &job->key, job);
+  return job;
+}
+
+void
+mesh_inbound_offer (struct mesh_inbound *inbound, struct mesh_link *link,
+                    const struct cp_peer_request *request)
+{
+  struct mesh_job *job = job_create (inbound, link, request);
+  uint64_t now = now_us ();
+  uint64_t service_us
+      = (uint64_t)(inbound->service_us * inbound->slowness_percent
+                   / CP_SLOWNESS_USUAL);
+
+  inbound->used_us = now;
+  if (inbound->server.length == 0)
+    mesh_job_refuse (job, MESH_REASON_NO_SERVER, false);
+  else if (inbound->leave_us != 0 && now > inbound->leave_us)
+    mesh_job_refuse (job, MESH_REASON_LEAVING, false);
+  else if (inbound->refusals >= MESH_REFUSALS_MAX)
+    mesh_job_refuse (job, MESH_REASON_NO_SERVER, false);
+  else
+    switch (cp_gate_offer (&inbound->gate, &job->entry, now, service_us))
+      {
+      case CP_GATE_RUN:
+        job_start (job);
+        break;
+      case CP_GATE_WAIT:
+        if (!uv_is_active ((uv_handle_t *)&inbound->queue_timer))
+          uv_timer_start (&inbound->queue_timer, on_queue_timer, QUEUE_TICK_MS,
+                          QUEUE_TICK_MS);
+        break;
+      case CP_GATE_FULL:
+        mesh_job_refuse (job, MESH_REASON_FULL, false);
+        break;
+      }
+}
+
+static struct mesh_job *
+find_job (struct mesh_inbound *inbound, struct mesh_link *link,
+          uint64_t stream)
+{
+  struct mesh_job_key key
+      = { .source = link == NULL ? inbound->incarnation : link->incarnation,
+          .stream = stream };
+
+  return g_hash_table_lookup (inbound->by_stream, &key);
+}
+
+/* Ends JOB without telling its sender.  A server at work on what may not be
+   repeated is left alone.  */
+static void
+job_drop (struct mesh_job *job)
+{
+  struct mesh_inbound *inbound = job->inbound;
+
+  job->silent = true;
+  if (job->state == MESH_JOB_QUEUED)
+    {
+      cp_gate_remove (&inbound->gate, &job->entry);
+      job_free (job);
+    }
+  else if (job->state == MESH_JOB_ENDED)
+    job_free (job);
+  else if (job->idempotent)
+    mesh_server_abort (job, MESH_REASON_CANCELLED);
+}
+
+void
+mesh_inbound_cancel (struct mesh_inbound *inbound, struct mesh_link *link,
+                     uint64_t stream)
+{
+  struct mesh_job *job = find_job (inbound, link, stream);
+
+  if (job != NULL)
+    job_drop (job);
+}
+
+void
+mesh_inbound_resume (struct mesh_inbound *inbound, struct mesh_link *link,
+                     uint64_t stream)
+{
+  struct mesh_job *job = find_job (inbound, link, stream);
+  struct cp_peer_message message = { .kind = CP_PEER_REFUSAL };
+
+  if (job == NULL)
+    {
+      message.cp_peer_message_u.refusal.stream = stream;
+      message.cp_peer_message_u.refusal.reason = MESH_REASON_UNKNOWN_ATTEMPT;
+      fill_load (inbound, &message.cp_peer_message_u.refusal.load);
+      mesh_link_send (link, &message);
+      return;
+    }
+  job->link = link;
+  job->lost_us = 0;
+  if (job->state == MESH_JOB_ENDED)
+    {
+      GByteArray *kept = job->kept;
+
+      job->kept = NULL;
+      job_free (job);
+      net_link_send (&link->link, kept);
+    }
+}
+
+void
+mesh_inbound_link_lost (struct mesh_inbound *inbound, struct mesh_link *link)
+{
+  struct mesh_job *job;
+  uint64_t now = now_us ();
+
+  cds_list_for_each_entry (job, &inbound->jobs, node) if (job->link == link)
+  {
+    job->link = NULL;
+    job->lost_us = now;
+  }
+}
+
+unsigned
+mesh_inbound_jobs (const struct mesh_inbound *inbound)
+{
+  return g_hash_table_size (inbound->by_stream);
+}
+
+/* Ends JOB when its time is over.  Returns whether it did.  */
+static bool
+check_job (struct mesh_job *job, uint64_t now)
+{
+  if (job->lost_us != 0
+      && now - job->lost_us > (job->idempotent ? LOST_IDEMPOTENT_US : LOST_US)
+      && (job->idempotent || job->state != MESH_JOB_RUNNING))
+    job_drop (job);
+  else if (job->state == MESH_JOB_RUNNING
+           && now > job->deadline_us + OVERTIME_US)
+    mesh_server_abort (job, MESH_REASON_TIMEOUT);
+  else
+    return false;
+  return true;
+}
+
+static void
+check_jobs (struct mesh_inbound *inbound, uint64_t now)
+{
+  struct mesh_job *job;
+  bool found = true;
+
+  /* Ending one job may start or end others.  */
+  while (found)
+    {
+      found = false;
+      cds_list_for_each_entry (job, &inbound->jobs,
+                               node) if (check_job (job, now))
+      {
+        found = true;
+        break;
+      }
+    }
+}
+
+static bool
+differs (unsigned a, unsigned b, unsigned by)
+{
+  return a > b + by || b > a + by;
+}
+
+/* Tells others the load when it has moved by what changes a choice: a quarter
+   of the slots, or a quarter of the usual slowness.  */
+static void
+tell_load (struct mesh_inbound *inbound)
+{
+  struct cp_peer_message message = { .kind = CP_PEER_LOAD };
+  struct cp_server_load load;
+  const struct cp_server_load *told = &inbound->told;
+
+  mesh_inbound_load (inbound, &load);
+  if (!differs (load.running + load.queued, told->running + told->queued,
+                load.limit / 4)
+      && !differs (load.slowness_percent, told->slowness_percent,
+                   CP_SLOWNESS_USUAL / 4)
+      && load.limit == told->limit)
+    return;
+  inbound->told = load;
+  fill_load (inbound, &message.cp_peer_message_u.load);
+  inbound->events->load (inbound->context, &message);
+}
+
+static void
+on_tick (uv_timer_t *timer)
+{
+  struct mesh_inbound *inbound = timer->data;
+  uint64_t now = now_us ();
+
+  check_jobs (inbound, now);
+  mesh_server_tick (inbound, now);
+  tell_load (inbound);
+}
+
+void
+mesh_inbound_init (struct mesh_inbound *inbound, uv_loop_t *loop,
+                   const struct cp_address *server, uint64_t incarnation,
+                   const struct mesh_inbound_events *events, void *context)
+{
+  *inbound = (struct mesh_inbound){ .loop = loop,
+                                    .server = *server,
+                                    .slowness_percent = CP_SLOWNESS_USUAL,
+                                    .incarnation = incarnation,
+                                    .events = events,
+                                    .context = context };
+  CDS_INIT_LIST_HEAD (&inbound->jobs);
+  CDS_INIT_LIST_HEAD (&inbound->idle);
+  inbound->by_stream = g_hash_table_new (key_hash, key_equal);
+  cp_gate_init (&inbound->gate);
+  cp_gate_set_capacity (&inbound->gate, CAPACITY_UNKNOWN);
+  uv_timer_init (loop, &inbound->tick);
+  uv_timer_init (loop, &inbound->queue_timer);
+  inbound->tick.data = inbound;
+  inbound->queue_timer.data = inbound;
+  uv_timer_start (&inbound->tick, on_tick, TICK_MS, TICK_MS);
+}
+
+void
+mesh_inbound_set_server (struct mesh_inbound *inbound,
+                         const struct cp_server *server,
+                         const char *health_path)
+{
+  if (health_path != NULL)
+    g_strlcpy (inbound->health_path, health_path, sizeof inbound->health_path);
+  if (server == NULL)
+    return;
+  if (strcmp (inbound->instance, server->instance) != 0
+      || inbound->born_ms != server->born_ms)
+    {
+      g_strlcpy (inbound->instance, server->instance,
+                 sizeof inbound->instance);
+      inbound->born_ms = server->born_ms;
+      inbound->service_us = 0;
+      inbound->pace = 0;
+      inbound->refusals = 0;
+      mesh_server_forget (inbound);
+    }
+  if (server->capacity != inbound->capacity)
+    {
+      inbound->capacity = server->capacity;
+      cp_gate_set_capacity (&inbound->gate, server->capacity);
+      mesh_inbound_run_next (inbound);
+    }
+}
+
+void
+mesh_inbound_leave (struct mesh_inbound *inbound, uint64_t leave_us)
+{
+  inbound->leave_us = leave_us;
+}
+
+void
+mesh_inbound_stop (struct mesh_inbound *inbound)
+{
+  uv_close ((uv_handle_t *)&inbound->tick, NULL);
+  uv_close ((uv_handle_t *)&inbound->queue_timer, NULL);
+  mesh_server_forget (inbound);
+}
--- /dev/null
+++ b/meshd/log.c
@@ -0,0 +1,235 @@
+#include <glib.h>
+#include <pthread.h>
+#include <stdarg.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "lib/cleanup.h"
+#include "lib/clock.h"
+#include "meshd/log.h"
+
+/* Lines that each kind may write in a second.  A busy daemon of the users'
+   sites handles about 60 requests a second; writing costs processor time.  */
+#define KIND_LINES_PER_S 20
+
+/* Lines of failed requests in a second; beyond it the writer would take a
+   tenth of the daemon's processor.  */
+#define FAILED_LINES_PER_S 200
+
+#define BUFFER_BYTES (1U << 18)
+
+/* How long lines are collected, in ms, so that the writer wakes seldom.  */
+#define COLLECT_MS 250
+
+static const char *const kind_names[MESH_LOG_KINDS]
+    = { "start",   "stop",        "reload",     "state",     "store",
+        "table",   "server",      "unreadable", "peer",      "send",
+        "again",   "attempt_end", "answer",     "failed",    "abandoned",
+        "refused", "admit",       "job_end",    "connection" };
+
+struct kind_rate
+{
+  uint64_t second;
+  unsigned lines;
+  unsigned left_out;
+};
+
+static struct
+{
+  pthread_mutex_t lock;
+  pthread_cond_t added;
+  pthread_t writer;
+  bool running;
+  bool stopping;
+  char vm[128];
+  GString *buffer;
+  unsigned dropped;
+  struct kind_rate rates[MESH_LOG_KINDS];
+} logger = { .lock = PTHREAD_MUTEX_INITIALIZER };
+
+static void
+write_all (const char *text, size_t length)
+{
+  while (length > 0)
+    {
+      ssize_t written = write (STDOUT_FILENO, text, length);
+
+      if (written <= 0)
+        return;
+      text += written;
+      length -= (size_t)written;
+    }
+}
+
+/* Waits for lines, then for more of them.  Called with the lock held.  */
+static void
+wait_for_lines (void)
+{
+  struct timespec until;
+
+  while (logger.buffer->len == 0 && !logger.stopping)
+    pthread_cond_wait (&logger.added, &logger.lock);
+  clock_gettime (CLOCK_MONOTONIC, &until);
+  until.tv_nsec += COLLECT_MS * 1000000L;
+  if (until.tv_nsec >= 1000000000L)
+    {
+      until.tv_nsec -= 1000000000L;
+      until.tv_sec++;
+    }
+  while (!logger.stopping
+         && pthread_cond_timedwait (&logger.added, &logger.lock, &until) == 0)
+    continue;
+}
+
+static void *
+run_writer (void *context)
+{
+  GString *lines = g_string_sized_new (4096);
+  bool stopping = false;
+
+  (void)context;
+  while (!stopping)
+    {
+      GString *taken;
+
+      pthread_mutex_lock (&logger.lock);
+      wait_for_lines ();
+      stopping = logger.stopping;
+      taken = logger.buffer;
+      logger.buffer = lines;
+      pthread_mutex_unlock (&logger.lock);
+      write_all (taken->str, taken->len);
+      g_string_truncate (taken, 0);
+      lines = taken;
+    }
+  g_string_free (lines, TRUE);
+  return NULL;
+}
+
+int
+mesh_log_start (const char *vm)
+{
+  pthread_condattr_t attributes;
+
+  g_strlcpy (logger.vm, vm, sizeof logger.vm);
+  logger.buffer = g_string_sized_new (4096);
+  logger.stopping = false;
+  pthread_condattr_init (&attributes);
+  pthread_condattr_setclock (&attributes, CLOCK_MONOTONIC);
+  pthread_cond_init (&logger.added, &attributes);
+  pthread_condattr_destroy (&attributes);
+  logger.running
+      = pthread_create (&logger.writer, NULL, run_writer, NULL) == 0;
+  return logger.running ? 0 : -1;
+}
+
+void
+mesh_log_stop (void)
+{
+  if (!logger.running)
+    return;
+  pthread_mutex_lock (&logger.lock);
+  logger.stopping = true;
+  pthread_cond_signal (&logger.added);
+  pthread_mutex_unlock (&logger.lock);
+  pthread_join (logger.writer, NULL);
+  g_string_free (logger.buffer, TRUE);
+  logger.running = false;
+}
+
+/* Begins a new second of KIND.  Returns how many lines the last left out.  */
+static unsigned
+turn_second (struct kind_rate *rate, uint64_t second)
+{
+  unsigned left_out = rate->left_out;
+
+  if (rate->second == second)
+    return 0;
+  *rate = (struct kind_rate){ .second = second };
+  return left_out;
+}
+
+static void
+add_line (enum mesh_log_kind kind, const char *members)
+{
+  bool was_empty;
+  struct timespec now;
+
+  clock_gettime (CLOCK_REALTIME, &now);
+  pthread_mutex_lock (&logger.lock);
+  was_empty = logger.buffer->len == 0;
+  if (logger.buffer->len > BUFFER_BYTES)
+    logger.dropped++;
+  else
+    {
+      if (logger.dropped > 0)
+        g_string_append_printf (logger.buffer,
+                                "{\"kind\":\"dropped\",\"vm\":\"%s\","
+                                "\"lines\":%u}\n",
+                                logger.vm, logger.dropped);
+      logger.dropped = 0;
+      g_string_append_printf (
+          logger.buffer,
+          "{\"t\":%lld.%06ld,\"vm\":\"%s\",\"kind\":\"%s\",%s}\n",
+          (long long)now.tv_sec, now.tv_nsec / 1000, logger.vm,
+          kind_names[kind], members);
+    }
+  if (was_empty)
+    pthread_cond_signal (&logger.added);
+  pthread_mutex_unlock (&logger.lock);
+}
+
+bool
+mesh_log_due (enum mesh_log_kind kind)
+{
+  struct kind_rate *rate = &logger.rates[kind];
+  uint64_t second = cp_clock_now_us (&cp_clock_boot) / CP_US_PER_S;
+  unsigned most
+      = kind == MESH_LOG_FAILED ? FAILED_LINES_PER_S : KIND_LINES_PER_S;
+  unsigned left_out = turn_second (rate, second);
+  char members[64];
+
+  if (!logger.running)
+    return false;
+  if (left_out > 0)
+    {
+      g_snprintf (members, sizeof members, "\"left_out\":%u", left_out);
+      add_line (kind, members);
+    }
+  if (rate->lines >= most)
+    {
+      rate->left_out++;
+      return false;
+    }
+  rate->lines++;
+  return true;
+}
+
+void
+mesh_log (enum mesh_log_kind kind, const char *format, ...)
+{
+  CP_AUTO_FREE char *members = NULL;
+  va_list arguments;
+
+  if (!logger.running)
+    return;
+  va_start (arguments, format);
+  members = g_strdup_vprintf (format, arguments);
+  va_end (arguments);
+  add_line (kind, members);
+}
+
+const char *
+mesh_log_quote (const char *text, char *buffer, size_t size)
+{
+  size_t used = 0;
+
+  for (; text != NULL && *text != '\0' && used + 1 < size; text++)
+    buffer[used++] = (unsigned char)*text < 0x20 || *text == '"'
+                             || *text == '\\' || (unsigned char)*text >= 0x7f
+                         ? '?'
+                         : *text;
+  buffer[used] = '\0';
+  return buffer;
+}
--- /dev/null
+++ b/meshd/metrics.c
@@ -0,0 +1,107 @@
+/* Counters, gauges and histograms in the Prometheus text format.  */
+#include "lib/counter.h"
+#include "meshd/daemon.h"
+
+/* Buckets of the latency histogram: powers of two of a microsecond, 1 ms to
+   17 s.  */
+#define BUCKET_FIRST 10
+#define BUCKET_LAST 24
+
+static void
+counter (GString *text, const char *name, uint64_t value)
+{
+  g_string_append_printf (
+      text,
+      "# TYPE cornelpick_%s counter\ncornelpick_%s %" G_GUINT64_FORMAT "\n",
+      name, name, value);
+}
+
+static void
+gauge (GString *text, const char *name, uint64_t value)
+{
+  g_string_append_printf (
+      text,
+      "# TYPE cornelpick_%s gauge\ncornelpick_%s %" G_GUINT64_FORMAT "\n",
+      name, name, value);
+}
+
+static void
+by_reason (GString *text, const char *name,
+           const uint64_t counts[MESH_REASON_COUNT])
+{
+  g_string_append_printf (text, "# TYPE cornelpick_%s counter\n", name);
+  for (unsigned i = 1; i < MESH_REASON_COUNT; i++)
+    g_string_append_printf (
+        text, "cornelpick_%s{reason=\"%s\"} %" G_GUINT64_FORMAT "\n", name,
+        mesh_reason_names[i], counts[i]);
+}
+
+static void
+latency (GString *text, const struct cp_histogram *histogram)
+{
+  static const char name[] = "cornelpick_call_latency_seconds";
+
+  g_string_append_printf (text, "# TYPE %s histogram\n", name);
+  for (unsigned i = BUCKET_FIRST; i <= BUCKET_LAST; i++)
+    g_string_append_printf (
+        text, "%s_bucket{le=\"%g\"} %" G_GUINT64_FORMAT "\n", name,
+        (double)(UINT64_C (1) << i) / 1e6, cp_histogram_below (histogram, i));
+  g_string_append_printf (text,
+                          "%s_bucket{le=\"+Inf\"} %" G_GUINT64_FORMAT
+                          "\n%s_sum %g\n"
+                          "%s_count %" G_GUINT64_FORMAT "\n",
+                          name, cp_histogram_count (histogram), name,
+                          (double)cp_histogram_sum_us (histogram) / 1e6, name,
+                          cp_histogram_count (histogram));
+}
+
+static void
+write_outbound (const struct mesh_outbound *outbound, GString *text)
+{
+  const struct mesh_outbound_counts *counts = &outbound->counts;
+
+  counter (text, "calls_total", counts->calls);
+  counter (text, "calls_answered_total", counts->answered);
+  counter (text, "calls_refused_total", counts->refused);
+  counter (text, "calls_failed_total", counts->failed);
+  counter (text, "calls_timed_out_total", counts->timed_out);
+  counter (text, "calls_abandoned_total", counts->abandoned);
+  counter (text, "attempts_total", counts->attempts);
+  counter (text, "repeats_total", counts->repeats);
+  counter (text, "repeats_over_budget_total", counts->no_budget);
+  gauge (text, "calls_open", outbound->server.n_exchanges);
+  gauge (text, "call_connections", outbound->server.n_connections);
+  gauge (text, "call_body_bytes", outbound->server.kept_bytes);
+  latency (text, outbound->latency);
+}
+
+static void
+write_inbound (const struct mesh_inbound *inbound, GString *text)
+{
+  const struct mesh_inbound_counts *counts = &inbound->counts;
+
+  counter (text, "jobs_admitted_total", counts->admitted);
+  counter (text, "jobs_answered_total", counts->answered);
+  by_reason (text, "jobs_refused_total", counts->refused);
+  by_reason (text, "jobs_failed_total", counts->failed);
+  counter (text, "server_connections_total", counts->connections);
+  counter (text, "server_probes_total", counts->probes);
+  gauge (text, "jobs_running", inbound->gate.running);
+  gauge (text, "jobs_queued", inbound->gate.queued);
+  gauge (text, "jobs_limit", inbound->gate.limit);
+  gauge (text, "server_slowness_percent", inbound->slowness_percent);
+}
+
+void
+mesh_metrics_write (const struct mesh_daemon *daemon, GString *text)
+{
+  write_outbound (&daemon->outbound, text);
+  write_inbound (&daemon->inbound, text);
+  counter (text, "store_calls_total", daemon->store.calls);
+  gauge (text, "store_answers", daemon->store.answers);
+  gauge (text, "store_revision", daemon->registry.revision);
+  gauge (text, "config_version",
+         daemon->registry.table == NULL ? 0 : daemon->registry.table->version);
+  gauge (text, "servers", cp_roster_count (&daemon->roster));
+  gauge (text, "peers_up", daemon->peers.n_up);
+}
--- /dev/null
+++ b/meshd/outbound.h
@@ -0,0 +1,92 @@
+/* The outbound side: takes calls, chooses a server for each, and sees it
+   through.
+
+   Each call makes attempts until one is answered or nothing more may be tried.
+   A call that may have run somewhere is tried again only when its route allows
+   repeats, and within the budget that all daemons share.  A refusal that says
+   not run is given only when every attempt has proved it.  */
+#ifndef MESHD_OUTBOUND_H
+#define MESHD_OUTBOUND_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "lib/repeat.h"
+#include "lib/roster.h"
+#include "lib/table.h"
+#include "meshd/peers.h"
+#include "net/server.h"
+
+struct mesh_outbound_events
+{
+  /* Sends MESSAGE to the daemon beside SERVER; false when there is no way.  */
+  bool (*send) (void *context, struct cp_server *server,
+                const struct cp_peer_message *message);
+};
+
+struct mesh_outbound_settings
+{
+  char service[128]; /* that runs on this VM */
+  double repeat_ratio;
+  double repeat_slack; /* of all daemons together */
+  uint64_t repeat_window_us;
+  uint64_t body_bytes_max; /* kept of all calls together */
+};
+
+struct mesh_outbound_counts
+{
+  uint64_t calls;
+  uint64_t answered;
+  uint64_t refused;
+  uint64_t failed;
+  uint64_t timed_out;
+  uint64_t abandoned;
+  uint64_t attempts;
+  uint64_t repeats;
+  uint64_t no_budget;
+};
+
+struct mesh_outbound
+{
+  uv_loop_t *loop;
+  struct net_server server;
+  struct mesh_outbound_settings settings;
+  struct cp_table *table; /* NULL before the first */
+  struct cp_roster *roster;
+  struct mesh_peers *peers;
+  const struct cp_random *random;
+  GHashTable *attempts; /* by stream */
+  GHashTable *budgets;  /* service to struct cp_repeat */
+  uint64_t last_stream;
+  const struct mesh_outbound_events *events;
+  void *context;
+  struct mesh_outbound_counts counts;
+  struct cp_histogram *latency; /* of answered calls */
+};
+
+/* Listens at ADDRESS.  Returns 0 or a libuv error.  */
+int mesh_outbound_init (struct mesh_outbound *outbound, uv_loop_t *loop,
+                        const struct cp_address *address,
+                        const struct mesh_outbound_settings *settings,
+                        struct cp_roster *roster, struct mesh_peers *peers,
+                        const struct cp_random *random,
+                        const struct mesh_outbound_events *events,
+                        void *context);
+void mesh_outbound_stop (struct mesh_outbound *outbound);
+
+void mesh_outbound_set_table (struct mesh_outbound *outbound,
+                              struct cp_table *table);
+
+/* Takes what an inbound side says: an answer, a refusal or a failure.  */
+void mesh_outbound_receive (struct mesh_outbound *outbound,
+                            const struct cp_peer_message *message);
+
+/* The way to the daemon beside SERVER broke; it may come back.  */
+void mesh_outbound_server_lost (struct mesh_outbound *outbound,
+                                struct cp_server *server);
+
+/* It came back; RESTARTED when the daemon there is another process.  */
+void mesh_outbound_server_back (struct mesh_outbound *outbound,
+                                struct cp_server *server, bool restarted);
+
+#endif
--- /dev/null
+++ b/meshd/peers.h
@@ -0,0 +1,109 @@
+/* Links with the other daemons.
+
+   A way is the outgoing link to the daemon beside a server; it is opened when
+   the first server there becomes known, and again after it broke, at once and
+   then at growing pauses.  Incoming links are the ways of others.  Both sides
+   begin with a hello.  A way on which nothing is heard after a ping has gone
+   silent and is replaced.  Knows nothing of requests.  */
+#ifndef MESHD_PEERS_H
+#define MESHD_PEERS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <urcu/list.h>
+
+#include "lib/address.h"
+#include "lib/clock.h"
+#include "meshd/wire.h"
+#include "net/link.h"
+
+struct mesh_peers;
+struct mesh_way;
+
+struct mesh_link
+{
+  struct net_link link;
+  struct cds_list_head node;
+  struct mesh_peers *peers;
+  struct mesh_way *way; /* NULL for an incoming link */
+  uint64_t incarnation; /* of the other daemon; 0 before its hello */
+};
+
+struct mesh_way
+{
+  struct cds_list_head node;
+  struct mesh_peers *peers;
+  struct cp_address address;
+  unsigned users;
+  struct mesh_link *link; /* NULL when there is none */
+  bool up;                /* the other daemon has said hello */
+  bool leaving;           /* it says that it goes away */
+  uint64_t incarnation;
+  uint64_t heard_us;  /* when a record last came */
+  uint64_t pinged_us; /* when the oldest unanswered ping left, or 0 */
+  uint64_t asked_us;  /* when the last ping left */
+  uint64_t began_us;  /* when connecting began */
+  uint64_t retry_us;  /* not to be tried before; 0 for at once */
+  unsigned failures;  /* in a row */
+};
+
+struct mesh_peers_events
+{
+  void (*up) (void *context, struct mesh_way *way);
+
+  /* The way broke.  RESTARTED is not known before UP.  */
+  void (*down) (void *context, struct mesh_way *way, const char *reason);
+
+  /* An incoming link came or went.  */
+  void (*joined) (void *context, struct mesh_link *link);
+  void (*lost) (void *context, struct mesh_link *link);
+
+  void (*message) (void *context, struct mesh_link *link,
+                   const struct cp_peer_message *message);
+
+  /* The daemon behind LINK knows the store's state up to REVISION.  */
+  void (*revision) (void *context, struct mesh_link *link, uint64_t revision);
+};
+
+struct mesh_peers
+{
+  uv_loop_t *loop;
+  uv_tcp_t listener;
+  uv_timer_t tick;
+  struct cds_list_head ways;
+  struct cds_list_head incoming;
+  uint64_t incarnation; /* of this daemon */
+  uint64_t revision;    /* of the store's state, told in pings */
+  uint64_t ticked_us;
+  bool leaving;
+  bool stopped;
+  unsigned n_up;
+  const struct mesh_peers_events *events;
+  void *context;
+};
+
+/* Listens at ADDRESS.  Returns 0 or a libuv error.  */
+int mesh_peers_init (struct mesh_peers *peers, uv_loop_t *loop,
+                     const struct cp_address *address, uint64_t incarnation,
+                     const struct mesh_peers_events *events, void *context);
+void mesh_peers_stop (struct mesh_peers *peers);
+
+/* Returns the way to ADDRESS, for one more user.  */
+struct mesh_way *mesh_way_use (struct mesh_peers *peers,
+                               const struct cp_address *address);
+void mesh_way_release (struct mesh_way *way);
+
+/* Sends over WAY; returns false when it is not up.  */
+bool mesh_way_send (struct mesh_way *way,
+                    const struct cp_peer_message *message);
+void mesh_link_send (struct mesh_link *link,
+                     const struct cp_peer_message *message);
+
+/* Sends to all daemons that have a way here.  */
+void mesh_peers_tell (struct mesh_peers *peers,
+                      const struct cp_peer_message *message);
+
+/* Tells all that this daemon goes away.  */
+void mesh_peers_leave (struct mesh_peers *peers);
+
+#endif
--- /dev/null
+++ b/meshd/wire.c
@@ -0,0 +1,72 @@
+#include <string.h>
+
+#include "meshd/wire.h"
+
+#define LENGTH_BYTES 4
+
+const char *const mesh_reason_names[MESH_REASON_COUNT] = {
+  "none",        "full",           "waited",    "leaving",         "no-server",
+  "server-full", "other-instance", "cancelled", "unknown-attempt", "cut",
+  "garbled",     "unsigned",       "closed",    "timeout",         "link-lost",
+  "restarted"
+};
+
+GByteArray *
+mesh_encode (const struct cp_peer_message *message)
+{
+  struct cp_peer_message *value = (struct cp_peer_message *)message;
+  unsigned long size = xdr_sizeof ((xdrproc_t)xdr_cp_peer_message, value);
+  GByteArray *record = g_byte_array_sized_new ((guint)size + LENGTH_BYTES);
+  XDR xdr;
+
+  g_byte_array_set_size (record, (guint)size + LENGTH_BYTES);
+  xdrmem_create (&xdr, (char *)record->data + LENGTH_BYTES, (u_int)size,
+                 XDR_ENCODE);
+  if (size == 0 || !xdr_cp_peer_message (&xdr, value))
+    g_error ("a peer message does not fit its own form");
+  xdr_destroy (&xdr);
+  return record;
+}
+
+bool
+mesh_decode (struct cp_peer_message *message, char *data, size_t length)
+{
+  XDR xdr;
+  bool good;
+
+  memset (message, 0, sizeof *message);
+  xdrmem_create (&xdr, data, (u_int)length, XDR_DECODE);
+  good = xdr_cp_peer_message (&xdr, message);
+  xdr_destroy (&xdr);
+  if (!good)
+    mesh_release (message);
+  return good;
+}
+
+void
+mesh_release (struct cp_peer_message *message)
+{
+  xdr_free ((xdrproc_t)xdr_cp_peer_message, (char *)message);
+}
+
+void
+mesh_load_write (struct cp_peer_load *to, const struct cp_server_load *from,
+                 char *instance)
+{
+  *to = (struct cp_peer_load){ .instance = instance,
+                               .running = from->running,
+                               .queued = from->queued,
+                               .limit = from->limit,
+                               .slowness_percent = from->slowness_percent,
+                               .pace_permille = from->pace_permille };
+}
+
+void
+mesh_load_read (struct cp_server_load *to, const struct cp_peer_load *from)
+{
+  *to = (struct cp_server_load){ .running = from->running,
+                                 .queued = from->queued,
+                                 .limit = from->limit,
+                                 .slowness_percent = from->slowness_percent,
+                                 .pace_permille = from->pace_permille };
+}
--- a/mk/common.mk
+++ b/mk/common.mk
@@ -2,7 +2,8 @@
 SANITIZE ?=
 comma := ,
 VARIANT := $(if $(SANITIZE),-$(subst $(comma),-,$(SANITIZE)))
-BUILD := $(TOP)/build$(VARIANT)
+# target=1 builds for deploy/system.toml, which takes everything from target/.
+BUILD := $(TOP)/$(if $(target),target,build)$(VARIANT)
 OUT := $(BUILD)/$(DIR)
 
 prefix ?= /usr/local
@@ -13,7 +14,7 @@
 datadir ?= $(prefix)/share
 mandir ?= $(datadir)/man
 
-PACKAGES := jansson glib-2.0 liburcu-bp libxxhash libtirpc libcurl yajl
+PACKAGES := jansson glib-2.0 liburcu-bp libxxhash libtirpc libcurl yajl libuv
 CC := $(if $(SANITIZE),clang,gcc)
 FORMAT_FLAGS := $(if $(SANITIZE),,-Wno-format-truncation)
 SANITIZE_FLAGS := $(if $(SANITIZE),-fsanitize=$(SANITIZE) -fno-sanitize-recover=all)
@@ -24,8 +25,8 @@
 CFLAGS += -std=gnu11 -Wall -Wextra -Wshadow -Wstrict-prototypes \
 	-Wmissing-prototypes -Wpointer-arith -Werror \
 	$(FORMAT_FLAGS) -fPIC $(SANITIZE_FLAGS)
-LDFLAGS += $(SANITIZE_FLAGS)
-LDLIBS += $(PKG_LIBS) -lcivetweb -lpthread -lm
+LDFLAGS += -Wl,--as-needed $(SANITIZE_FLAGS)
+LDLIBS += $(PKG_LIBS) -lcivetweb -lhttp_parser -lpthread -lm
 
 OBJS = $(patsubst %.c,$(OUT)/%.o,$(SRCS))
 
--- /dev/null
+++ b/net/client.c
@@ -0,0 +1,151 @@
+#include "net/client.h"
+
+const char *const net_failure_names[NET_FAILURE_COUNT]
+    = { "no-connection", "unsent",  "reset",    "ended",
+        "cut",           "garbled", "too-long", "idle-ended" };
+
+static void
+fail (struct net_client *client, enum net_failure failure)
+{
+  if (client->failed)
+    return;
+  client->failed = true;
+  client->reusable = false;
+  client->events->failed (client, failure);
+}
+
+static void
+on_connected (struct net_stream *stream, int error)
+{
+  struct net_client *client = stream->context;
+
+  if (error != 0)
+    {
+      fail (client, NET_FAILED_CONNECT);
+      return;
+    }
+  client->is_connected = true;
+  client->reusable = true;
+  client->events->connected (client);
+}
+
+/* Hands over a whole answer.  Returns whether reading goes on.  */
+static bool
+take_answer (struct net_client *client, size_t left)
+{
+  unsigned status = client->answer.parser.status_code;
+
+  if (status >= 100 && status < 200)
+    {
+      net_message_reset (&client->answer);
+      return true;
+    }
+  client->waiting = false;
+  client->reusable
+      = client->answer.keep_alive && left == 0 && !client->answer.until_close;
+  if (!client->events->answered (client, &client->answer))
+    {
+      client->waiting = true;
+      client->reusable = false;
+    }
+  if (client->stream.closing || client->failed)
+    return false;
+  net_message_reset (&client->answer);
+  return client->waiting;
+}
+
+static void
+on_data (struct net_stream *stream, const char *data, size_t length)
+{
+  struct net_client *client = stream->context;
+
+  while (length > 0 && !client->failed && !stream->closing)
+    {
+      enum net_state state;
+      size_t used;
+
+      if (!client->waiting)
+        {
+          fail (client, NET_FAILED_IDLE);
+          return;
+        }
+      state = net_message_feed (&client->answer, data, length, &used);
+      data += used;
+      length -= used;
+      if (state == NET_BODY_TOO_LONG)
+        fail (client, NET_FAILED_TOO_LONG);
+      else if (state != NET_MORE && state != NET_COMPLETE)
+        fail (client, NET_FAILED_GARBLED);
+      else if (state == NET_COMPLETE && !take_answer (client, length))
+        return;
+    }
+}
+
+static void
+on_ended (struct net_stream *stream, int error)
+{
+  struct net_client *client = stream->context;
+
+  if (!client->waiting)
+    fail (client, NET_FAILED_IDLE);
+  else if (!client->answer.began)
+    fail (client, error == UV_EOF ? NET_FAILED_ENDED : NET_FAILED_RESET);
+  else if (error != UV_EOF
+           || net_message_end (&client->answer) != NET_COMPLETE)
+    fail (client, NET_FAILED_CUT);
+  else if (take_answer (client, 0))
+    fail (client, NET_FAILED_ENDED);
+  else
+    fail (client, NET_FAILED_IDLE);
+}
+
+static void
+on_released (struct net_stream *stream)
+{
+  struct net_client *client = stream->context;
+
+  net_message_finish (&client->answer);
+  client->events->released (client);
+}
+
+static const struct net_stream_events stream_events
+    = { .connected = on_connected,
+        .data = on_data,
+        .ended = on_ended,
+        .released = on_released };
+
+void
+net_client_connect (struct net_client *client, uv_loop_t *loop,
+                    const struct cp_address *address,
+                    const struct net_limits *limits,
+                    const struct net_client_events *events, void *context)
+{
+  *client = (struct net_client){ .events = events, .context = context };
+  net_message_init (&client->answer, HTTP_RESPONSE, limits);
+  net_stream_connect (&client->stream, loop, address, &stream_events, client);
+}
+
+void
+net_client_send (struct net_client *client, GByteArray *request, bool bodiless)
+{
+  client->waiting = true;
+  client->reusable = false;
+  client->answer.bodiless = bodiless;
+  net_stream_mark (&client->stream);
+  if (net_stream_write (&client->stream, request) != 0)
+    fail (client, NET_FAILED_UNSENT);
+}
+
+void
+net_client_close (struct net_client *client)
+{
+  client->failed = true;
+  client->reusable = false;
+  net_stream_close (&client->stream);
+}
+
+bool
+net_client_is_writing (const struct net_client *client)
+{
+  return client->stream.unwritten > 0;
+}
--- /dev/null
+++ b/net/message.c
@@ -0,0 +1,266 @@
+#include <string.h>
+#include <strings.h>
+
+#include "net/message.h"
+
+/* Room of a body whose length is announced; more is added as it comes.  */
+#define BODY_PREALLOCATE_MAX 65536
+
+static int
+stop (struct net_message *message, enum net_state state)
+{
+  message->state = state;
+  return 1;
+}
+
+static int
+on_target (http_parser *parser, const char *data, size_t length)
+{
+  struct net_message *message = parser->data;
+
+  g_string_append_len (message->target, data, (gssize)length);
+  return 0;
+}
+
+static int
+on_field (http_parser *parser, const char *data, size_t length)
+{
+  struct net_message *message = parser->data;
+  struct net_headers *headers = &message->headers;
+
+  if (message->head_done)
+    return 0;
+  if (message->in_value || headers->count == 0)
+    {
+      if (headers->count == NET_HEADERS_MAX)
+        return stop (message, NET_TOO_MANY_HEADERS);
+      if (headers->count > 0)
+        g_string_append_c (headers->text, '\0');
+      headers->entries[headers->count].name = (unsigned)headers->text->len;
+      headers->entries[headers->count].value = 0;
+      headers->count++;
+      message->in_value = false;
+    }
+  g_string_append_len (headers->text, data, (gssize)length);
+  return 0;
+}
+
+static int
+on_value (http_parser *parser, const char *data, size_t length)
+{
+  struct net_message *message = parser->data;
+  struct net_headers *headers = &message->headers;
+
+  if (message->head_done)
+    return 0;
+  if (!message->in_value)
+    {
+      g_string_append_c (headers->text, '\0');
+      headers->entries[headers->count - 1].value
+          = (unsigned)headers->text->len;
+      message->in_value = true;
+    }
+  g_string_append_len (headers->text, data, (gssize)length);
+  return 0;
+}
+
+static int
+on_headers (http_parser *parser)
+{
+  struct net_message *message = parser->data;
+  uint64_t announced = parser->content_length;
+
+  message->head_done = true;
+  g_string_append_c (message->headers.text, '\0');
+  if (announced == UINT64_MAX)
+    return message->bodiless ? 1 : 0;
+  if (message->limits.body > 0 && announced > message->limits.body
+      && !message->bodiless)
+    {
+      message->state = NET_BODY_TOO_LONG;
+      return -1;
+    }
+  if (announced <= BODY_PREALLOCATE_MAX)
+    {
+      g_byte_array_set_size (message->body, (guint)announced);
+      g_byte_array_set_size (message->body, 0);
+    }
+  return message->bodiless ? 1 : 0;
+}
+
+static int
+on_body (http_parser *parser, const char *data, size_t length)
+{
+  struct net_message *message = parser->data;
+
+  if (message->limits.body > 0
+      && message->body->len + length > message->limits.body)
+    return stop (message, NET_BODY_TOO_LONG);
+  g_byte_array_append (message->body, (const guint8 *)data, (guint)length);
+  return 0;
+}
+
+static int
+on_complete (http_parser *parser)
+{
+  struct net_message *message = parser->data;
+
+  message->state = NET_COMPLETE;
+  message->keep_alive = http_should_keep_alive (parser) != 0;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+static const http_parser_settings callbacks = {
+  .on_url = on_target,
+  .on_header_field = on_field,
+  .on_header_value = on_value,
+  .on_headers_complete = on_headers,
+  .on_body = on_body,
+  .on_message_complete = on_complete,
+};
+
+void
+net_message_init (struct net_message *message, enum http_parser_type kind,
+                  const struct net_limits *limits)
+{
+  *message = (struct net_message){ .limits = *limits };
+  http_parser_init (&message->parser, kind);
+  message->parser.data = message;
+  message->headers.text = g_string_sized_new (512);
+  message->target = g_string_new (NULL);
+  message->body = g_byte_array_new ();
+}
+
+void
+net_message_finish (struct net_message *message)
+{
+  g_string_free (message->headers.text, TRUE);
+  g_string_free (message->target, TRUE);
+  g_byte_array_unref (message->body);
+}
+
+void
+net_message_reset (struct net_message *message)
+{
+  http_parser_init (&message->parser,
+                    (enum http_parser_type)message->parser.type);
+  g_string_truncate (message->headers.text, 0);
+  g_string_truncate (message->target, 0);
+  g_byte_array_unref (message->body);
+  message->body = g_byte_array_new ();
+  message->headers.count = 0;
+  message->head_bytes = 0;
+  message->state = NET_MORE;
+  message->began = false;
+  message->head_done = false;
+  message->in_value = false;
+  message->keep_alive = false;
+  message->until_close = false;
+}
+
+enum net_state
+net_message_feed (struct net_message *message, const char *data, size_t length,
+                  size_t *used)
+{
+  bool in_head = !message->head_done;
+  size_t parsed;
+
+  *used = 0;
+  if (length == 0)
+    return message->state;
+  message->began = true;
+  parsed = http_parser_execute (&message->parser, &callbacks, data, length);
+  *used = parsed;
+  if (in_head)
+    message->head_bytes += parsed;
+  if (message->state != NET_MORE)
+    return message->state;
+  if (HTTP_PARSER_ERRNO (&message->parser) != HPE_OK)
+    message->state
+        = HTTP_PARSER_ERRNO (&message->parser) == HPE_HEADER_OVERFLOW
+              ? NET_HEAD_TOO_LONG
+              : NET_MALFORMED;
+  else if (!message->head_done && message->limits.head > 0
+           && message->head_bytes > message->limits.head)
+    message->state = NET_HEAD_TOO_LONG;
+  return message->state;
+}
+
+enum net_state
+net_message_end (struct net_message *message)
+{
+  if (message->state != NET_MORE)
+    return message->state;
+  message->until_close = message->head_done;
+  http_parser_execute (&message->parser, &callbacks, NULL, 0);
+  if (message->state == NET_MORE)
+    message->state = NET_MALFORMED;
+  return message->state;
+}
+
+const char *
+net_headers_name (const struct net_headers *headers, unsigned index)
+{
+  return headers->text->str + headers->entries[index].name;
+}
+
+const char *
+net_headers_value (const struct net_headers *headers, unsigned index)
+{
+  unsigned value = headers->entries[index].value;
+
+  return value == 0 ? "" : headers->text->str + value;
+}
+
+const char *
+net_headers_find (const struct net_headers *headers, const char *name)
+{
+  for (unsigned i = 0; i < headers->count; i++)
+    if (strcasecmp (net_headers_name (headers, i), name) == 0)
+      return net_headers_value (headers, i);
+  return NULL;
+}
+
+/* Returns whether the comma-separated LIST names TOKEN.  */
+static bool
+lists (const char *list, const char *token)
+{
+  size_t length = strlen (token);
+
+  while (list != NULL && *list != '\0')
+    {
+      list += strspn (list, ", \t");
+      if (strncasecmp (list, token, length) == 0
+          && (list[length] == '\0' || strchr (", \t", list[length]) != NULL))
+        return true;
+      list += strcspn (list, ",");
+    }
+  return false;
+}
+
+bool
+net_headers_hop_by_hop (const struct net_headers *headers, unsigned index)
+{
+  static const char *const names[] = { "Connection",
+                                       "Keep-Alive",
+                                       "Proxy-Connection",
+                                       "TE",
+                                       "Transfer-Encoding",
+                                       "Trailer",
+                                       "Upgrade",
+                                       "Content-Length",
+                                       "Expect",
+                                       "Proxy-Authenticate",
+                                       "Proxy-Authorization" };
+  const char *name = net_headers_name (headers, index);
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (names); i++)
+    if (strcasecmp (name, names[i]) == 0)
+      return true;
+  for (unsigned i = 0; i < headers->count; i++)
+    if (strcasecmp (net_headers_name (headers, i), "Connection") == 0
+        && lists (net_headers_value (headers, i), name))
+      return true;
+  return false;
+}
--- /dev/null
+++ b/net/server.c
@@ -0,0 +1,498 @@
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "net/server.h"
+
+/* Requests of one connection that may wait for answers; more are left in the
+   socket.  */
+#define PIPELINE_MAX 64
+
+/* How long a connection that was ended is read, so that the client sees the
+   answer before a reset, in ms.  */
+#define LINGER_MS 1000
+
+/* Unread answers after which a connection is cut, in bytes.  */
+#define UNWRITTEN_MAX (16U << 20)
+
+#define SWEEP_MS 250
+
+struct net_connection
+{
+  struct cds_list_head node;
+  struct net_server *server;
+  struct net_stream stream;
+  struct net_exchange *incoming;  /* the request that is being read */
+  struct cds_list_head exchanges; /* whole requests, oldest first */
+  unsigned n_exchanges;
+  uint64_t idle_since_ms;
+  uint64_t ended_ms; /* loop time at which the own side was ended, or 0 */
+  bool ending;       /* no further requests are taken */
+  bool in_data;      /* a read is being handled */
+  GByteArray *held;  /* bytes read beyond the pipeline's room */
+};
+
+static void connection_flush (struct net_connection *connection);
+static void consume (struct net_connection *connection, const char *data,
+                     size_t length);
+
+const char *
+net_status_text (unsigned status)
+{
+  return http_status_str ((enum http_status)status);
+}
+
+static struct net_exchange *
+exchange_create (struct net_connection *connection)
+{
+  struct net_exchange *exchange = g_new0 (struct net_exchange, 1);
+  struct net_limits limits = { connection->server->limits.head_bytes,
+                               connection->server->limits.body_bytes };
+
+  exchange->connection = connection;
+  exchange->began_ms = uv_now (connection->server->loop);
+  net_message_init (&exchange->request, HTTP_REQUEST, &limits);
+  return exchange;
+}
+
+static void
+exchange_free (struct net_exchange *exchange)
+{
+  if (exchange->answer != NULL)
+    g_byte_array_unref (exchange->answer);
+  net_message_finish (&exchange->request);
+  free (exchange);
+}
+
+/* Gives up all exchanges whose answer can no longer be delivered.  */
+static void
+abandon_all (struct net_connection *connection)
+{
+  struct net_server *server = connection->server;
+  struct net_exchange *exchange;
+  struct net_exchange *next;
+
+  cds_list_for_each_entry_safe (exchange, next, &connection->exchanges, node)
+  {
+    cds_list_del (&exchange->node);
+    connection->n_exchanges--;
+    server->kept_bytes -= exchange->request.body->len;
+    if (exchange->answer == NULL)
+      {
+        server->n_exchanges--;
+        if (exchange->owner != NULL)
+          server->events->abandoned (server->context, exchange);
+      }
+    exchange_free (exchange);
+  }
+}
+
+static void
+connection_close (struct net_connection *connection)
+{
+  abandon_all (connection);
+  net_stream_close (&connection->stream);
+}
+
+/* Ends the own side; what the client still sends is read and dropped.  */
+static void
+connection_end (struct net_connection *connection)
+{
+  connection->ending = true;
+  if (connection->ended_ms != 0)
+    return;
+  connection->ended_ms = uv_now (connection->server->loop);
+  net_stream_end (&connection->stream);
+  net_stream_read (&connection->stream, true);
+}
+
+static GByteArray *
+compose (unsigned status, const char *head, size_t length, bool no_body)
+{
+  GByteArray *answer = g_byte_array_sized_new ((guint)length + 512);
+  char line[160];
+  int n;
+
+  n = g_snprintf (line, sizeof line, "HTTP/1.1 %u %s\r\n", status,
+                  net_status_text (status));
+  g_byte_array_append (answer, (const guint8 *)line, (guint)n);
+  if (head != NULL)
+    g_byte_array_append (answer, (const guint8 *)head, (guint)strlen (head));
+  if (status != 204 && status != 304 && !no_body)
+    {
+      n = g_snprintf (line, sizeof line, "Content-Length: %zu\r\n", length);
+      g_byte_array_append (answer, (const guint8 *)line, (guint)n);
+    }
+  /* The empty line is added when the answer leaves, after the headers that
+     depend on the connection's state.  */
+  return answer;
+}
+
+void
+net_exchange_answer (struct net_exchange *exchange, unsigned status,
+                     const char *head, const void *body, size_t length)
+{
+  struct net_connection *connection = exchange->connection;
+  bool head_request = exchange->request.parser.method == (unsigned)HTTP_HEAD;
+
+  if (exchange->answer != NULL)
+    return;
+  exchange->owner = NULL;
+  exchange->answer = compose (status, head, length, head_request);
+  if (!exchange->request.keep_alive)
+    exchange->close = true;
+  g_byte_array_append (exchange->answer, (const guint8 *)"\r\n", 2);
+  if (length > 0 && !head_request)
+    g_byte_array_append (exchange->answer, body, (guint)length);
+  connection->server->n_exchanges--;
+  if (!connection->in_data)
+    connection_flush (connection);
+}
+
+/* Puts Connection: close behind the status line of ANSWER.  */
+static void
+say_close (GByteArray *answer)
+{
+  static const char text[] = "Connection: close\r\n";
+  const guint8 *end = memchr (answer->data, '\n', answer->len);
+  guint at = (guint)(end - answer->data) + 1;
+  guint size = sizeof text - 1;
+
+  g_byte_array_set_size (answer, answer->len + size);
+  memmove (answer->data + at + size, answer->data + at,
+           answer->len - size - at);
+  memcpy (answer->data + at, text, size);
+}
+
+/* Reads on what was held back while the pipeline was full.  */
+static void
+resume_held (struct net_connection *connection)
+{
+  GByteArray *held = connection->held;
+
+  if (held == NULL || connection->n_exchanges >= PIPELINE_MAX
+      || connection->ending)
+    return;
+  connection->held = NULL;
+  consume (connection, (const char *)held->data, held->len);
+  g_byte_array_unref (held);
+  if (connection->held == NULL)
+    net_stream_read (&connection->stream, true);
+}
+
+/* Writes the answers that are due, in order.  */
+static void
+connection_flush (struct net_connection *connection)
+{
+  struct net_server *server = connection->server;
+  GByteArray *output = NULL;
+  bool close = false;
+  int error = 0;
+
+  while (!cds_list_empty (&connection->exchanges) && !close)
+    {
+      struct net_exchange *exchange = cds_list_first_entry (
+          &connection->exchanges, struct net_exchange, node);
+
+      if (exchange->answer == NULL)
+        break;
+      cds_list_del (&exchange->node);
+      connection->n_exchanges--;
+      server->kept_bytes -= exchange->request.body->len;
+      close = exchange->close
+              || (server->draining && connection->n_exchanges == 0);
+      if (close)
+        say_close (exchange->answer);
+      if (output == NULL)
+        {
+          output = exchange->answer;
+          exchange->answer = NULL;
+        }
+      else
+        g_byte_array_append (output, exchange->answer->data,
+                             exchange->answer->len);
+      exchange_free (exchange);
+    }
+  if (output == NULL)
+    return;
+  connection->idle_since_ms = uv_now (server->loop);
+  error = net_stream_write (&connection->stream, output);
+  if (error != 0 || connection->stream.unwritten > UNWRITTEN_MAX)
+    connection_close (connection);
+  else if (close)
+    {
+      abandon_all (connection);
+      connection_end (connection);
+    }
+  else if (!connection->in_data)
+    resume_held (connection);
+}
+
+/* Answers what cannot become a request and ends the connection.  */
+static void
+refuse (struct net_connection *connection, enum net_state state)
+{
+  struct net_server *server = connection->server;
+  struct net_exchange *exchange = connection->incoming;
+  unsigned status = 400;
+  const char *reason = "malformed request";
+
+  if (state == NET_HEAD_TOO_LONG || state == NET_TOO_MANY_HEADERS)
+    {
+      status = 431;
+      reason = "headers too long";
+    }
+  else if (state == NET_BODY_TOO_LONG)
+    {
+      status = 413;
+      reason = "body too long";
+    }
+  server->events->refused (server->context, status, reason);
+  connection->incoming = NULL;
+  connection->ending = true;
+  cds_list_add_tail (&exchange->node, &connection->exchanges);
+  connection->n_exchanges++;
+  server->n_exchanges++;
+  server->kept_bytes += exchange->request.body->len;
+  exchange->close = true;
+  net_exchange_answer (exchange, status, NULL, NULL, 0);
+}
+
+static void
+deliver (struct net_connection *connection)
+{
+  struct net_server *server = connection->server;
+  struct net_exchange *exchange = connection->incoming;
+
+  connection->incoming = NULL;
+  cds_list_add_tail (&exchange->node, &connection->exchanges);
+  connection->n_exchanges++;
+  server->n_exchanges++;
+  server->kept_bytes += exchange->request.body->len;
+  exchange->read_ms = uv_now (server->loop);
+  if (!exchange->request.keep_alive)
+    connection->ending = true;
+  server->events->request (server->context, exchange);
+}
+
+/* Sends the interim answer that some clients wait for before a body.  */
+static void
+invite_body (struct net_connection *connection)
+{
+  static const char text[] = "HTTP/1.1 100 Continue\r\n\r\n";
+  struct net_message *request = &connection->incoming->request;
+  const char *expect = net_headers_find (&request->headers, "Expect");
+  GByteArray *interim;
+
+  if (expect == NULL || strcasecmp (expect, "100-continue") != 0
+      || connection->n_exchanges > 0)
+    return;
+  interim = g_byte_array_new ();
+  g_byte_array_append (interim, (const guint8 *)text, sizeof text - 1);
+  net_stream_write (&connection->stream, interim);
+}
+
+static void
+consume (struct net_connection *connection, const char *data, size_t length)
+{
+  bool nested = connection->in_data;
+
+  connection->in_data = true;
+  while (length > 0 && !connection->ending && !connection->stream.closing)
+    {
+      struct net_message *request;
+      enum net_state state;
+      bool had_head;
+      size_t used;
+
+      if (connection->n_exchanges >= PIPELINE_MAX)
+        {
+          connection->held = g_byte_array_new ();
+          g_byte_array_append (connection->held, (const guint8 *)data,
+                               (guint)length);
+          net_stream_read (&connection->stream, false);
+          break;
+        }
+      if (connection->incoming == NULL)
+        connection->incoming = exchange_create (connection);
+      request = &connection->incoming->request;
+      had_head = request->head_done;
+      state = net_message_feed (request, data, length, &used);
+      data += used;
+      length -= used;
+      if (state == NET_COMPLETE)
+        deliver (connection);
+      else if (state != NET_MORE)
+        refuse (connection, state);
+      else if (!had_head && request->head_done)
+        invite_body (connection);
+    }
+  connection->in_data = nested;
+  if (!nested && !connection->stream.closing)
+    connection_flush (connection);
+}
+
+static void
+on_data (struct net_stream *stream, const char *data, size_t length)
+{
+  struct net_connection *connection = stream->context;
+
+  if (!connection->ending)
+    consume (connection, data, length);
+}
+
+static void
+on_ended (struct net_stream *stream, int error)
+{
+  (void)error;
+  connection_close (stream->context);
+}
+
+static void
+on_released (struct net_stream *stream)
+{
+  struct net_connection *connection = stream->context;
+
+  abandon_all (connection);
+  if (connection->incoming != NULL)
+    exchange_free (connection->incoming);
+  if (connection->held != NULL)
+    g_byte_array_unref (connection->held);
+  cds_list_del (&connection->node);
+  connection->server->n_connections--;
+  free (connection);
+}
+
+static const struct net_stream_events stream_events
+    = { .data = on_data, .ended = on_ended, .released = on_released };
+
+static void
+on_accept (uv_stream_t *listener, int status)
+{
+  struct net_server *server = listener->data;
+  struct net_connection *connection;
+
+  if (status < 0)
+    {
+      server->events->refused (server->context, 0, uv_strerror (status));
+      return;
+    }
+  connection = g_new0 (struct net_connection, 1);
+  connection->server = server;
+  connection->idle_since_ms = uv_now (server->loop);
+  CDS_INIT_LIST_HEAD (&connection->exchanges);
+  cds_list_add_tail (&connection->node, &server->connections);
+  server->n_connections++;
+  net_stream_accept (&connection->stream, listener, &stream_events,
+                     connection);
+}
+
+/* Ends a connection whose client takes too long for its headers.  */
+static void
+check_head_time (struct net_connection *connection, uint64_t now_ms)
+{
+  struct net_server *server = connection->server;
+  struct net_exchange *exchange = connection->incoming;
+
+  if (exchange->request.head_done || server->limits.head_ms == 0
+      || now_ms - exchange->began_ms < server->limits.head_ms)
+    return;
+  server->events->refused (server->context, 408, "headers came too slowly");
+  connection->incoming = NULL;
+  connection->ending = true;
+  cds_list_add_tail (&exchange->node, &connection->exchanges);
+  connection->n_exchanges++;
+  server->n_exchanges++;
+  exchange->close = true;
+  net_exchange_answer (exchange, 408, NULL, NULL, 0);
+}
+
+static void
+sweep_connection (struct net_connection *connection, uint64_t now_ms)
+{
+  struct net_server *server = connection->server;
+
+  if (connection->ended_ms != 0)
+    {
+      if (now_ms - connection->ended_ms > LINGER_MS)
+        connection_close (connection);
+      return;
+    }
+  if (connection->incoming != NULL && connection->incoming->request.began)
+    check_head_time (connection, now_ms);
+  else if (connection->n_exchanges == 0 && server->limits.idle_ms > 0
+           && now_ms - connection->idle_since_ms > server->limits.idle_ms)
+    connection_end (connection);
+}
+
+static void
+on_sweep (uv_timer_t *timer)
+{
+  struct net_server *server = timer->data;
+  struct net_connection *connection;
+  struct net_connection *next;
+
+  cds_list_for_each_entry_safe (connection, next, &server->connections, node)
+      sweep_connection (connection, uv_now (server->loop));
+}
+
+int
+net_server_init (struct net_server *server, uv_loop_t *loop,
+                 const struct cp_address *address,
+                 const struct net_server_limits *limits,
+                 const struct net_server_events *events, void *context)
+{
+  int error;
+
+  *server = (struct net_server){
+    .loop = loop, .limits = *limits, .events = events, .context = context
+  };
+  CDS_INIT_LIST_HEAD (&server->connections);
+  error = net_listen (&server->listener, loop, address, on_accept);
+  server->listener.data = server;
+  if (error != 0)
+    return error;
+  server->listening = true;
+  uv_timer_init (loop, &server->sweep);
+  server->sweep.data = server;
+  uv_timer_start (&server->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
+  return 0;
+}
+
+static void
+stop_listening (struct net_server *server)
+{
+  if (!server->listening)
+    return;
+  server->listening = false;
+  uv_close ((uv_handle_t *)&server->listener, NULL);
+}
+
+void
+net_server_drain (struct net_server *server)
+{
+  struct net_connection *connection;
+  struct net_connection *next;
+
+  server->draining = true;
+  stop_listening (server);
+  cds_list_for_each_entry_safe (
+      connection, next, &server->connections,
+      node) if (connection->n_exchanges == 0
+                && (connection->incoming == NULL
+                    || !connection->incoming->request.began))
+      connection_end (connection);
+}
+
+void
+net_server_finish (struct net_server *server)
+{
+  struct net_connection *connection;
+  struct net_connection *next;
+
+  stop_listening (server);
+  if (!uv_is_closing ((uv_handle_t *)&server->sweep))
+    uv_close ((uv_handle_t *)&server->sweep, NULL);
+  cds_list_for_each_entry_safe (connection, next, &server->connections, node)
+      connection_close (connection);
+}
