Tell slowness at once, ask a quiet server after 100 ms

Ruled out: slots (15 of 60 busy) and queues.

A change of slowness is told when the server says it, not at the next tick; a server that said nothing for 100 ms is probed.

--- a/meshd/inbound.c
+++ b/meshd/inbound.c
@@ -433,8 +433,8 @@
 
 /* Tells others the load when it has moved by what changes a choice: a quarter
    of the slots, or a quarter of the usual slowness.  */
-static void
-tell_load (struct mesh_inbound *inbound)
+void
+mesh_inbound_tell (struct mesh_inbound *inbound)
 {
   struct cp_peer_message message = { .kind = CP_PEER_LOAD };
   struct cp_server_load load;
@@ -460,7 +460,7 @@
 
   check_jobs (inbound, now);
   mesh_server_tick (inbound, now);
-  tell_load (inbound);
+  mesh_inbound_tell (inbound);
 }
 
 void
--- a/meshd/inbound_internal.h
+++ b/meshd/inbound_internal.h
@@ -53,6 +53,9 @@
 void mesh_inbound_run_next (struct mesh_inbound *inbound);
 void mesh_inbound_slot_free (struct mesh_inbound *inbound);
 
+/* Tells others the load if it has changed by what matters.  */
+void mesh_inbound_tell (struct mesh_inbound *inbound);
+
 /* Sends JOB, which has a slot.  */
 void mesh_server_send (struct mesh_inbound *inbound, struct mesh_job *job);
 
--- a/meshd/server.c
+++ b/meshd/server.c
@@ -16,21 +16,18 @@
    covers the way of the close.  */
 #define KEEP_SHARE 0.8
 
-/* Time between probes of a server that takes no connection, or was slow when
-   it last spoke; its machine changes about each 300 ms.  */
-#define PROBE_SOON_US UINT64_C (300000)
+/* Time between probes of a server that takes no connection.  */
+#define PROBE_DOWN_US UINT64_C (300000)
 
-/* Time between probes of a server that nobody has asked for long.  */
-#define PROBE_IDLE_US UINT64_C (1000000)
+/* A server that has said nothing for this long is asked how slow its machine
+   is; that changes about each 300 ms (site files).  */
+#define PROBE_QUIET_US UINT64_C (100000)
 
 /* A server that has had no job for this long is not probed.  */
 #define PROBE_USED_US UINT64_C (5000000)
 
 #define PROBE_TIMEOUT_US UINT64_C (1000000)
 
-/* Slowness above which a silent server is asked again soon.  */
-#define SLOW_PERCENT 150
-
 #define SERVICE_WEIGHT 0.1 /* of one answer in the moving means */
 
 struct mesh_connection
@@ -140,8 +137,12 @@
 {
   if (!says->has_load)
     return;
-  inbound->slowness_percent = says->slowness_percent;
   inbound->slowness_us = now_us ();
+  if (inbound->slowness_percent != says->slowness_percent)
+    {
+      inbound->slowness_percent = says->slowness_percent;
+      mesh_inbound_tell (inbound);
+    }
   if (inbound->capacity == 0 && says->slots > 0)
     {
       inbound->capacity = says->slots;
@@ -373,15 +374,12 @@
 static uint64_t
 probe_pause (const struct mesh_inbound *inbound, uint64_t now)
 {
-  uint64_t silent_us = now - inbound->slowness_us;
-
   if (inbound->refusals >= MESH_REFUSALS_MAX)
-    return PROBE_SOON_US;
-  if (now - inbound->used_us > PROBE_USED_US)
+    return PROBE_DOWN_US;
+  if (now - inbound->used_us > PROBE_USED_US
+      || now - inbound->slowness_us < PROBE_QUIET_US)
     return 0;
-  if (inbound->slowness_percent > SLOW_PERCENT && silent_us > PROBE_SOON_US)
-    return PROBE_SOON_US;
-  return silent_us > PROBE_IDLE_US ? PROBE_IDLE_US : 0;
+  return PROBE_QUIET_US;
 }
 
 static void
