--- a/meshd/inbound.c
+++ b/meshd/inbound.c
@@ -12,7 +12,7 @@
 
 /* Time for queue checks while anything waits, in ms.  */
 #define QUEUE_TICK_MS 10
-#define TICK_MS 100
+#define TICK_MS 25
 
 /* Longest wait for a slot as a share of the objective.  A request that waited
    half of it and is then served at the usual third is still in time.  */
--- a/meshd/server.c
+++ b/meshd/server.c
@@ -21,7 +21,7 @@
 
 /* A server that has said nothing for this long is asked how slow its machine
    is; that changes about each 300 ms (site files).  */
-#define PROBE_QUIET_US UINT64_C (100000)
+#define PROBE_QUIET_US UINT64_C (50000)
 
 /* A server that has had no job for this long is not probed.  */
 #define PROBE_USED_US UINT64_C (5000000)
