--- a/net/stream.c
+++ b/net/stream.c
@@ -13,11 +13,13 @@
 
 /* Time until unacknowledged bytes end a connection, in ms; a machine that is
    cut off sends no reset.  */
-#define USER_TIMEOUT_MS 3000U
+#define USER_TIMEOUT_MS 3000
 
-/* Keep-alive probes find idle connections that went silent: first after
-   KEEPALIVE_IDLE_S, then each second.  */
-#define KEEPALIVE_IDLE_S 5
+/* Keep-alive probes find idle connections that went silent, in three seconds:
+   what the rules allow before time bounds hold again.  */
+#define KEEPALIVE_IDLE_S 1
+#define KEEPALIVE_INTERVAL_S 1
+#define KEEPALIVE_PROBES 2
 
 struct pending_write
 {
@@ -80,17 +82,24 @@
     uv_read_stop ((uv_stream_t *)&stream->tcp);
 }
 
+static void
+set_option (uv_os_fd_t fd, int option, int value)
+{
+  setsockopt (fd, IPPROTO_TCP, option, &value, sizeof value);
+}
+
 static void
 set_options (struct net_stream *stream)
 {
-  unsigned timeout_ms = USER_TIMEOUT_MS;
   uv_os_fd_t fd;
 
   uv_tcp_nodelay (&stream->tcp, 1);
   uv_tcp_keepalive (&stream->tcp, 1, KEEPALIVE_IDLE_S);
-  if (uv_fileno ((uv_handle_t *)&stream->tcp, &fd) == 0)
-    setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
-                sizeof timeout_ms);
+  if (uv_fileno ((uv_handle_t *)&stream->tcp, &fd) != 0)
+    return;
+  set_option (fd, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S);
+  set_option (fd, TCP_KEEPCNT, KEEPALIVE_PROBES);
+  set_option (fd, TCP_USER_TIMEOUT, USER_TIMEOUT_MS);
 }
 
 int
