Hedge calls whose server turns slow, notice silent ways in 300 ms

A call that may be repeated is looked at from a fifth of its objective on; when its server's machine is slow or the way silent, a calm server gets it too, within the budget of repeats. A message to a daemon not heard for 50 ms goes out with a ping; an unanswered ping makes the server dear at once and ends the way after 300 ms.

--- a/lib/roster.c
+++ b/lib/roster.c
@@ -28,6 +28,10 @@
 #define CROSSING_COST 0.03
 #define CROSSING_COST_PER_BYTE (1.0 / 150000)
 
+/* Silence of the daemon beside a server that doubles its cost; the way there
+   and back takes 2 ms.  */
+#define SILENCE_COST_US 20000.0
+
 /* Share of the cost that is drawn at random.  */
 #define SPREAD 0.1
 
@@ -279,6 +283,15 @@
   return said;
 }
 
+uint64_t
+cp_server_silent_us (const struct cp_server *server, uint64_t now_us)
+{
+  if (server->asked_us == NULL || *server->asked_us == 0
+      || *server->asked_us > now_us)
+    return 0;
+  return now_us - *server->asked_us;
+}
+
 double
 cp_server_cost (const struct cp_server *server,
                 const struct cp_server_wish *wish, double usual_pace)
@@ -301,6 +314,9 @@
     wait = (double)(busy + 1 - limit) / limit;
   cost *= 1 + wait + BUSY_COST * MIN (1.0, (double)busy / limit);
   cost *= 1 + FAILURE_COST * failures_now (server, wish->now_us);
+  cost *= 1
+          + (double)cp_server_silent_us (server, wish->now_us)
+                / SILENCE_COST_US;
   if (!server->same_domain)
     cost += CROSSING_COST + CROSSING_COST_PER_BYTE * (double)wish->bytes;
   return cost;
--- a/lib/roster.h
+++ b/lib/roster.h
@@ -62,11 +62,14 @@
   uint64_t load_us;    /* when LOAD was taken */
   unsigned sent_since; /* own attempts since then */
   unsigned own_in_flight;
-  double failures;      /* moving share of own attempts */
-  uint64_t failures_us; /* when it was last moved */
-  unsigned references;  /* of attempts, and one of the roster */
-  uint64_t daemon;      /* incarnation of the daemon beside it, or 0 */
-  void *owner;          /* of whoever keeps the way to it */
+  double failures;          /* moving share of own attempts */
+  uint64_t failures_us;     /* when it was last moved */
+  unsigned references;      /* of attempts, and one of the roster */
+  const uint64_t *asked_us; /* when the daemon beside it was asked for a sign
+                               of life that has not come, or 0; NULL when it
+                               needs none */
+  uint64_t daemon;          /* incarnation of the daemon beside it, or 0 */
+  void *owner;              /* of whoever keeps the way to it */
 };
 
 struct cp_roster_events
@@ -133,6 +136,9 @@
 void cp_server_take_load (struct cp_server *server,
                           const struct cp_server_load *load, uint64_t now_us);
 
+/* Returns how long the daemon beside SERVER owes a sign of life.  */
+uint64_t cp_server_silent_us (const struct cp_server *server, uint64_t now_us);
+
 /* Counts the end of an own attempt.  */
 void cp_server_count_end (struct cp_server *server, bool failed,
                           uint64_t now_us);
--- a/meshd/daemon.c
+++ b/meshd/daemon.c
@@ -154,6 +154,7 @@
   address = daemon_beside (daemon, server);
   way = mesh_way_use (&daemon->peers, &address);
   server->owner = way;
+  server->asked_us = &way->pinged_us;
   server->reachable = way->up;
   server->leaving = way->leaving;
 }
@@ -163,6 +164,7 @@
 {
   (void)context;
   server->reachable = false;
+  server->asked_us = NULL;
   if (server->owner != NULL)
     mesh_way_release (server->owner);
   server->owner = NULL;
--- a/meshd/metrics.c
+++ b/meshd/metrics.c
@@ -68,6 +68,7 @@
   counter (text, "calls_abandoned_total", counts->abandoned);
   counter (text, "attempts_total", counts->attempts);
   counter (text, "repeats_total", counts->repeats);
+  counter (text, "hedges_total", counts->hedges);
   counter (text, "repeats_over_budget_total", counts->no_budget);
   gauge (text, "calls_open", outbound->server.n_exchanges);
   gauge (text, "call_connections", outbound->server.n_connections);
--- a/meshd/outbound.c
+++ b/meshd/outbound.c
@@ -17,6 +17,26 @@
    attempt takes about a third of it on a calm server.  */
 #define AGAIN_SHARE 0.2
 
+/* Attempts of one call that may be open at once.  */
+#define OPEN_MAX 2
+
+/* Times at which a call that may be repeated is looked at, as shares of its
+   objective: first, then again after each step until the last.  A run takes
+   about half of the objective on a calm server, so a second attempt that
+   begins later than the last look seldom ends in time.  */
+#define LOOK_FIRST 0.2
+#define LOOK_STEP 0.1
+#define LOOK_LAST 0.6
+
+/* Slowness from which a server is left for another, and up to which the other
+   is taken.  */
+#define SLOW_PERCENT 200
+#define CALM_PERCENT 130
+
+/* How long a ping may be unanswered before the way counts as silent; the way
+   there and back takes 2 ms.  */
+#define SILENT_US UINT64_C (60000)
+
 /* When a refused caller may come back, as shares of the objective, drawn at
    random between them so that callers do not return together.  */
 #define RETRY_LEAST 0.1
@@ -53,10 +73,12 @@
   GString *head;
   uint64_t began_us;
   uint64_t deadline_us;
-  struct mesh_attempt *attempt; /* the one that is open, or NULL */
+  uint64_t look_us; /* when it is next looked at, or 0 */
+  struct mesh_attempt *open[OPEN_MAX];
+  unsigned n_open;
   struct cp_server *tried[TRIED_MAX];
   unsigned n_tried;
-  unsigned n_sent; /* attempts that a server may have seen */
+  unsigned n_sent; /* attempts but those that reached no server */
   bool may_have_run;
   enum mesh_reason reason; /* why the last attempt ended */
 };
@@ -98,9 +120,13 @@
 static void
 attempt_free (struct mesh_attempt *attempt)
 {
-  struct mesh_outbound *outbound = attempt->call->outbound;
+  struct mesh_call *call = attempt->call;
+  struct mesh_outbound *outbound = call->outbound;
+  unsigned i = 0;
 
-  attempt->call->attempt = NULL;
+  while (call->open[i] != attempt)
+    i++;
+  call->open[i] = call->open[--call->n_open];
   attempt->server->own_in_flight--;
   g_hash_table_remove (outbound->attempts, &attempt->stream);
   cp_server_unref (attempt->server);
@@ -110,8 +136,8 @@
 static void
 call_free (struct mesh_call *call)
 {
-  if (call->attempt != NULL)
-    attempt_free (call->attempt);
+  while (call->n_open > 0)
+    attempt_free (call->open[0]);
   call->exchange = NULL;
   uv_close ((uv_handle_t *)&call->timer, on_call_closed);
 }
@@ -181,18 +207,22 @@
   outbound->events->send (outbound->context, attempt->server, &message);
 }
 
+static void
+cancel_all (struct mesh_call *call)
+{
+  for (unsigned i = 0; i < call->n_open; i++)
+    send_cancel (call->open[i]);
+}
+
 /* The route's time-out or the caller's deadline has come.  */
 static void
-on_call_timer (uv_timer_t *timer)
+call_time_out (struct mesh_call *call)
 {
-  struct mesh_call *call = timer->data;
   struct mesh_outbound *outbound = call->outbound;
 
-  if (call->attempt != NULL)
-    {
-      cp_server_count_end (call->attempt->server, true, now_us ());
-      send_cancel (call->attempt);
-    }
+  for (unsigned i = 0; i < call->n_open; i++)
+    cp_server_count_end (call->open[i]->server, true, now_us ());
+  cancel_all (call);
   call->reason = MESH_REASON_TIMEOUT;
   outbound->counts.timed_out++;
   call_refuse (call, 504, 0);
@@ -241,7 +271,8 @@
       server->own_in_flight, server->failures, call->n_tried);
 }
 
-/* Sends the call to SERVER.  Returns false when there is no way there.  */
+/* Sends the call to SERVER.  Returns false, and leaves nothing behind, when
+   there is no way there.  */
 static bool
 call_send (struct mesh_call *call, struct cp_server *server)
 {
@@ -253,7 +284,8 @@
   attempt->call = call;
   attempt->server = cp_server_ref (server);
   attempt->sent_us = now_us ();
-  call->attempt = attempt;
+  call->open[call->n_open++] = attempt;
+  call->n_sent++;
   call->tried[call->n_tried++] = cp_server_ref (server);
   server->own_in_flight++;
   server->sent_since++;
@@ -261,12 +293,16 @@
   outbound->counts.attempts++;
   fill_request (call, attempt, &message.cp_peer_message_u.request);
   log_send (call, attempt);
-  return outbound->events->send (outbound->context, server, &message);
+  if (outbound->events->send (outbound->context, server, &message))
+    return true;
+  attempt_free (attempt);
+  call->n_sent--;
+  return false;
 }
 
-/* Tries the next server, or gives up.  */
-static void
-call_try (struct mesh_call *call)
+/* Returns the server that the call should be sent to next, or NULL.  */
+static struct cp_server *
+next_server (const struct mesh_call *call)
 {
   struct mesh_outbound *outbound = call->outbound;
   struct cp_server_wish wish = {
@@ -276,22 +312,25 @@
     .tried = call->tried,
     .n_tried = call->n_tried,
   };
-  struct cp_server *server = NULL;
 
-  if (call->n_tried < TRIED_MAX)
-    server = cp_roster_pick (outbound->roster, &wish, outbound->random);
-  if (server == NULL)
-    {
-      if (call->n_tried == 0)
-        call->reason = MESH_REASON_NO_SERVER;
-      call_give_up (call);
-      return;
-    }
-  if (!call_send (call, server) && call->attempt != NULL)
-    {
-      attempt_free (call->attempt);
-      call_try (call);
-    }
+  if (call->n_tried >= TRIED_MAX)
+    return NULL;
+  return cp_roster_pick (outbound->roster, &wish, outbound->random);
+}
+
+/* Tries the next server, or gives up.  */
+static void
+call_try (struct mesh_call *call)
+{
+  struct cp_server *server = next_server (call);
+
+  while (server != NULL && !call_send (call, server))
+    server = next_server (call);
+  if (server != NULL)
+    return;
+  if (call->n_tried == 0)
+    call->reason = MESH_REASON_NO_SERVER;
+  call_give_up (call);
 }
 
 /* Returns whether a call that a server may have seen may be sent again.  */
@@ -334,6 +373,73 @@
               call->tried[call->n_tried - 1]->instance);
 }
 
+/* Returns whether the server of ATTEMPT is in trouble: its machine is slow, or
+   the way there silent.  */
+static bool
+is_troubled (const struct mesh_attempt *attempt, uint64_t now)
+{
+  const struct cp_server *server = attempt->server;
+
+  return server->load.slowness_percent >= SLOW_PERCENT
+         || cp_server_silent_us (server, now) > SILENT_US;
+}
+
+/* Sends a call whose server is in trouble to a calm one as well.  */
+static void
+call_hedge (struct mesh_call *call)
+{
+  struct cp_server *server;
+
+  if (call->n_open != 1 || !is_troubled (call->open[0], now_us ()))
+    return;
+  server = next_server (call);
+  if (server == NULL || server->load.slowness_percent > CALM_PERCENT
+      || !may_repeat (call))
+    return;
+  call->outbound->counts.hedges++;
+  call->reason = MESH_REASON_HEDGED;
+  log_again (call);
+  call_send (call, server);
+}
+
+static void on_call_timer (uv_timer_t *timer);
+
+/* Sets the timer to the next look, or to the end.  */
+static void
+set_timer (struct mesh_call *call, uint64_t now)
+{
+  uint64_t at = call->deadline_us;
+
+  if (call->look_us != 0 && call->look_us < at)
+    at = call->look_us;
+  uv_update_time (call->outbound->loop);
+  uv_timer_start (&call->timer, on_call_timer,
+                  at <= now ? 0 : (at - now) / CP_US_PER_MS, 0);
+}
+
+static void
+on_call_timer (uv_timer_t *timer)
+{
+  struct mesh_call *call = timer->data;
+  uint64_t now = now_us ();
+  uint64_t objective_us = call->route->objective_us;
+
+  if (now + CP_US_PER_MS > call->deadline_us)
+    {
+      call_time_out (call);
+      return;
+    }
+  if (call->look_us != 0 && now + CP_US_PER_MS > call->look_us)
+    {
+      call->look_us += (uint64_t)(LOOK_STEP * (double)objective_us);
+      if (call->look_us
+          > call->began_us + (uint64_t)(LOOK_LAST * (double)objective_us))
+        call->look_us = 0;
+      call_hedge (call);
+    }
+  set_timer (call, now);
+}
+
 /* The open attempt ended without an answer.  REACHED: the server may have
    seen it; RAN: it may have run there.  */
 static void
@@ -347,8 +453,10 @@
     cp_server_count_end (attempt->server, true, now_us ());
   attempt_free (attempt);
   call->reason = reason;
-  call->n_sent += reached;
+  call->n_sent -= !reached;
   call->may_have_run = call->may_have_run || ran;
+  if (call->n_open > 0)
+    return;
   if (reached && !may_repeat (call))
     {
       call_give_up (call);
@@ -424,9 +532,13 @@
   if (failed && call->route->repeatable == CP_REPEAT_ANY
       && answer->status != 504)
     {
-      call->n_sent++;
       call->may_have_run = true;
       call->reason = MESH_REASON_NONE;
+      if (call->n_open > 1)
+        {
+          attempt_free (attempt);
+          return;
+        }
       if (may_repeat (call))
         {
           attempt_free (attempt);
@@ -435,6 +547,8 @@
           return;
         }
     }
+  attempt_free (attempt);
+  cancel_all (call);
   deliver (call, answer);
 }
 
@@ -629,9 +743,10 @@
       call_refuse (call, 504, 0);
       return;
     }
-  uv_update_time (outbound->loop);
-  uv_timer_start (&call->timer, on_call_timer,
-                  (call->deadline_us - now) / CP_US_PER_MS, 0);
+  if (route->repeatable == CP_REPEAT_ANY && route->attempts > 1)
+    call->look_us = call->began_us
+                    + (uint64_t)(LOOK_FIRST * (double)route->objective_us);
+  set_timer (call, now);
   call_try (call);
 }
 
@@ -648,8 +763,7 @@
               "\"request\":\"%s\",\"tried\":%u,\"took_us\":%" G_GUINT64_FORMAT,
               mesh_log_quote (call->request_id, id, sizeof id), call->n_tried,
               now_us () - call->began_us);
-  if (call->attempt != NULL)
-    send_cancel (call->attempt);
+  cancel_all (call);
   call_free (call);
 }
 
--- a/meshd/outbound.h
+++ b/meshd/outbound.h
@@ -42,7 +42,8 @@
   uint64_t timed_out;
   uint64_t abandoned;
   uint64_t attempts;
-  uint64_t repeats;
+  uint64_t repeats; /* hedges among them */
+  uint64_t hedges;
   uint64_t no_budget;
 };
 
--- a/meshd/peers.c
+++ b/meshd/peers.c
@@ -3,17 +3,21 @@
 
 #include "meshd/peers.h"
 
-#define TICK_MS 250
+#define TICK_MS 100
 
 /* Time between pings.  They also tell how far the store's state is known.  */
 #define PING_US UINT64_C (1000000)
 
-/* Silence after a ping that ends a way.  Two losses in a row delay a segment
-   by 600 ms (retransmission timers of 200 and 400 ms).  */
-#define SILENCE_US UINT64_C (1000000)
+/* Silence after a ping that ends a way.  A lost segment is sent again after
+   200 ms; a way that is ended in error costs a new connection, no request.  */
+#define SILENCE_US UINT64_C (300000)
+
+/* A message goes out with a ping when the other daemon has not been heard for
+   this long, so that silence shows while the message matters.  */
+#define QUIET_US UINT64_C (50000)
 
 /* Time to connect and hear the hello; the way there and back takes 2 ms.  */
-#define CONNECT_US UINT64_C (1000000)
+#define CONNECT_US UINT64_C (400000)
 
 /* Longest pause between attempts to connect.  */
 #define RETRY_MOST_US UINT64_C (1000000)
@@ -253,7 +257,7 @@
   way->asked_us = now;
   if (way->pinged_us == 0)
     way->pinged_us = now;
-  mesh_way_send (way, &message);
+  mesh_link_send (way->link, &message);
 }
 
 static void
@@ -380,9 +384,13 @@
 bool
 mesh_way_send (struct mesh_way *way, const struct cp_peer_message *message)
 {
+  uint64_t now = now_us ();
+
   if (!way->up)
     return false;
   mesh_link_send (way->link, message);
+  if (way->up && way->pinged_us == 0 && now - way->heard_us > QUIET_US)
+    ping (way, now);
   return true;
 }
 
--- a/meshd/wire.h
+++ b/meshd/wire.h
@@ -27,6 +27,7 @@
   MESH_REASON_TIMEOUT,
   MESH_REASON_LINK_LOST, /* the way to the other daemon broke */
   MESH_REASON_RESTARTED, /* the other daemon has started again */
+  MESH_REASON_HEDGED,    /* none: another attempt was made beside it */
   MESH_REASON_COUNT
 };
 
