Short waits for a slot, hedges only where there is room

A call waits a fifth of its objective, then goes to another server; a hedge does not wait and goes only where at most 0.7 of the slots are busy.

--- a/lib/roster.c
+++ b/lib/roster.c
@@ -292,14 +292,34 @@
   return now_us - *server->asked_us;
 }
 
+/* Returns how many requests run at SERVER at once, at least 1.  */
+static unsigned
+limit_of (const struct cp_server *server)
+{
+  unsigned limit
+      = server->load.limit > 0 ? server->load.limit : server->capacity;
+
+  return MAX (limit, 1U);
+}
+
+static unsigned
+busy_slots (const struct cp_server *server)
+{
+  return server->load.running + server->load.queued + server->sent_since;
+}
+
+double
+cp_server_busy (const struct cp_server *server)
+{
+  return (double)busy_slots (server) / limit_of (server);
+}
+
 double
 cp_server_cost (const struct cp_server *server,
                 const struct cp_server_wish *wish, double usual_pace)
 {
-  unsigned busy
-      = server->load.running + server->load.queued + server->sent_since;
-  unsigned limit
-      = server->load.limit > 0 ? server->load.limit : server->capacity;
+  unsigned busy = busy_slots (server);
+  unsigned limit = limit_of (server);
   double cost = slowness (server, wish->now_us);
   double wait = 0;
 
@@ -308,8 +328,6 @@
     cost *= server->load.pace_permille / usual_pace;
   if (server->warm_until_us > wish->now_us)
     cost *= WARM_UP_FACTOR;
-  if (limit == 0)
-    limit = 1;
   if (busy >= limit)
     wait = (double)(busy + 1 - limit) / limit;
   cost *= 1 + wait + BUSY_COST * MIN (1.0, (double)busy / limit);
--- a/lib/roster.h
+++ b/lib/roster.h
@@ -139,6 +139,9 @@
 /* Returns how long the daemon beside SERVER owes a sign of life.  */
 uint64_t cp_server_silent_us (const struct cp_server *server, uint64_t now_us);
 
+/* Returns the share of SERVER's slots that are busy or waited for.  */
+double cp_server_busy (const struct cp_server *server);
+
 /* Counts the end of an own attempt.  */
 void cp_server_count_end (struct cp_server *server, bool failed,
                           uint64_t now_us);
--- a/meshd/inbound.c
+++ b/meshd/inbound.c
@@ -14,9 +14,10 @@
 #define QUEUE_TICK_MS 10
 #define TICK_MS 25
 
-/* Longest wait for a slot as a share of the objective.  A request that waited
-   half of it and is then served at the usual third is still in time.  */
-#define WAIT_SHARE 0.5
+/* Longest wait for a slot as a share of the objective.  A call that is turned
+   away goes to another server; a run takes about half of the objective, so a
+   longer wait here would leave no time there.  */
+#define WAIT_SHARE 0.2
 
 /* How long a job whose link broke is kept for its sender.  A sender comes back
    within the time to notice silence and to connect.  */
@@ -264,7 +265,9 @@
   job->deadline_us = now + request->left * CP_US_PER_MS;
   job->entry.priority = request->priority;
   job->entry.give_up_us
-      = MIN (job->deadline_us, now + (uint64_t)(WAIT_SHARE * objective_us));
+      = request->hedge ? now
+                       : MIN (job->deadline_us,
+                              now + (uint64_t)(WAIT_SHARE * objective_us));
   cds_list_add_tail (&job->node, &inbound->jobs);
   g_hash_table_insert (inbound->by_stream, &job->key, job);
   return job;
--- a/meshd/outbound.c
+++ b/meshd/outbound.c
@@ -33,6 +33,10 @@
 #define SLOW_PERCENT 200
 #define CALM_PERCENT 130
 
+/* Share of busy slots up to which a server is taken for a hedge, so that
+   hedges do not push out first attempts.  */
+#define HEDGE_BUSY_SHARE 0.7
+
 /* How long a ping may be unanswered before the way counts as silent; the way
    there and back takes 2 ms.  */
 #define SILENT_US UINT64_C (60000)
@@ -244,6 +248,7 @@
   request->objective = (u_int)(call->route->objective_us / CP_US_PER_MS);
   request->priority = call->route->priority;
   request->idempotent = call->route->repeatable == CP_REPEAT_ANY;
+  request->hedge = call->n_open > 1;
   request->head = call->head->str;
   request->body.cp_peer_body_len = body->len;
   request->body.cp_peer_body_val = (char *)body->data;
@@ -394,7 +399,7 @@
     return;
   server = next_server (call);
   if (server == NULL || server->load.slowness_percent > CALM_PERCENT
-      || !may_repeat (call))
+      || cp_server_busy (server) > HEDGE_BUSY_SHARE || !may_repeat (call))
     return;
   call->outbound->counts.hedges++;
   call->reason = MESH_REASON_HEDGED;
--- a/rpc/peer.h
+++ b/rpc/peer.h
@@ -72,6 +72,7 @@
 	u_int objective;
 	u_int priority;
 	bool_t idempotent;
+	bool_t hedge;
 	cp_peer_head head;
 	cp_peer_body body;
 };
--- a/rpc/peer.x
+++ b/rpc/peer.x
@@ -53,7 +53,8 @@
 /*
  * One attempt.  stream is unique on the side of the sender as long as its
  * process lives.  head holds the request line and the headers, without the
- * empty line and without the headers that the inbound side adds.
+ * empty line and without the headers that the inbound side adds.  A hedge is
+ * not worth a wait: another server has the request already.
  */
 struct cp_peer_request {
 	unsigned hyper stream;
@@ -63,6 +64,7 @@
 	unsigned int objective;
 	unsigned int priority;
 	bool idempotent;
+	bool hedge;
 	cp_peer_head head;
 	cp_peer_body body;
 };
--- a/rpc/peer_xdr.c
+++ b/rpc/peer_xdr.c
@@ -141,7 +141,7 @@
 			 return FALSE;
 		 if (!xdr_cp_peer_name (xdrs, &objp->instance))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->left))
 				 return FALSE;
@@ -151,12 +151,15 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->idempotent))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->hedge))
+				 return FALSE;
 
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->left);
 		IXDR_PUT_U_LONG(buf, objp->objective);
 		IXDR_PUT_U_LONG(buf, objp->priority);
 		IXDR_PUT_BOOL(buf, objp->idempotent);
+		IXDR_PUT_BOOL(buf, objp->hedge);
 		}
 		 if (!xdr_cp_peer_head (xdrs, &objp->head))
 			 return FALSE;
@@ -170,7 +173,7 @@
 			 return FALSE;
 		 if (!xdr_cp_peer_name (xdrs, &objp->instance))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->left))
 				 return FALSE;
@@ -180,12 +183,15 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->idempotent))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->hedge))
+				 return FALSE;
 
 		} else {
 		objp->left = IXDR_GET_U_LONG(buf);
 		objp->objective = IXDR_GET_U_LONG(buf);
 		objp->priority = IXDR_GET_U_LONG(buf);
 		objp->idempotent = IXDR_GET_BOOL(buf);
+		objp->hedge = IXDR_GET_BOOL(buf);
 		}
 		 if (!xdr_cp_peer_head (xdrs, &objp->head))
 			 return FALSE;
@@ -208,6 +214,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->idempotent))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->hedge))
+		 return FALSE;
 	 if (!xdr_cp_peer_head (xdrs, &objp->head))
 		 return FALSE;
 	 if (!xdr_cp_peer_body (xdrs, &objp->body))
