Test the daemon against stand-ins of the store and of servers

A stage in the test's process plays the store (a door for each VM, muted watches, dropped history) and servers that answer as the query asks; daemons run as processes.

They found, each seen failing first: a daemon that was told to leave crashed after its links were gone (status 11: servers gave back ways that had been freed); a head over the limit that came in one piece was taken; the log's waited_us of a job refused at once was the time since boot.

--- a/meshd/daemon.c
+++ b/meshd/daemon.c
@@ -726,6 +726,7 @@
   net_server_finish (&daemon->ready);
   if (daemon->has_metrics)
     net_server_finish (&daemon->metrics);
+  cp_roster_finish (&daemon->roster);
   mesh_peers_stop (&daemon->peers);
   uv_stop (&daemon->loop);
 }
@@ -791,22 +792,23 @@
 }
 
 static int
-start_ready (struct mesh_daemon *daemon, unsigned metrics_port,
+start_ready (struct mesh_daemon *daemon, const char *metrics,
              struct cp_error *error)
 {
   static const struct net_server_limits limits = { 16384, 16384, 3000, 60000 };
   const struct platform_settings *settings = &daemon->settings;
   struct cp_address address;
-  char text[32];
   int code = net_server_init (&daemon->ready, &daemon->loop, &settings->ready,
                               &limits, &ready_events, daemon);
 
   if (code != 0)
     return listen_error (error, &settings->ready, code);
-  if (metrics_port == 0)
+  if (metrics == NULL)
     return 0;
-  g_snprintf (text, sizeof text, "0.0.0.0:%u", metrics_port);
-  cp_address_parse (&address, text);
+  if (!cp_address_parse (&address, metrics))
+    return cp_error_set (error, CP_ERROR_USAGE, metrics,
+                         "write --metrics IP:PORT",
+                         "the address for metrics is none");
   code = net_server_init (&daemon->metrics, &daemon->loop, &address, &limits,
                           &metrics_events, daemon);
   if (code != 0)
@@ -873,7 +875,7 @@
 
 int
 mesh_daemon_init (struct mesh_daemon *daemon, const char *path,
-                  const char *charts, unsigned metrics_port,
+                  const char *charts, const char *metrics,
                   struct cp_error *error)
 {
   char *chart = g_build_filename (charts, "daemon.json", NULL);
@@ -893,7 +895,7 @@
   cp_seeded_random_init (&daemon->random, draw_incarnation ());
   uv_loop_init (&daemon->loop);
   if (start_parts (daemon, error) != 0
-      || start_ready (daemon, metrics_port, error) != 0)
+      || start_ready (daemon, metrics, error) != 0)
     return -1;
   start_timers (daemon);
   use_seeds (daemon);
@@ -913,7 +915,6 @@
 void
 mesh_daemon_finish (struct mesh_daemon *daemon)
 {
-  cp_roster_finish (&daemon->roster);
   platform_registry_finish (&daemon->registry);
   uv_loop_close (&daemon->loop);
   cp_seeded_random_finish (&daemon->random);
--- a/meshd/daemon.h
+++ b/meshd/daemon.h
@@ -43,10 +43,10 @@
   struct cp_seeded_random random;
 };
 
-/* Sets DAEMON up from the settings at PATH and starts it.  METRICS_PORT is 0
-   for no metrics.  Returns 0, or -1 with ERROR set.  */
+/* Sets DAEMON up from the settings at PATH and starts it.  METRICS is
+   the address for metrics, NULL for none.  Returns 0, or -1 with ERROR set. */
 int mesh_daemon_init (struct mesh_daemon *daemon, const char *path,
-                      const char *charts, unsigned metrics_port,
+                      const char *charts, const char *metrics,
                       struct cp_error *error);
 
 /* Runs until the daemon has left.  */
--- a/meshd/inbound.c
+++ b/meshd/inbound.c
@@ -263,6 +263,7 @@
   job->idempotent = request->idempotent;
   job->objective_us = objective_us;
   job->deadline_us = now + request->left * CP_US_PER_MS;
+  job->entry.arrived_us = now;
   job->entry.priority = request->priority;
   job->entry.give_up_us
       = request->hedge ? now
--- a/meshd/main.c
+++ b/meshd/main.c
@@ -15,7 +15,7 @@
 {
   char *settings;
   char *charts;
-  int metrics_port;
+  char *metrics;
   gboolean check;
 };
 
@@ -23,7 +23,7 @@
 usage (void)
 {
   fputs ("usage: cornelpick-meshd [--settings FILE] [--charts DIR]\n"
-         "           [--metrics-port PORT] [--check]\n",
+         "           [--metrics IP:PORT] [--check]\n",
          stderr);
 }
 
@@ -35,19 +35,17 @@
             "settings file of the platform", "FILE" },
           { "charts", 'c', 0, G_OPTION_ARG_FILENAME, &invocation->charts,
             "directory of the state charts", "DIR" },
-          { "metrics-port", 'm', 0, G_OPTION_ARG_INT,
-            &invocation->metrics_port, "port for metrics", "PORT" },
+          { "metrics", 'm', 0, G_OPTION_ARG_STRING, &invocation->metrics,
+            "address for metrics", "IP:PORT" },
           { "check", 'n', 0, G_OPTION_ARG_NONE, &invocation->check,
             "check the settings and exit", NULL },
-          { NULL } };
+          G_OPTION_ENTRY_NULL };
   GOptionContext *context = g_option_context_new (NULL);
   GError *error = NULL;
   int result = 0;
 
   g_option_context_add_main_entries (context, entries, NULL);
-  if (!g_option_context_parse (context, &argc, &argv, &error) || argc > 1
-      || invocation->metrics_port < 0
-      || invocation->metrics_port > CP_PORT_MAX)
+  if (!g_option_context_parse (context, &argc, &argv, &error) || argc > 1)
     {
       if (error != NULL)
         fprintf (stderr, "cornelpick-meshd: %s\n", error->message);
@@ -92,7 +90,7 @@
   if (mesh_daemon_init (&daemon, path,
                         invocation->charts == NULL ? "charts"
                                                    : invocation->charts,
-                        (unsigned)invocation->metrics_port, &error)
+                        invocation->metrics, &error)
       != 0)
     {
       cp_error_text (&error, text, sizeof text);
--- a/net/message.c
+++ b/net/message.c
@@ -64,6 +64,17 @@
   return 0;
 }
 
+/* Returns the bytes of the head, but for optional blanks.  Each header takes
+   two more on the wire than in the text: ": " and the line end there, two
+   zeros here.  */
+static size_t
+head_size (const struct net_message *message)
+{
+  return message->target->len + message->headers.text->len
+         + 2 * (size_t)message->headers.count
+         + strlen ("GET  HTTP/1.1\r\n\r\n");
+}
+
 static int
 on_headers (http_parser *parser)
 {
@@ -72,6 +83,11 @@
 
   message->head_done = true;
   g_string_append_c (message->headers.text, '\0');
+  if (message->limits.head > 0 && head_size (message) > message->limits.head)
+    {
+      message->state = NET_HEAD_TOO_LONG;
+      return -1;
+    }
   if (announced == UINT64_MAX)
     return message->bodiless ? 1 : 0;
   if (message->limits.body > 0 && announced > message->limits.body
--- a/regress/harness/cuts.c
+++ b/regress/harness/cuts.c
@@ -336,8 +336,9 @@
   error = uv_tcp_bind (&door->tcp, &own.socket.any, 0);
   if (error == 0)
     error = uv_listen ((uv_stream_t *)&door->tcp, BACKLOG, on_accept);
-  harness_require (error == 0, "cannot listen at %s: %s", own.text,
-                   uv_strerror (error));
+  if (error != 0)
+    harness_require (false, "cannot listen at %s: %s", own.text,
+                     uv_strerror (error));
   cuts.doors[cuts.n_doors++] = door;
 }
 
@@ -358,8 +359,9 @@
   error = uv_udp_bind (&window->udp, &own.socket.any, 0);
   if (error == 0)
     error = uv_udp_recv_start (&window->udp, provide_buffer, on_datagram);
-  harness_require (error == 0, "cannot receive at %s: %s", own.text,
-                   uv_strerror (error));
+  if (error != 0)
+    harness_require (false, "cannot receive at %s: %s", own.text,
+                     uv_strerror (error));
   cuts.windows[cuts.n_windows++] = window;
 }
 
--- /dev/null
+++ b/regress/harness/stage_server.c
@@ -0,0 +1,511 @@
+/* The stand-in of a server.  */
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <urcu/list.h>
+
+#include "lib/cleanup.h"
+#include "net/message.h"
+#include "net/stream.h"
+#include "regress/harness/stage_internal.h"
+
+#define SLOTS 13
+
+/* One connection to the server.  */
+struct guest
+{
+  struct cds_list_head node;
+  struct net_stream stream;
+  struct stage_server *server;
+  struct net_message request;
+  uv_timer_t timer;
+  bool working;    /* at a request that is not answered */
+  unsigned n_open; /* handles that are not closed yet */
+};
+
+struct stage_server
+{
+  struct stage *stage;
+  unsigned vm;
+  uv_tcp_t listener;
+  bool listening;
+  bool closing;
+  bool wanted; /* it should listen */
+  char instance[32];
+  uint64_t born_ms;
+  struct cds_list_head guests;
+  unsigned running;
+  unsigned runs;
+  unsigned left;
+  GString *headers; /* of the last request, "Name: value\n" */
+};
+
+static bool
+asks (const struct guest *guest, const char *what)
+{
+  const char *query = strchr (guest->request.target->str, '?');
+
+  return query != NULL && strstr (query, what) != NULL;
+}
+
+static const char *
+request_id (const struct guest *guest)
+{
+  const char *id
+      = net_headers_find (&guest->request.headers, "X-Cornelpick-Request-Id");
+
+  return id == NULL ? "" : id;
+}
+
+/* Counts a run.  Returns how many of the request there were before.  */
+static unsigned
+count_run (struct guest *guest)
+{
+  struct stage *stage = guest->server->stage;
+  char *key = g_strdup (request_id (guest));
+  unsigned before;
+
+  pthread_mutex_lock (&stage->lock);
+  before = GPOINTER_TO_UINT (g_hash_table_lookup (stage->runs, key));
+  g_hash_table_replace (stage->runs, key, GUINT_TO_POINTER (before + 1));
+  guest->server->runs++;
+  g_string_truncate (guest->server->headers, 0);
+  for (unsigned i = 0; i < guest->request.headers.count; i++)
+    g_string_append_printf (guest->server->headers, "%s: %s\n",
+                            net_headers_name (&guest->request.headers, i),
+                            net_headers_value (&guest->request.headers, i));
+  pthread_mutex_unlock (&stage->lock);
+  return before;
+}
+
+static void
+send_text (struct guest *guest, const char *text)
+{
+  GByteArray *bytes = g_byte_array_new ();
+
+  g_byte_array_append (bytes, (const guint8 *)text, (guint)strlen (text));
+  net_stream_write (&guest->stream, bytes);
+}
+
+/* Composes an answer.  LENGTH below 0 gives none.  */
+static char *
+compose (const struct guest *guest, const char *status, const char *id,
+         const char *more, const char *body, int length)
+{
+  char framing[64] = "Connection: close\r\n";
+
+  if (length >= 0)
+    g_snprintf (framing, sizeof framing, "Content-Length: %d\r\n", length);
+  return g_strdup_printf (
+      "HTTP/1.1 %s\r\nX-Cornelpick-Request-Id: %s\r\n%s"
+      "X-Cornelpick-Server-Load: %u,0,%d,100\r\nKeep-Alive: timeout=10\r\n"
+      "%s\r\n%s",
+      status, id, more, guest->server->running, SLOTS, framing, body);
+}
+
+#define SIGNATURE "X-Cornelpick-Response-Signature: test\r\n"
+
+static void
+answer (struct guest *guest, const char *status, const char *more,
+        const char *body)
+{
+  CP_AUTO_FREE char *text = compose (guest, status, request_id (guest), more,
+                                     body, (int)strlen (body));
+
+  send_text (guest, text);
+}
+
+static void
+reset (struct guest *guest)
+{
+  struct linger linger = { .l_onoff = 1 };
+  uv_os_fd_t fd;
+
+  uv_fileno ((uv_handle_t *)&guest->stream.tcp, &fd);
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+  net_stream_close (&guest->stream);
+}
+
+/* Gives the answer that the query asks for when it is a bad one.  Returns
+   false when it asks for none.  */
+static bool
+answer_badly (struct guest *guest)
+{
+  CP_AUTO_FREE char *text = NULL;
+  const char *id = request_id (guest);
+
+  if (asks (guest, "cut"))
+    text = compose (guest, "200 OK", id, SIGNATURE, "half", 400);
+  else if (asks (guest, "reset"))
+    text = compose (guest, "200 OK", id, SIGNATURE, "half", -1);
+  else if (asks (guest, "garble"))
+    text = g_strdup ("\001\002\003 not an answer\r\n\r\n");
+  else
+    return false;
+  send_text (guest, text);
+  if (asks (guest, "cut"))
+    net_stream_close (&guest->stream);
+  else if (asks (guest, "reset"))
+    reset (guest);
+  return true;
+}
+
+static void
+answer_well (struct guest *guest)
+{
+  CP_AUTO_FREE char *text = NULL;
+  const char *id = request_id (guest);
+
+  if (asks (guest, "stray"))
+    {
+      CP_AUTO_FREE char *stray
+          = compose (guest, "200 OK", "another", SIGNATURE, "stray", 5);
+
+      send_text (guest, stray);
+    }
+  if (asks (guest, "unframed"))
+    {
+      text = compose (guest, "200 OK", id, SIGNATURE, "whole", -1);
+      send_text (guest, text);
+      net_stream_end (&guest->stream);
+      return;
+    }
+  answer (guest, "200 OK", asks (guest, "unsigned") ? "" : SIGNATURE,
+          guest->request.body->len == 0 ? "whole" : "taken");
+  if (asks (guest, "extra"))
+    answer (guest, "200 OK", SIGNATURE, "extra");
+}
+
+/* Ends the work at a request.  */
+static void
+finish (struct guest *guest, bool badly)
+{
+  guest->working = false;
+  guest->server->running--;
+  if (badly && asks (guest, "error"))
+    answer (guest, "500 Internal Server Error", SIGNATURE, "failed");
+  else if (!badly || !answer_badly (guest))
+    answer_well (guest);
+  if (!guest->stream.closing)
+    net_message_reset (&guest->request);
+}
+
+static void
+on_worked (uv_timer_t *timer)
+{
+  finish (timer->data, false);
+}
+
+/* Answers what is not run.  Returns false when the request is to run.  */
+static bool
+turn_away (struct guest *guest)
+{
+  const struct stage_server *server = guest->server;
+  const char *expected = net_headers_find (&guest->request.headers,
+                                           "X-Cornelpick-Expect-Instance");
+  CP_AUTO_FREE char *own
+      = g_strdup_printf ("X-Cornelpick-Instance-Id: %s\r\n", server->instance);
+
+  if (strcmp (guest->request.target->str, "/health") == 0)
+    answer (guest, "200 OK", own, "");
+  else if (expected != NULL && strcmp (expected, server->instance) != 0)
+    answer (guest, "421 Misdirected Request", own, "");
+  else if (asks (guest, "shed"))
+    answer (guest, "503 Service Unavailable",
+            "X-Cornelpick-Not-Executed: 1\r\n", "");
+  else
+    return false;
+  net_message_reset (&guest->request);
+  return true;
+}
+
+static void
+work (struct guest *guest)
+{
+  const char *slow = strstr (guest->request.target->str, "slow=");
+  unsigned before;
+  bool badly;
+
+  if (turn_away (guest))
+    return;
+  before = count_run (guest);
+  badly = before == 0 || !asks (guest, "once");
+  guest->working = true;
+  guest->server->running++;
+  if (badly && asks (guest, "hang"))
+    return;
+  if (slow != NULL)
+    uv_timer_start (&guest->timer, on_worked,
+                    g_ascii_strtoull (slow + 5, NULL, 10), 0);
+  else
+    finish (guest, badly);
+}
+
+static void
+on_data (struct net_stream *stream, const char *data, size_t length)
+{
+  struct guest *guest = stream->context;
+
+  while (length > 0 && !stream->closing && !guest->working)
+    {
+      size_t used;
+      enum net_state state
+          = net_message_feed (&guest->request, data, length, &used);
+
+      data += used;
+      length -= used;
+      if (state == NET_COMPLETE)
+        work (guest);
+      else if (state != NET_MORE)
+        {
+          fprintf (stderr, "server %u gets what is no request\n",
+                   guest->server->vm);
+          net_stream_close (stream);
+        }
+    }
+}
+
+static void
+on_ended (struct net_stream *stream, int error)
+{
+  struct guest *guest = stream->context;
+
+  (void)error;
+  if (guest->working)
+    {
+      pthread_mutex_lock (&guest->server->stage->lock);
+      guest->server->left++;
+      pthread_mutex_unlock (&guest->server->stage->lock);
+      guest->server->running--;
+      guest->working = false;
+      uv_timer_stop (&guest->timer);
+    }
+  net_stream_close (stream);
+}
+
+static void
+guest_free_when_closed (struct guest *guest)
+{
+  if (--guest->n_open > 0)
+    return;
+  cds_list_del (&guest->node);
+  net_message_finish (&guest->request);
+  g_free (guest);
+}
+
+static void
+on_timer_closed (uv_handle_t *handle)
+{
+  guest_free_when_closed (handle->data);
+}
+
+static void
+on_released (struct net_stream *stream)
+{
+  struct guest *guest = stream->context;
+
+  uv_close ((uv_handle_t *)&guest->timer, on_timer_closed);
+  guest_free_when_closed (guest);
+}
+
+static const struct net_stream_events guest_events
+    = { .data = on_data, .ended = on_ended, .released = on_released };
+
+static void
+on_accept (uv_stream_t *listener, int status)
+{
+  static const struct net_limits limits = { 65536, 1U << 24 };
+  struct stage_server *server = listener->data;
+  struct guest *guest;
+
+  if (status < 0)
+    return;
+  guest = g_new0 (struct guest, 1);
+  guest->server = server;
+  guest->n_open = 2;
+  net_message_init (&guest->request, HTTP_REQUEST, &limits);
+  uv_timer_init (&server->stage->loop, &guest->timer);
+  guest->timer.data = guest;
+  cds_list_add_tail (&guest->node, &server->guests);
+  net_stream_accept (&guest->stream, listener, &guest_events, guest);
+}
+
+static void
+set_instance (struct stage_server *server)
+{
+  server->born_ms = (uint64_t)g_get_real_time () / 1000;
+  g_snprintf (server->instance, sizeof server->instance,
+              "i-%u-%" G_GUINT64_FORMAT, server->vm, server->born_ms);
+}
+
+static void
+server_listen (struct stage_server *server)
+{
+  struct cp_address address;
+  char text[56];
+  int error;
+
+  cp_address_parse (&address, stage_address (server->stage, server->vm,
+                                             STAGE_PORT_SERVER, text));
+  error = net_listen (&server->listener, &server->stage->loop, &address,
+                      on_accept);
+  if (error != 0)
+    harness_require (false, "%s: %s", text, uv_strerror (error));
+  server->listener.data = server;
+  server->listening = true;
+}
+
+struct stage_server *
+stage_server_create (struct stage *stage, unsigned vm)
+{
+  struct stage_server *server = g_new0 (struct stage_server, 1);
+
+  server->stage = stage;
+  server->vm = vm;
+  server->wanted = true;
+  server->headers = g_string_new (NULL);
+  CDS_INIT_LIST_HEAD (&server->guests);
+  set_instance (server);
+  server_listen (server);
+  return server;
+}
+
+static void
+on_listener_closed (uv_handle_t *handle)
+{
+  struct stage_server *server = handle->data;
+
+  server->closing = false;
+}
+
+static void
+server_close (struct stage_server *server)
+{
+  struct guest *guest;
+
+  if (server->listening)
+    {
+      server->closing = true;
+      uv_close ((uv_handle_t *)&server->listener, on_listener_closed);
+    }
+  server->listening = false;
+  cds_list_for_each_entry (guest, &server->guests, node)
+  {
+    uv_timer_stop (&guest->timer);
+    net_stream_close (&guest->stream);
+  }
+}
+
+void
+stage_server_close (struct stage_server *server)
+{
+  server_close (server);
+}
+
+void
+stage_server_wake (struct stage_server *server)
+{
+  bool wanted;
+
+  pthread_mutex_lock (&server->stage->lock);
+  wanted = server->wanted;
+  pthread_mutex_unlock (&server->stage->lock);
+  if (!wanted)
+    server_close (server);
+  else if (!server->listening && !server->closing)
+    server_listen (server);
+}
+
+void
+stage_server_free (struct stage_server *server)
+{
+  g_string_free (server->headers, TRUE);
+  g_free (server);
+}
+
+const char *
+stage_server_instance (const struct stage_server *server)
+{
+  return server->instance;
+}
+
+uint64_t
+stage_server_born (const struct stage_server *server)
+{
+  return server->born_ms;
+}
+
+static void
+want (struct stage *stage, unsigned vm, bool wanted)
+{
+  pthread_mutex_lock (&stage->lock);
+  stage->servers[vm]->wanted = wanted;
+  pthread_mutex_unlock (&stage->lock);
+  uv_async_send (&stage->wake);
+}
+
+void
+stage_server_stop (struct stage *stage, unsigned vm)
+{
+  want (stage, vm, false);
+}
+
+void
+stage_server_restart (struct stage *stage, unsigned vm)
+{
+  pthread_mutex_lock (&stage->lock);
+  set_instance (stage->servers[vm]);
+  pthread_mutex_unlock (&stage->lock);
+  want (stage, vm, true);
+}
+
+unsigned
+stage_runs (struct stage *stage, const char *id)
+{
+  unsigned count;
+
+  pthread_mutex_lock (&stage->lock);
+  count = GPOINTER_TO_UINT (g_hash_table_lookup (stage->runs, id));
+  pthread_mutex_unlock (&stage->lock);
+  return count;
+}
+
+unsigned
+stage_server_runs (struct stage *stage, unsigned vm)
+{
+  unsigned count;
+
+  pthread_mutex_lock (&stage->lock);
+  count = stage->servers[vm]->runs;
+  pthread_mutex_unlock (&stage->lock);
+  return count;
+}
+
+unsigned
+stage_server_left (struct stage *stage, unsigned vm)
+{
+  unsigned count;
+
+  pthread_mutex_lock (&stage->lock);
+  count = stage->servers[vm]->left;
+  pthread_mutex_unlock (&stage->lock);
+  return count;
+}
+
+void
+stage_server_header (struct stage *stage, unsigned vm, const char *name,
+                     char *value, size_t size)
+{
+  CP_AUTO_FREE char *key = g_strdup_printf ("%s: ", name);
+  const char *at;
+
+  pthread_mutex_lock (&stage->lock);
+  at = strstr (stage->servers[vm]->headers->str, key);
+  value[0] = '\0';
+  if (at != NULL)
+    {
+      at += strlen (key);
+      g_strlcpy (value, at, MIN (size, strcspn (at, "\n") + 1));
+    }
+  pthread_mutex_unlock (&stage->lock);
+}
--- /dev/null
+++ b/regress/meshd/check_mesh_answers.c
@@ -0,0 +1,228 @@
+/* What callers get, whatever servers answer.  */
+#include "lib/cleanup.h"
+#include "regress/harness/stage.h"
+#include "regress/harness/suite.h"
+
+#define VMS 3 /* 1 and 2 serve alpha, 3 serves beta */
+
+static struct stage stage;
+static struct reply reply;
+
+static void
+setup (void)
+{
+  stage_start (&stage, VMS);
+  reply_init (&reply);
+}
+
+static void
+teardown (void)
+{
+  reply_finish (&reply);
+  stage_finish (&stage);
+}
+
+/* Calls alpha through VM 3, which has no server of it.  */
+static void
+call (const char *method, const char *path, const char *id, const char *body)
+{
+  stage_call (&stage, &reply, 3, method, "alpha.test", path, id, body);
+}
+
+START_TEST (a_call_is_served_with_the_headers_that_a_server_expects)
+{
+  char value[128];
+  unsigned vm;
+
+  call ("GET", "/read/1", "r1", NULL);
+  ck_assert_int_eq (reply.status, 200);
+  ck_assert_str_eq (reply.body->str, "whole");
+  ck_assert (reply_header (&reply, "X-Cornelpick-Response-Signature", value,
+                           sizeof value));
+  ck_assert (
+      reply_header (&reply, "X-Cornelpick-Request-Id", value, sizeof value));
+  ck_assert_str_eq (value, "r1");
+  ck_assert (
+      !reply_header (&reply, "X-Cornelpick-Server-Load", value, sizeof value));
+  ck_assert_uint_eq (stage_runs (&stage, "r1"), 1);
+  vm = stage_server_runs (&stage, 1) == 1 ? 1 : 2;
+  stage_server_header (&stage, vm, "X-Cornelpick-Caller-Service", value,
+                       sizeof value);
+  ck_assert_str_eq (value, "beta");
+  stage_server_header (&stage, vm, "X-Cornelpick-Deadline-Ms", value,
+                       sizeof value);
+  ck_assert_uint_le (g_ascii_strtoull (value, NULL, 10), 2000);
+  ck_assert_uint_gt (g_ascii_strtoull (value, NULL, 10), 1500);
+}
+END_TEST
+
+START_TEST (headers_of_the_system_are_not_taken_from_callers)
+{
+  char address[56];
+  char value[128];
+
+  http_call (&reply, stage_address (&stage, 1, 8000, address), "GET",
+             "/read/1",
+             "Host: beta.test\nX-Cornelpick-Request-Id: r1\n"
+             "X-Cornelpick-Caller-Service: forged\n"
+             "X-Cornelpick-Expect-Instance: forged\nX-Other: kept",
+             NULL, 3000);
+  ck_assert_int_eq (reply.status, 200);
+  stage_server_header (&stage, 3, "X-Cornelpick-Caller-Service", value,
+                       sizeof value);
+  ck_assert_str_eq (value, "alpha");
+  stage_server_header (&stage, 3, "X-Other", value, sizeof value);
+  ck_assert_str_eq (value, "kept");
+}
+END_TEST
+
+START_TEST (unknown_routes_get_404)
+{
+  call ("GET", "/nowhere/1", "r1", NULL);
+  ck_assert_int_eq (reply.status, 404);
+  stage_call (&stage, &reply, 3, "GET", "other.test", "/read/1", "r2", NULL);
+  ck_assert_int_eq (reply.status, 404);
+}
+END_TEST
+
+/* The bad answers of a server, each on the first arrival only.  */
+static const char *const bad_answers[]
+    = { "cut", "reset", "garble", "unsigned", "error" };
+
+START_TEST (what_may_be_repeated_is_served_after_a_bad_answer)
+{
+  CP_AUTO_FREE char *path
+      = g_strdup_printf ("/read/1?%s-once", bad_answers[_i]);
+
+  if (_i == 3) /* an unsigned success is bad each time; see below */
+    return;
+  call ("GET", path, "r1", NULL);
+  ck_assert_int_eq (reply.status, 200);
+  ck_assert_str_eq (reply.body->str, "whole");
+  ck_assert_uint_eq (stage_runs (&stage, "r1"), 2);
+}
+END_TEST
+
+START_TEST (what_may_not_is_run_once_and_never_said_not_to_have_run)
+{
+  CP_AUTO_FREE char *path = g_strdup_printf ("/write/1?%s", bad_answers[_i]);
+
+  call ("POST", path, "r1", "order");
+  ck_assert_int_eq (reply.status, _i == 4 ? 500 : 502);
+  ck_assert_uint_eq (stage_runs (&stage, "r1"), 1);
+}
+END_TEST
+
+START_TEST (an_answer_without_length_is_passed_whole)
+{
+  call ("POST", "/write/1?unframed", "r1", "order");
+  ck_assert_int_eq (reply.status, 200);
+  ck_assert_str_eq (reply.body->str, "whole");
+}
+END_TEST
+
+START_TEST (a_second_answer_reaches_nobody)
+{
+  for (unsigned i = 0; i < 20; i++)
+    {
+      CP_AUTO_FREE char *id = g_strdup_printf ("r%u", i);
+
+      call ("GET", "/read/1?extra", id, NULL);
+      ck_assert_int_eq (reply.status, 200);
+      ck_assert_str_eq (reply.body->str, "whole");
+    }
+}
+END_TEST
+
+START_TEST (an_answer_to_another_request_is_passed_over)
+{
+  call ("POST", "/write/1?stray", "r1", "order");
+  ck_assert_int_eq (reply.status, 200);
+  ck_assert_str_eq (reply.body->str, "taken");
+  ck_assert_uint_eq (stage_runs (&stage, "r1"), 1);
+}
+END_TEST
+
+START_TEST (a_refusal_by_all_servers_is_true_and_says_when_to_come_back)
+{
+  char value[64];
+
+  call ("POST", "/write/1?shed", "r1", "order");
+  ck_assert_int_eq (reply.status, 503);
+  ck_assert (reply_header (&reply, "Retry-After", value, sizeof value));
+  ck_assert (g_ascii_strtod (value, NULL) > 0);
+  ck_assert_uint_eq (stage_runs (&stage, "r1"), 0);
+}
+END_TEST
+
+START_TEST (a_route_time_out_is_a_final_answer)
+{
+  gint64 began = g_get_monotonic_time ();
+
+  call ("POST", "/short/1?hang", "r1", "order");
+  ck_assert_int_eq (reply.status, 504);
+  ck_assert_int_lt (g_get_monotonic_time () - began, 800000);
+  ck_assert_int_gt (g_get_monotonic_time () - began, 250000);
+}
+END_TEST
+
+START_TEST (a_server_without_a_listener_is_left_for_another)
+{
+  stage_server_stop (&stage, 1);
+  for (unsigned i = 0; i < 10; i++)
+    {
+      CP_AUTO_FREE char *id = g_strdup_printf ("r%u", i);
+
+      call ("POST", "/write/1", id, "order");
+      ck_assert_int_eq (reply.status, 200);
+      ck_assert_uint_eq (stage_runs (&stage, id), 1);
+    }
+}
+END_TEST
+
+/* The server of VM 1 starts again under another instance; the entry that
+   others know is the old one.  */
+START_TEST (another_instance_at_the_address_runs_nothing)
+{
+  stage_server_stop (&stage, 2);
+  stage_server_stop (&stage, 1);
+  g_usleep (300000);
+  stage_server_restart (&stage, 1);
+  g_usleep (500000);
+  call ("POST", "/write/1", "r1", "order");
+  ck_assert_int_eq (reply.status, 503);
+  ck_assert_uint_eq (stage_runs (&stage, "r1"), 0);
+  stage_enter (&stage, 1, "ready");
+  g_usleep (500000);
+  call ("POST", "/write/1", "r2", "order");
+  ck_assert_int_eq (reply.status, 200);
+}
+END_TEST
+
+static void
+add_tests (TCase *tests)
+{
+  tcase_add_checked_fixture (tests, setup, teardown);
+  tcase_add_test (tests,
+                  a_call_is_served_with_the_headers_that_a_server_expects);
+  tcase_add_test (tests, headers_of_the_system_are_not_taken_from_callers);
+  tcase_add_test (tests, unknown_routes_get_404);
+  tcase_add_loop_test (
+      tests, what_may_be_repeated_is_served_after_a_bad_answer, 0, 5);
+  tcase_add_loop_test (
+      tests, what_may_not_is_run_once_and_never_said_not_to_have_run, 0, 5);
+  tcase_add_test (tests, an_answer_without_length_is_passed_whole);
+  tcase_add_test (tests, a_second_answer_reaches_nobody);
+  tcase_add_test (tests, an_answer_to_another_request_is_passed_over);
+  tcase_add_test (tests,
+                  a_refusal_by_all_servers_is_true_and_says_when_to_come_back);
+  tcase_add_test (tests, a_route_time_out_is_a_final_answer);
+  tcase_add_test (tests, a_server_without_a_listener_is_left_for_another);
+  tcase_add_test (tests, another_instance_at_the_address_runs_nothing);
+}
+
+int
+main (void)
+{
+  return suite_run ("mesh_answers", add_tests, 60);
+}
--- /dev/null
+++ b/regress/meshd/check_mesh_life.c
@@ -0,0 +1,332 @@
+/* Connections, signals, deaths and callers that leave.  */
+#include <signal.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "lib/cleanup.h"
+#include "regress/harness/stage.h"
+#include "regress/harness/suite.h"
+
+#define VMS 3
+
+static struct stage stage;
+static struct reply reply;
+
+static void
+setup (void)
+{
+  stage_start (&stage, VMS);
+  reply_init (&reply);
+}
+
+static void
+teardown (void)
+{
+  reply_finish (&reply);
+  stage_finish (&stage);
+}
+
+static void
+send_text (int fd, const char *text)
+{
+  ck_assert_int_eq (write (fd, text, strlen (text)), (ssize_t)strlen (text));
+}
+
+/* Reads until TEXT has COUNT answers or the connection ends.  */
+static void
+read_answers (int fd, GString *text, unsigned count)
+{
+  char buffer[4096];
+  ssize_t got;
+
+  for (;;)
+    {
+      const char *at = text->str;
+      unsigned found = 0;
+
+      while ((at = strstr (at, "HTTP/1.1 ")) != NULL)
+        {
+          found++;
+          at++;
+        }
+      if (found >= count && g_str_has_suffix (text->str, "whole"))
+        return;
+      got = read (fd, buffer, sizeof buffer);
+      if (got <= 0)
+        return;
+      g_string_append_len (text, buffer, got);
+    }
+}
+
+static char *
+request (const char *path, const char *id)
+{
+  return g_strdup_printf ("GET %s HTTP/1.1\r\nHost: alpha.test\r\n"
+                          "X-Cornelpick-Request-Id: %s\r\n"
+                          "X-Cornelpick-Deadline-Ms: 3000\r\n\r\n",
+                          path, id);
+}
+
+START_TEST (pipelined_requests_run_side_by_side_and_are_answered_in_order)
+{
+  CP_AUTO_FREE char *first = request ("/read/1?slow=400", "p0");
+  GString *text = g_string_new (first);
+  gint64 began = g_get_monotonic_time ();
+  int fd = stage_open (&stage, 3, 8000);
+  const char *at;
+
+  for (unsigned i = 1; i < 6; i++)
+    {
+      CP_AUTO_FREE char *id = g_strdup_printf ("p%u", i);
+      CP_AUTO_FREE char *next = request ("/read/1?slow=300", id);
+
+      g_string_append (text, next);
+    }
+  send_text (fd, text->str);
+  g_string_truncate (text, 0);
+  read_answers (fd, text, 6);
+  ck_assert_int_lt (g_get_monotonic_time () - began, 900000);
+  at = text->str;
+  for (unsigned i = 0; i < 6; i++)
+    {
+      CP_AUTO_FREE char *id = g_strdup_printf ("Request-Id: p%u", i);
+
+      at = strstr (at, id);
+      ck_assert_ptr_nonnull (at);
+    }
+  g_string_free (text, TRUE);
+  close (fd);
+}
+END_TEST
+
+/* Sends TEXT and returns the status of the answer.  */
+static int
+status_of (const char *text)
+{
+  int fd = stage_open (&stage, 3, 8000);
+  char buffer[1024] = "";
+  ssize_t got;
+
+  send_text (fd, text);
+  got = read (fd, buffer, sizeof buffer - 1);
+  close (fd);
+  return got < 13 ? 0 : atoi (buffer + 9);
+}
+
+START_TEST (the_limits_of_the_configuration_hold)
+{
+  CP_AUTO_FREE char *filler = g_strnfill (9000, 'x');
+  CP_AUTO_FREE char *long_head = g_strdup_printf (
+      "GET /read/1 HTTP/1.1\r\nHost: alpha.test\r\nX-Long: %s\r\n\r\n",
+      filler);
+
+  ck_assert_int_eq (status_of (long_head), 431);
+  ck_assert_int_eq (status_of ("POST /write/1 HTTP/1.1\r\nHost: alpha.test\r\n"
+                               "Content-Length: 100001\r\n\r\n"),
+                    413);
+  ck_assert_int_eq (status_of ("GET /read/1 HTTP/1.1\r\nHost: al"), 408);
+}
+END_TEST
+
+START_TEST (what_can_be_read_in_two_ways_is_refused)
+{
+  ck_assert_int_eq (
+      status_of ("POST /write/1 HTTP/1.1\r\nHost: alpha.test\r\n"
+                 "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+                 "0\r\n\r\nGET /read/smuggled HTTP/1.1\r\n\r\n"),
+      400);
+  ck_assert_int_eq (
+      status_of ("POST /write/1 HTTP/1.1\r\nHost: alpha.test\r\n"
+                 "Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcd"),
+      400);
+  ck_assert_uint_eq (
+      stage_server_runs (&stage, 1) + stage_server_runs (&stage, 2), 0);
+}
+END_TEST
+
+START_TEST (a_body_in_chunks_arrives_whole)
+{
+  ck_assert_int_eq (
+      status_of ("POST /write/1 HTTP/1.1\r\nHost: alpha.test\r\n"
+                 "X-Cornelpick-Request-Id: c1\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n5\r\norder\r\n0\r\n\r\n"),
+      200);
+  ck_assert_uint_eq (stage_runs (&stage, "c1"), 1);
+}
+END_TEST
+
+static bool
+has_run (void *context)
+{
+  return stage_runs (&stage, context) > 0;
+}
+
+static bool
+was_left (void *context)
+{
+  (void)context;
+  return stage_server_left (&stage, 1) + stage_server_left (&stage, 2) > 0;
+}
+
+START_TEST (the_server_sees_within_half_a_second_that_a_caller_has_left)
+{
+  CP_AUTO_FREE char *text = request ("/read/1?hang", "gone");
+  int fd = stage_open (&stage, 3, 8000);
+  gint64 since;
+
+  send_text (fd, text);
+  wait_until (has_run, "gone");
+  since = g_get_monotonic_time ();
+  close (fd);
+  wait_until (was_left, NULL);
+  ck_assert_int_lt (g_get_monotonic_time () - since, 500000);
+}
+END_TEST
+
+/* A thread that makes one call.  */
+struct caller
+{
+  pthread_t thread;
+  const char *path;
+  const char *method;
+  const char *id;
+  int status;
+};
+
+static void *
+make_call (void *context)
+{
+  struct caller *caller = context;
+  struct reply own;
+
+  reply_init (&own);
+  stage_call (&stage, &own, 3, caller->method, "alpha.test", caller->path,
+              caller->id, caller->method[0] == 'P' ? "order" : NULL);
+  caller->status = own.status;
+  reply_finish (&own);
+  return NULL;
+}
+
+static void
+start_call (struct caller *caller)
+{
+  ck_assert_int_eq (pthread_create (&caller->thread, NULL, make_call, caller),
+                    0);
+}
+
+/* Only VM 1's server is there; its daemon dies while the server works.  */
+START_TEST (a_call_at_a_daemon_that_dies_is_never_run_twice_or_denied)
+{
+  struct caller caller
+      = { .path = "/write/1?slow=300", .method = "POST", .id = "w1" };
+
+  start_call (&caller);
+  wait_until (has_run, "w1");
+  process_signal (&stage.daemons[1], SIGKILL);
+  process_signal (&stage.daemons[2], SIGKILL);
+  pthread_join (caller.thread, NULL);
+  ck_assert_int_eq (caller.status, 502);
+  ck_assert_uint_eq (stage_runs (&stage, "w1"), 1);
+}
+END_TEST
+
+START_TEST (a_read_at_a_daemon_that_freezes_is_served_by_another)
+{
+  gint64 began;
+
+  kill (stage.daemons[1].pid, SIGSTOP);
+  began = g_get_monotonic_time ();
+  for (unsigned i = 0; i < 4; i++)
+    {
+      CP_AUTO_FREE char *id = g_strdup_printf ("f%u", i);
+
+      stage_call (&stage, &reply, 3, "GET", "alpha.test", "/read/1", id, NULL);
+      ck_assert_int_eq (reply.status, 200);
+    }
+  ck_assert_int_lt (g_get_monotonic_time () - began, 1500000);
+  kill (stage.daemons[1].pid, SIGCONT);
+}
+END_TEST
+
+/* The link breaks while a server works, the daemon behind it lives on.  */
+START_TEST (an_answer_is_fetched_over_a_new_link_after_a_pause)
+{
+  struct caller caller
+      = { .path = "/write/1?slow=600", .method = "POST", .id = "w1" };
+  unsigned vm;
+
+  start_call (&caller);
+  wait_until (has_run, "w1");
+  vm = stage_server_runs (&stage, 1) > 0 ? 1 : 2;
+  kill (stage.daemons[vm].pid, SIGSTOP);
+  g_usleep (450000);
+  kill (stage.daemons[vm].pid, SIGCONT);
+  pthread_join (caller.thread, NULL);
+  ck_assert_int_eq (caller.status, 200);
+  ck_assert_uint_eq (stage_runs (&stage, "w1"), 1);
+}
+END_TEST
+
+START_TEST (a_daemon_that_is_told_to_leave_loses_nothing)
+{
+  struct caller caller
+      = { .path = "/write/1?slow=1500", .method = "POST", .id = "w1" };
+  CP_AUTO_FREE char *text = request ("/read/1", "k1");
+  GString *answers = g_string_new (NULL);
+  int fd = stage_open (&stage, 3, 8000);
+  gint64 since;
+
+  start_call (&caller);
+  wait_until (has_run, "w1");
+  since = g_get_monotonic_time ();
+  kill (stage.daemons[3].pid, SIGTERM);
+  while (stage_is_ready (&stage, 3))
+    ck_assert_int_lt (g_get_monotonic_time () - since, 1000000);
+  send_text (fd, text);
+  read_answers (fd, answers, 1);
+  ck_assert_ptr_nonnull (strstr (answers->str, "HTTP/1.1 200"));
+  pthread_join (caller.thread, NULL);
+  ck_assert_int_eq (caller.status, 200);
+  ck_assert_int_eq (process_wait (&stage.daemons[3]), 0);
+  ck_assert_int_lt (g_get_monotonic_time () - since, 6000000);
+  g_string_free (answers, TRUE);
+  close (fd);
+}
+END_TEST
+
+START_TEST (settings_that_cannot_be_read_leave_the_old_ones_in_force)
+{
+  stage_write_settings (&stage, 3, ",\"zone\":7");
+  kill (stage.daemons[3].pid, SIGHUP);
+  g_usleep (300000);
+  stage_call (&stage, &reply, 3, "GET", "alpha.test", "/read/1", "r1", NULL);
+  ck_assert_int_eq (reply.status, 200);
+  ck_assert (stage_is_ready (&stage, 3));
+}
+END_TEST
+
+static void
+add_tests (TCase *tests)
+{
+  tcase_add_checked_fixture (tests, setup, teardown);
+  tcase_add_test (
+      tests, pipelined_requests_run_side_by_side_and_are_answered_in_order);
+  tcase_add_test (tests, the_limits_of_the_configuration_hold);
+  tcase_add_test (tests, what_can_be_read_in_two_ways_is_refused);
+  tcase_add_test (tests, a_body_in_chunks_arrives_whole);
+  tcase_add_test (tests,
+                  the_server_sees_within_half_a_second_that_a_caller_has_left);
+  tcase_add_test (tests,
+                  a_call_at_a_daemon_that_dies_is_never_run_twice_or_denied);
+  tcase_add_test (tests, a_read_at_a_daemon_that_freezes_is_served_by_another);
+  tcase_add_test (tests, an_answer_is_fetched_over_a_new_link_after_a_pause);
+  tcase_add_test (tests, a_daemon_that_is_told_to_leave_loses_nothing);
+  tcase_add_test (tests,
+                  settings_that_cannot_be_read_leave_the_old_ones_in_force);
+}
+
+int
+main (void)
+{
+  return suite_run ("mesh_life", add_tests, 60);
+}
--- /dev/null
+++ b/regress/meshd/check_mesh_state.c
@@ -0,0 +1,259 @@
+/* What is in force, and who is asked, as the store changes, lies or is away.
+ */
+#include <signal.h>
+#include <string.h>
+
+#include "lib/cleanup.h"
+#include "regress/harness/stage.h"
+#include "regress/harness/suite.h"
+
+#define VMS 3
+
+/* A change must be in force this long after the store took it.  */
+#define IN_FORCE_US 2000000
+
+#define NEW_ROUTE                                                             \
+  ",{\"name\":\"new\",\"kind\":\"idempotent\",\"targetLatency\":\"200ms\","   \
+  "\"priority\":1,\"match\":{\"prefix\":\"/new/\"},\"action\":{\"service\":"  \
+  "\"alpha\",\"timeout\":\"2000ms\",\"maxAttempts\":2}}"
+
+static struct stage stage;
+static struct reply reply;
+
+static void
+setup (void)
+{
+  stage_start (&stage, VMS);
+  reply_init (&reply);
+}
+
+static void
+teardown (void)
+{
+  reply_finish (&reply);
+  stage_finish (&stage);
+}
+
+static int
+status_at (unsigned vm, const char *path)
+{
+  static unsigned number;
+  CP_AUTO_FREE char *id = g_strdup_printf ("s%u", ++number);
+
+  stage_call (&stage, &reply, vm, "GET", "alpha.test", path, id, NULL);
+  return reply.status;
+}
+
+/* Waits for STATUS of PATH at VM; fails when it takes too long.  */
+static void
+in_force (unsigned vm, const char *path, int status, gint64 since)
+{
+  while (status_at (vm, path) != status)
+    {
+      ck_assert_int_lt (g_get_monotonic_time () - since, IN_FORCE_US);
+      g_usleep (10000);
+    }
+}
+
+START_TEST (a_change_is_in_force_on_all_in_time)
+{
+  gint64 since;
+
+  ck_assert_int_eq (status_at (1, "/new/1"), 404);
+  since = g_get_monotonic_time ();
+  stage_configure (&stage, NEW_ROUTE);
+  for (unsigned vm = 1; vm <= VMS; vm++)
+    in_force (vm, "/new/1", 200, since);
+  since = g_get_monotonic_time ();
+  stage_configure (&stage, "");
+  for (unsigned vm = 1; vm <= VMS; vm++)
+    in_force (vm, "/new/1", 404, since);
+}
+END_TEST
+
+/* The watch hears nothing of a change, is cut, and its history is gone: the
+   next watch would say so only at the next change.  */
+START_TEST (a_change_in_a_gap_of_the_history_is_in_force_in_time)
+{
+  gint64 since;
+
+  stage_mute_watches (&stage);
+  stage_configure (&stage, NEW_ROUTE);
+  g_usleep (200000);
+  since = g_get_monotonic_time ();
+  stage_drop_history (&stage);
+  for (unsigned vm = 1; vm <= VMS; vm++)
+    in_force (vm, "/new/1", 200, since);
+}
+END_TEST
+
+START_TEST (a_vm_that_the_store_turns_away_learns_from_the_others)
+{
+  gint64 since;
+
+  stage_store_mode (&stage, 3,
+                    _i == 0 ? STAGE_STORE_BUSY : STAGE_STORE_SILENT);
+  g_usleep (500000);
+  since = g_get_monotonic_time ();
+  stage_configure (&stage, NEW_ROUTE);
+  for (unsigned vm = 1; vm <= VMS; vm++)
+    in_force (vm, "/new/1", 200, since);
+}
+END_TEST
+
+START_TEST (a_fresh_daemon_learns_from_the_others_while_the_store_is_away)
+{
+  for (unsigned vm = 1; vm <= VMS; vm++)
+    stage_store_mode (&stage, vm, STAGE_STORE_BUSY);
+  process_signal (&stage.daemons[3], SIGKILL);
+  stage_start_daemon (&stage, 3);
+  stage_wait_ready (&stage, 3);
+  in_force (3, "/read/1", 200, g_get_monotonic_time ());
+}
+END_TEST
+
+START_TEST (a_daemon_that_knows_nothing_refuses_at_once_pipelined_too)
+{
+  static const char requests[] = "GET /read/1 HTTP/1.1\r\nHost: alpha.test\r\n"
+                                 "X-Cornelpick-Request-Id: p1\r\n\r\n"
+                                 "GET /read/2 HTTP/1.1\r\nHost: alpha.test\r\n"
+                                 "X-Cornelpick-Request-Id: p2\r\n\r\n";
+  char answers[2048] = "";
+  size_t length = 0;
+  int fd;
+
+  for (unsigned vm = 1; vm <= VMS; vm++)
+    {
+      stage_store_mode (&stage, vm, STAGE_STORE_BUSY);
+      process_signal (&stage.daemons[vm], SIGKILL);
+    }
+  stage_start_daemon (&stage, 1);
+  while (stage_counter (&stage, 1, "store_calls_total") == 0)
+    g_usleep (10000);
+  ck_assert (!stage_is_ready (&stage, 1));
+  fd = stage_open (&stage, 1, 8000);
+  ck_assert_int_gt (write (fd, requests, strlen (requests)), 0);
+  while (strstr (answers, "p2") == NULL)
+    {
+      ssize_t count = read (fd, answers + length, sizeof answers - 1 - length);
+
+      ck_assert_int_gt (count, 0);
+      length += (size_t)count;
+      answers[length] = '\0';
+    }
+  close (fd);
+  ck_assert_ptr_nonnull (strstr (answers, "HTTP/1.1 503"));
+  ck_assert_ptr_nonnull (strstr (answers, "Retry-After: "));
+  ck_assert (strstr (answers, "p1") < strstr (answers, "p2"));
+}
+END_TEST
+
+/* Counts runs at VM's server in the next calls.  */
+static unsigned
+runs_in_calls (unsigned vm, unsigned calls)
+{
+  unsigned before = stage_server_runs (&stage, vm);
+
+  for (unsigned i = 0; i < calls; i++)
+    ck_assert_int_eq (status_at (3, "/read/1"), 200);
+  return stage_server_runs (&stage, vm) - before;
+}
+
+START_TEST (a_server_that_drains_gets_nothing_more)
+{
+  ck_assert_uint_gt (runs_in_calls (1, 40), 0);
+  stage_enter (&stage, 1, "draining");
+  g_usleep (1500000);
+  ck_assert_uint_eq (runs_in_calls (1, 40), 0);
+}
+END_TEST
+
+START_TEST (a_server_whose_entry_went_gets_nothing_more)
+{
+  CP_AUTO_FREE char *entry = NULL;
+  char value[128];
+
+  ck_assert_uint_gt (runs_in_calls (1, 40), 0);
+  stage_server_header (&stage, 1, "X-Cornelpick-Expect-Instance", value,
+                       sizeof value);
+  entry = g_strdup_printf ("servers/%s", value);
+  stage_remove (&stage, entry);
+  g_usleep (1500000);
+  ck_assert_uint_eq (runs_in_calls (1, 40), 0);
+}
+END_TEST
+
+START_TEST (entries_and_configurations_that_cannot_be_read_change_nothing)
+{
+  static const char *const values[]
+      = { "not json", "{\"service\":\"alpha\"}", "[]",
+          "{\"service\":\"alpha\",\"address\":\"127.0.0.1:1\",\"zone\":"
+          "\"zone-a\",\"version\":\"v1\",\"capacity\":\"13\",\"state\":"
+          "\"ready\",\"warmupLeft\":\"0ms\",\"sequence\":4}",
+          "{\"service\":\"alpha\",\"address\":\"127.0.0.1:1\",\"zone\":"
+          "\"zone-a\",\"version\":\"v1\",\"capacity\":13,\"state\":"
+          "\"dancing\",\"warmupLeft\":\"0ms\",\"sequence\":4}" };
+  unsigned before;
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (values); i++)
+    {
+      CP_AUTO_FREE char *key = g_strdup_printf ("servers/forged-%u", i);
+
+      stage_put (&stage, key, values[i]);
+    }
+  stage_put (&stage, "op/config", "{\"version\": 99, \"listeners\": 4}");
+  g_usleep (700000);
+  ck_assert_uint_eq (stage_counter (&stage, 3, "servers"), VMS);
+  before = stage_server_runs (&stage, 1) + stage_server_runs (&stage, 2);
+  ck_assert_uint_eq (runs_in_calls (3, 20), 0);
+  ck_assert_uint_eq (stage_server_runs (&stage, 1)
+                         + stage_server_runs (&stage, 2),
+                     before + 20);
+}
+END_TEST
+
+START_TEST (weights_hold_exactly)
+{
+  static const char weighted[]
+      = ",{\"name\":\"mix\",\"kind\":\"idempotent\",\"targetLatency\":"
+        "\"200ms\",\"priority\":1,\"match\":{\"prefix\":\"/mix/\"},\"action\":"
+        "{\"weightedServices\":[{\"service\":\"alpha\",\"weight\":70},"
+        "{\"service\":\"beta\",\"weight\":30}],\"timeout\":\"2000ms\","
+        "\"maxAttempts\":2}}";
+  unsigned before;
+
+  stage_configure (&stage, weighted);
+  in_force (1, "/mix/1", 200, g_get_monotonic_time ());
+  for (unsigned i = 0; i < 9; i++)
+    ck_assert_int_eq (status_at (1, "/mix/1"), 200);
+  before = stage_server_runs (&stage, 3);
+  for (unsigned i = 0; i < 100; i++)
+    ck_assert_int_eq (status_at (1, "/mix/1"), 200);
+  ck_assert_uint_eq (stage_server_runs (&stage, 3) - before, 30);
+}
+END_TEST
+
+static void
+add_tests (TCase *tests)
+{
+  tcase_add_checked_fixture (tests, setup, teardown);
+  tcase_add_test (tests, a_change_is_in_force_on_all_in_time);
+  tcase_add_test (tests, a_change_in_a_gap_of_the_history_is_in_force_in_time);
+  tcase_add_loop_test (
+      tests, a_vm_that_the_store_turns_away_learns_from_the_others, 0, 2);
+  tcase_add_test (
+      tests, a_fresh_daemon_learns_from_the_others_while_the_store_is_away);
+  tcase_add_test (tests,
+                  a_daemon_that_knows_nothing_refuses_at_once_pipelined_too);
+  tcase_add_test (tests, a_server_that_drains_gets_nothing_more);
+  tcase_add_test (tests, a_server_whose_entry_went_gets_nothing_more);
+  tcase_add_test (
+      tests, entries_and_configurations_that_cannot_be_read_change_nothing);
+  tcase_add_test (tests, weights_hold_exactly);
+}
+
+int
+main (void)
+{
+  return suite_run ("mesh_state", add_tests, 60);
+}
