Keep lost attempts open, a server's own failure, and leave in time

A lost attempt stays open for a new link while another server is asked beside it.

Tried and taken back: the earliest deadline first in the queue.

--- a/lib/roster.c
+++ b/lib/roster.c
@@ -164,6 +164,7 @@
     }
   server->capacity = entry->capacity;
   server->draining = entry->draining;
+  server->replaced = false;
   server->gone_us = 0;
   server->warm_until_us = now_us + entry->warm_up_us;
   if (is_new)
@@ -344,7 +345,8 @@
 is_candidate (const struct cp_server *server,
               const struct cp_server_wish *wish)
 {
-  if (!server->reachable || server->draining || server->leaving)
+  if (!server->reachable || server->draining || server->leaving
+      || server->replaced)
     return false;
   for (unsigned i = 0; i < wish->n_tried; i++)
     if (wish->tried[i] == server)
--- a/lib/roster.h
+++ b/lib/roster.h
@@ -55,6 +55,7 @@
   uint64_t warm_until_us;
   bool same_domain;
   bool draining;
+  bool replaced;    /* another instance answered at its address */
   bool leaving;     /* the daemon beside it goes away */
   bool reachable;   /* there is a way to the daemon beside it */
   uint64_t gone_us; /* when its entry went while that proves nothing, or 0 */
--- a/meshd/inbound.c
+++ b/meshd/inbound.c
@@ -20,7 +20,8 @@
 #define WAIT_SHARE 0.2
 
 /* How long a job whose link broke is kept for its sender.  A sender comes back
-   within the time to notice silence and to connect.  */
+   within the time to notice silence and to connect, and takes a word that the
+   job is not known for proof only up to half a second less.  */
 #define LOST_US UINT64_C (3000000)
 
 /* An idempotent job whose link broke is ended after this long: its caller has
@@ -524,10 +525,31 @@
   inbound->leave_us = leave_us;
 }
 
+/* Ends the jobs that are left.  */
+static void
+end_jobs (struct mesh_inbound *inbound)
+{
+  struct mesh_job *job;
+
+  while (!cds_list_empty (&inbound->jobs))
+    {
+      job = cds_list_first_entry (&inbound->jobs, struct mesh_job, node);
+      job->silent = true;
+      if (job->state == MESH_JOB_RUNNING)
+        mesh_server_abort (job, MESH_REASON_LEAVING);
+      else
+        job_drop (job);
+    }
+}
+
 void
 mesh_inbound_stop (struct mesh_inbound *inbound)
 {
   uv_close ((uv_handle_t *)&inbound->tick, NULL);
   uv_close ((uv_handle_t *)&inbound->queue_timer, NULL);
+  /* Keeps the slots that come free from being used.  */
+  inbound->leave_us = 1;
+  end_jobs (inbound);
   mesh_server_forget (inbound);
+  g_hash_table_unref (inbound->by_stream);
 }
--- a/meshd/outbound.c
+++ b/meshd/outbound.c
@@ -33,6 +33,10 @@
    hedges do not push out first attempts.  */
 #define HEDGE_BUSY_SHARE 0.7
 
+/* An inbound side remembers every attempt for longer than this.  Only within
+   it does "never seen" prove that an attempt has not run.  */
+#define REMEMBERED_US UINT64_C (2500000)
+
 /* How long a ping may be unanswered before the way counts as silent; the way
    there and back takes 2 ms.  */
 #define SILENT_US UINT64_C (60000)
@@ -80,7 +84,8 @@
   unsigned n_tried;
   unsigned n_sent; /* attempts but those that reached no server */
   bool may_have_run;
-  enum mesh_reason reason; /* why the last attempt ended */
+  struct cp_peer_answer failure; /* a server's own, or status 0 */
+  enum mesh_reason reason;       /* why the last attempt ended */
 };
 
 static void call_try (struct mesh_call *call);
@@ -113,6 +118,8 @@
   for (unsigned i = 0; i < call->n_tried; i++)
     cp_server_unref (call->tried[i]);
   g_string_free (call->head, TRUE);
+  g_free (call->failure.head);
+  g_free (call->failure.body.cp_peer_body_val);
   cp_table_unref (call->table);
   g_free (call);
 }
@@ -177,6 +184,25 @@
   call_free (call);
 }
 
+static void deliver (struct mesh_call *call,
+                     const struct cp_peer_answer *answer);
+
+/* Keeps the failure that a server answered, for the case that no other attempt
+   does better.  */
+static void
+keep_failure (struct mesh_call *call, const struct cp_peer_answer *answer)
+{
+  struct cp_peer_answer *kept = &call->failure;
+
+  if (kept->status != 0)
+    return;
+  kept->status = answer->status;
+  kept->head = g_strdup (answer->head);
+  kept->body.cp_peer_body_len = answer->body.cp_peer_body_len;
+  kept->body.cp_peer_body_val = g_memdup2 (answer->body.cp_peer_body_val,
+                                           answer->body.cp_peer_body_len);
+}
+
 /* Ends a call for which nothing more may be tried.  */
 static void
 call_give_up (struct mesh_call *call)
@@ -186,6 +212,11 @@
       = RETRY_LEAST
         + (RETRY_MOST - RETRY_LEAST) * cp_random_unit (outbound->random);
 
+  if (call->failure.status != 0)
+    {
+      deliver (call, &call->failure);
+      return;
+    }
   if (call->may_have_run)
     {
       outbound->counts.failed++;
@@ -450,6 +481,8 @@
   struct mesh_call *call = attempt->call;
   bool servers_fault = reached || reason == MESH_REASON_NO_SERVER;
 
+  if (reason == MESH_REASON_OTHER_INSTANCE)
+    attempt->server->replaced = true;
   if (servers_fault)
     cp_server_count_end (attempt->server, true, now_us ());
   attempt_free (attempt);
@@ -467,6 +500,26 @@
   call_try (call);
 }
 
+/* Returns whether a refusal for REASON leaves it open that ATTEMPT ran: the
+   inbound side does not know it, and may have forgotten it.  */
+static bool
+may_be_forgotten (const struct mesh_attempt *attempt, enum mesh_reason reason)
+{
+  return reason == MESH_REASON_UNKNOWN_ATTEMPT
+         && (attempt->call->route->repeatable == CP_REPEAT_ANY
+             || now_us () - attempt->sent_us > REMEMBERED_US);
+}
+
+static void
+take_refusal (struct mesh_attempt *attempt,
+              const struct cp_peer_refusal *refusal)
+{
+  enum mesh_reason reason = MIN (refusal->reason, MESH_REASON_COUNT - 1U);
+  bool forgotten = may_be_forgotten (attempt, reason);
+
+  attempt_failed (attempt, reason, refusal->reached || forgotten, forgotten);
+}
+
 static struct mesh_attempt *
 find_attempt (struct mesh_outbound *outbound, uint64_t stream)
 {
@@ -535,6 +588,7 @@
     {
       call->may_have_run = true;
       call->reason = MESH_REASON_NONE;
+      keep_failure (call, answer);
       if (call->n_open > 1)
         {
           attempt_free (attempt);
@@ -571,8 +625,7 @@
       if (attempt == NULL)
         break;
       take_load (outbound, attempt->server, &refusal->load);
-      attempt_failed (attempt, MIN (refusal->reason, MESH_REASON_COUNT - 1U),
-                      refusal->reached, false);
+      take_refusal (attempt, refusal);
       break;
     case CP_PEER_FAILURE:
       attempt = find_attempt (outbound, failure->stream);
@@ -606,6 +659,23 @@
   return (struct mesh_attempt **)g_ptr_array_free (found, FALSE);
 }
 
+/* Sends a call that may be repeated to another server while its first attempt
+   may still be answered over a new link.  */
+static void
+call_again_beside (struct mesh_call *call)
+{
+  struct cp_server *server;
+
+  if (call->n_open != 1 || call->route->repeatable != CP_REPEAT_ANY)
+    return;
+  server = next_server (call);
+  if (server == NULL || !may_repeat (call))
+    return;
+  call->reason = MESH_REASON_LINK_LOST;
+  log_again (call);
+  call_send (call, server);
+}
+
 void
 mesh_outbound_server_lost (struct mesh_outbound *outbound,
                            struct cp_server *server)
@@ -614,14 +684,13 @@
   struct mesh_attempt **found = attempts_at (outbound, server, &count);
 
   for (unsigned i = 0; i < count; i++)
-    {
-      bool repeatable = found[i]->call->route->repeatable == CP_REPEAT_ANY;
-
-      if (repeatable || found[i]->lost)
-        attempt_failed (found[i], MESH_REASON_LINK_LOST, true, true);
-      else
+    if (found[i]->lost)
+      attempt_failed (found[i], MESH_REASON_LINK_LOST, true, true);
+    else
+      {
         found[i]->lost = true;
-    }
+        call_again_beside (found[i]->call);
+      }
   g_free (found);
 }
 
--- a/regress/meshd/check_mesh_life.c
+++ b/regress/meshd/check_mesh_life.c
@@ -294,6 +294,26 @@
 }
 END_TEST
 
+/* The server beside never answers; its daemon must not wait for it.  */
+START_TEST (a_daemon_that_is_told_to_leave_ends_within_the_grace_time)
+{
+  struct caller caller
+      = { .path = "/write/1?hang", .method = "POST", .id = "w1" };
+  gint64 since;
+  unsigned vm;
+
+  start_call (&caller);
+  wait_until (has_run, "w1");
+  vm = stage_server_runs (&stage, 1) > 0 ? 1 : 2;
+  since = g_get_monotonic_time ();
+  kill (stage.daemons[vm].pid, SIGTERM);
+  ck_assert_int_eq (process_wait (&stage.daemons[vm]), 0);
+  ck_assert_int_lt (g_get_monotonic_time () - since, 6000000);
+  pthread_join (caller.thread, NULL);
+  ck_assert_int_ne (caller.status, 503);
+}
+END_TEST
+
 START_TEST (settings_that_cannot_be_read_leave_the_old_ones_in_force)
 {
   stage_write_settings (&stage, 3, ",\"zone\":7");
@@ -321,6 +341,8 @@
   tcase_add_test (tests, a_read_at_a_daemon_that_freezes_is_served_by_another);
   tcase_add_test (tests, an_answer_is_fetched_over_a_new_link_after_a_pause);
   tcase_add_test (tests, a_daemon_that_is_told_to_leave_loses_nothing);
+  tcase_add_test (
+      tests, a_daemon_that_is_told_to_leave_ends_within_the_grace_time);
   tcase_add_test (tests,
                   settings_that_cannot_be_read_leave_the_old_ones_in_force);
 }
