--- a/cornelpick/cornelpick.h
+++ b/cornelpick/cornelpick.h
@@ -27,6 +27,7 @@
 int command_check (int argc, char **argv);
 int command_diff (int argc, char **argv);
 int command_explain (int argc, char **argv);
+int command_log (int argc, char **argv);
 int command_state (int argc, char **argv);
 int command_top (int argc, char **argv);
 int command_run (int argc, char **argv);
--- a/cornelpick/explain.c
+++ b/cornelpick/explain.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "cornelpick/cornelpick.h"
+#include "cornelpick/logs.h"
 #include "cornelpick/progress.h"
 #include "cornelpick/story.h"
 #include "lib/cleanup.h"
@@ -286,19 +287,26 @@
 command_explain (int argc, char **argv)
 {
   gboolean json = FALSE;
+  gboolean from_logs = FALSE;
   struct explanation explanation = { 0 };
   const GOptionEntry entries[]
       = { { "json", 'j', 0, G_OPTION_ARG_NONE, &json,
             "Print the records as JSON", NULL },
           { "admin-port", 'p', 0, G_OPTION_ARG_INT, &explanation.admin_port,
             "Admin port of the other daemons", "PORT" },
+          { "log", 'l', 0, G_OPTION_ARG_NONE, &from_logs,
+            "Tell it from logs of cornelpick-meshd", NULL },
           G_OPTION_ENTRY_NULL };
   struct cp_error error;
   struct cp_id id;
   int status;
 
-  if (!parse_arguments (&argc, &argv, entries) || argc != 3
-      || explanation.admin_port < 0 || explanation.admin_port > 65535)
+  if (!parse_arguments (&argc, &argv, entries))
+    return usage ();
+  if (from_logs && argc >= 3)
+    return logs_explain (argv + 1, argc - 2, argv[argc - 1]);
+  if (from_logs || argc != 3 || explanation.admin_port < 0
+      || explanation.admin_port > 65535)
     return usage ();
   if (!cp_id_parse (&id, argv[2]))
     {
--- a/cornelpick/main.c
+++ b/cornelpick/main.c
@@ -11,6 +11,8 @@
   { "diff", "OLD NEW", command_diff },
   { "explain", "[--json] [--admin-port PORT] ADDRESS REQUEST-ID",
     command_explain },
+  { "explain", "--log FILE... REQUEST-ID", command_explain },
+  { "log", "[--failed] FILE...", command_log },
   { "record", "[--out FILE] [--from-us TIME] ADDRESS...", command_record },
   { "replay", "[--picker NAME] [--seed N] [--seeds N] [--json] TRACE",
     command_replay },
--- a/meshd/inbound.c
+++ b/meshd/inbound.c
@@ -119,11 +119,13 @@
          unsigned status)
 {
   const struct mesh_inbound *inbound = job->inbound;
+  enum mesh_log_kind kind
+      = status >= 200 && status < 400 ? MESH_LOG_JOB_END : MESH_LOG_JOB_FAILED;
   char id[128];
 
-  if (!mesh_log_due (MESH_LOG_JOB_END))
+  if (!mesh_log_due (kind))
     return;
-  mesh_log (MESH_LOG_JOB_END,
+  mesh_log (kind,
             "\"request\":\"%s\",\"stream\":%" G_GUINT64_FORMAT
             ",\"outcome\":\"%s\",\"reason\":\"%s\",\"status\":%u,"
             "\"waited_us\":%" G_GUINT64_FORMAT ",\"ran_us\":%" G_GUINT64_FORMAT
--- a/meshd/log.c
+++ b/meshd/log.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <poll.h>
 #include <pthread.h>
 #include <stdarg.h>
 #include <string.h>
@@ -19,14 +20,39 @@
 
 #define BUFFER_BYTES (1U << 18)
 
+/* Bytes written at once: what a pipe takes whole, so that lines of several
+   processes do not mix.  */
+#define WRITE_BYTES 4096
+
 /* How long lines are collected, in ms, so that the writer wakes seldom.  */
 #define COLLECT_MS 250
 
-static const char *const kind_names[MESH_LOG_KINDS]
-    = { "start",   "stop",        "reload",     "state",     "store",
-        "table",   "server",      "unreadable", "peer",      "send",
-        "again",   "attempt_end", "answer",     "failed",    "abandoned",
-        "refused", "admit",       "job_end",    "connection" };
+static const char *const kind_names[MESH_LOG_KINDS] = {
+  [MESH_LOG_START] = "start",
+  [MESH_LOG_STOP] = "stop",
+  [MESH_LOG_RELOAD] = "reload",
+  [MESH_LOG_STATE] = "state",
+  [MESH_LOG_STORE] = "store",
+  [MESH_LOG_TABLE] = "table",
+  [MESH_LOG_SERVER] = "server",
+  [MESH_LOG_UNREADABLE] = "unreadable",
+  [MESH_LOG_PEER] = "peer",
+  [MESH_LOG_SEND] = "send",
+  [MESH_LOG_AGAIN] = "again",
+  [MESH_LOG_ANSWER] = "answer",
+  [MESH_LOG_FAILED] = "failed",
+  [MESH_LOG_ABANDONED] = "abandoned",
+  [MESH_LOG_REFUSED] = "refused",
+  [MESH_LOG_JOB_END] = "job_end",
+  [MESH_LOG_JOB_FAILED] = "job_failed",
+};
+
+/* Kinds without which a failure could not be explained.  */
+static const bool is_vital[MESH_LOG_KINDS] = {
+  [MESH_LOG_FAILED] = true,
+  [MESH_LOG_JOB_FAILED] = true,
+  [MESH_LOG_REFUSED] = true,
+};
 
 struct kind_rate
 {
@@ -48,12 +74,49 @@
   struct kind_rate rates[MESH_LOG_KINDS];
 } logger = { .lock = PTHREAD_MUTEX_INITIALIZER };
 
+/* Returns how many bytes of TEXT to write next: whole lines, up to
+   WRITE_BYTES.  */
+static size_t
+next_chunk (const char *text, size_t length)
+{
+  const char *end;
+
+  if (length <= WRITE_BYTES)
+    return length;
+  end = memrchr (text, '\n', WRITE_BYTES);
+  return end == NULL ? WRITE_BYTES : (size_t)(end - text) + 1;
+}
+
+static bool
+is_stopping (void)
+{
+  bool stopping;
+
+  pthread_mutex_lock (&logger.lock);
+  stopping = logger.stopping;
+  pthread_mutex_unlock (&logger.lock);
+  return stopping;
+}
+
+/* Waits until the output takes a chunk.  Returns false when the process ends
+   first: nobody reads the output.  */
+static bool
+wait_for_output (void)
+{
+  struct pollfd output = { .fd = STDOUT_FILENO, .events = POLLOUT };
+
+  while (poll (&output, 1, COLLECT_MS) <= 0)
+    if (is_stopping ())
+      return false;
+  return true;
+}
+
 static void
 write_all (const char *text, size_t length)
 {
-  while (length > 0)
+  while (length > 0 && wait_for_output ())
     {
-      ssize_t written = write (STDOUT_FILENO, text, length);
+      ssize_t written = write (STDOUT_FILENO, text, next_chunk (text, length));
 
       if (written <= 0)
         return;
@@ -185,8 +248,7 @@
 {
   struct kind_rate *rate = &logger.rates[kind];
   uint64_t second = cp_clock_now_us (&cp_clock_boot) / CP_US_PER_S;
-  unsigned most
-      = kind == MESH_LOG_FAILED ? FAILED_LINES_PER_S : KIND_LINES_PER_S;
+  unsigned most = is_vital[kind] ? FAILED_LINES_PER_S : KIND_LINES_PER_S;
   unsigned left_out = turn_second (rate, second);
   char members[64];
 
--- a/meshd/log.h
+++ b/meshd/log.h
@@ -2,7 +2,7 @@
 
    A line is built only when its kind may still write in this second; what is
    left out is counted and told in a line of its own.  Lines of failed requests
-   are not bounded by their kind, only by the buffer.  A thread writes the
+   have a bound of their own, ten times as high.  A thread writes the
    buffer out; when the output does not take it, lines are dropped and counted,
    and nothing waits.  The fields are listed in docs/LOGS.md.  */
 #ifndef MESHD_LOG_H
@@ -25,14 +25,12 @@
   MESH_LOG_PEER,
   MESH_LOG_SEND,
   MESH_LOG_AGAIN,
-  MESH_LOG_ATTEMPT_END,
   MESH_LOG_ANSWER,
   MESH_LOG_FAILED,
   MESH_LOG_ABANDONED,
   MESH_LOG_REFUSED,
-  MESH_LOG_ADMIT,
   MESH_LOG_JOB_END,
-  MESH_LOG_CONNECTION,
+  MESH_LOG_JOB_FAILED,
   MESH_LOG_KINDS
 };
 
--- a/meshd/outbound.c
+++ b/meshd/outbound.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "lib/cleanup.h"
 #include "lib/counter.h"
 #include "meshd/log.h"
 #include "meshd/outbound.h"
@@ -65,6 +66,19 @@
   bool lost; /* the way to the server broke meanwhile */
 };
 
+/* What was known of a server when a call was sent there, and how that went;
+   for the log.  */
+struct mesh_trial
+{
+  uint64_t stream;
+  uint64_t sent_us;
+  uint64_t report_age_us;
+  unsigned busy;
+  unsigned limit;
+  unsigned slowness_percent;
+  enum mesh_reason end; /* none while it is open, and for an answer */
+};
+
 struct mesh_call
 {
   uv_timer_t timer;
@@ -81,6 +95,7 @@
   struct mesh_attempt *open[OPEN_MAX];
   unsigned n_open;
   struct cp_server *tried[TRIED_MAX];
+  struct mesh_trial trials[TRIED_MAX]; /* of each server tried */
   unsigned n_tried;
   unsigned n_sent; /* attempts but those that reached no server */
   bool may_have_run;
@@ -149,25 +164,53 @@
   uv_close ((uv_handle_t *)&call->timer, on_call_closed);
 }
 
+/* Returns the trials of CALL as a JSON list, which the caller frees.  */
+static char *
+trials_text (const struct mesh_call *call)
+{
+  GString *text = g_string_new (NULL);
+
+  for (unsigned i = 0; i < call->n_tried; i++)
+    {
+      const struct mesh_trial *trial = &call->trials[i];
+
+      g_string_append_printf (
+          text,
+          "%s{\"server\":\"%s\",\"stream\":%" G_GUINT64_FORMAT
+          ",\"after_us\":%" G_GUINT64_FORMAT ",\"busy\":%u,\"limit\":%u,"
+          "\"slowness\":%u,\"report_age_us\":%" G_GUINT64_FORMAT
+          ",\"end\":\"%s\"}",
+          i == 0 ? "" : ",", call->tried[i]->instance, trial->stream,
+          trial->sent_us - MIN (trial->sent_us, call->began_us), trial->busy,
+          trial->limit, trial->slowness_percent, trial->report_age_us,
+          mesh_reason_names[trial->end]);
+    }
+  return g_string_free (text, FALSE);
+}
+
+/* Writes the line from which the cause of a failure follows, whatever other
+   lines were left out.  */
 static void
 log_failed (const struct mesh_call *call, unsigned status)
 {
+  CP_AUTO_FREE char *trials = NULL;
   char id[128];
 
   if (!mesh_log_due (MESH_LOG_FAILED))
     return;
+  trials = trials_text (call);
   mesh_log (
       MESH_LOG_FAILED,
       "\"request\":\"%s\",\"status\":%u,\"reason\":\"%s\",\"route\":\"%s\","
       "\"service\":\"%s\",\"config\":%" G_GUINT64_FORMAT
-      ",\"tried\":%u,\"sent\":%u,\"may_have_run\":%s,\"last\":\"%s\","
-      "\"took_us\":%" G_GUINT64_FORMAT,
+      ",\"tried\":%u,\"sent\":%u,\"may_have_run\":%s,\"took_us\":"
+      "%" G_GUINT64_FORMAT ",\"left_us\":%" G_GUINT64_FORMAT
+      ",\"trials\":[%s]",
       mesh_log_quote (call->request_id, id, sizeof id), status,
       mesh_reason_names[call->reason], call->route->name, call->service,
       call->table->version, call->n_tried, call->n_sent,
-      call->may_have_run ? "true" : "false",
-      call->n_tried == 0 ? "" : call->tried[call->n_tried - 1]->instance,
-      now_us () - call->began_us);
+      call->may_have_run ? "true" : "false", now_us () - call->began_us,
+      call->deadline_us - MIN (call->deadline_us, now_us ()), trials);
 }
 
 /* Gives the call an answer of our own.  */
@@ -281,10 +324,27 @@
   request->body.cp_peer_body_val = (char *)body->data;
 }
 
+/* Notes what is known of SERVER for the log.  */
 static void
-log_send (const struct mesh_call *call, const struct mesh_attempt *attempt)
+note_trial (struct mesh_call *call, const struct mesh_attempt *attempt)
 {
   const struct cp_server *server = attempt->server;
+
+  call->trials[call->n_tried] = (struct mesh_trial){
+    .stream = attempt->stream,
+    .sent_us = attempt->sent_us,
+    .report_age_us
+    = server->load_us == 0 ? 0 : attempt->sent_us - server->load_us,
+    .busy = server->load.running + server->load.queued + server->sent_since,
+    .limit = server->load.limit,
+    .slowness_percent = server->load.slowness_percent,
+  };
+}
+
+static void
+log_send (const struct mesh_call *call, const struct mesh_attempt *attempt)
+{
+  const struct mesh_trial *trial = &call->trials[call->n_tried - 1];
   char id[128];
 
   if (!mesh_log_due (MESH_LOG_SEND))
@@ -296,11 +356,10 @@
       ",\"busy\":%u,\"limit\":%u,\"slowness\":%u,\"report_age_us\":"
       "%" G_GUINT64_FORMAT ",\"own\":%u,\"failures\":%.2f,\"tried\":%u",
       mesh_log_quote (call->request_id, id, sizeof id), attempt->stream,
-      server->instance, call->service, call->table->version,
-      server->load.running + server->load.queued, server->load.limit,
-      server->load.slowness_percent,
-      server->load_us == 0 ? 0 : now_us () - server->load_us,
-      server->own_in_flight, server->failures, call->n_tried);
+      attempt->server->instance, call->service, call->table->version,
+      trial->busy, trial->limit, trial->slowness_percent, trial->report_age_us,
+      attempt->server->own_in_flight, attempt->server->failures,
+      call->n_tried);
 }
 
 /* Sends the call to SERVER.  Returns false, and leaves nothing behind, when
@@ -318,6 +377,7 @@
   attempt->sent_us = now_us ();
   call->open[call->n_open++] = attempt;
   call->n_sent++;
+  note_trial (call, attempt);
   call->tried[call->n_tried++] = cp_server_ref (server);
   server->own_in_flight++;
   server->sent_since++;
@@ -472,6 +532,17 @@
   set_timer (call, now);
 }
 
+/* Notes for the log how ATTEMPT ended.  */
+static void
+note_end (const struct mesh_attempt *attempt, enum mesh_reason reason)
+{
+  struct mesh_call *call = attempt->call;
+
+  for (unsigned i = 0; i < call->n_tried; i++)
+    if (call->trials[i].stream == attempt->stream)
+      call->trials[i].end = reason;
+}
+
 /* The open attempt ended without an answer.  REACHED: the server may have
    seen it; RAN: it may have run there.  */
 static void
@@ -485,6 +556,7 @@
     attempt->server->replaced = true;
   if (servers_fault)
     cp_server_count_end (attempt->server, true, now_us ());
+  note_end (attempt, reason);
   attempt_free (attempt);
   call->reason = reason;
   call->n_sent -= !reached;
--- a/regress/meshd/check_mesh_life.c
+++ b/regress/meshd/check_mesh_life.c
@@ -341,8 +341,8 @@
   tcase_add_test (tests, a_read_at_a_daemon_that_freezes_is_served_by_another);
   tcase_add_test (tests, an_answer_is_fetched_over_a_new_link_after_a_pause);
   tcase_add_test (tests, a_daemon_that_is_told_to_leave_loses_nothing);
-  tcase_add_test (
-      tests, a_daemon_that_is_told_to_leave_ends_within_the_grace_time);
+  tcase_add_test (tests,
+                  a_daemon_that_is_told_to_leave_ends_within_the_grace_time);
   tcase_add_test (tests,
                   settings_that_cannot_be_read_leave_the_old_ones_in_force);
 }
--- /dev/null
+++ b/regress/meshd/check_mesh_logs.c
@@ -0,0 +1,254 @@
+/* The structured log: its schema, its bound, and the stories told from it.  */
+#include <fcntl.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "lib/cleanup.h"
+#include "regress/harness/stage.h"
+#include "regress/harness/suite.h"
+
+#define VMS 3
+#define FLOOD 1500
+
+static struct stage stage;
+static struct reply reply;
+
+static void
+setup (void)
+{
+  stage_start (&stage, VMS);
+  reply_init (&reply);
+}
+
+static void
+teardown (void)
+{
+  reply_finish (&reply);
+  stage_finish (&stage);
+}
+
+static int
+call (const char *method, const char *path, const char *id)
+{
+  stage_call (&stage, &reply, 3, method, "alpha.test", path, id,
+              method[0] == 'P' ? "order" : NULL);
+  return reply.status;
+}
+
+/* Returns the row of docs/LOGS.md for KIND, its members; to be freed.  */
+static char *
+documented (const char *page, const char *kind)
+{
+  CP_AUTO_FREE char *begin = g_strdup_printf ("\n| `%s` | ", kind);
+  const char *at = strstr (page, begin);
+
+  if (at == NULL)
+    return NULL;
+  at += strlen (begin);
+  if (g_str_has_prefix (at, "the same"))
+    return documented (page, "job_end");
+  return g_strndup (at, strcspn (at, "|"));
+}
+
+static void
+check_line (const char *page, const char *text)
+{
+  CP_AUTO_JSON json_t *line = json_loads (text, 0, NULL);
+  const char *kind = json_string_value (json_object_get (line, "kind"));
+  CP_AUTO_FREE char *members = NULL;
+  const char *name;
+  json_t *value;
+
+  ck_assert_msg (kind != NULL, "%s", text);
+  ck_assert (json_is_real (json_object_get (line, "t")));
+  ck_assert (json_is_string (json_object_get (line, "vm")));
+  members = documented (page, kind);
+  ck_assert_msg (members != NULL, "not documented: %s", text);
+  json_object_foreach (line, name, value)
+  {
+    CP_AUTO_FREE char *quoted = g_strdup_printf ("`%s`", name);
+
+    if (strcmp (name, "t") != 0 && strcmp (name, "vm") != 0
+        && strcmp (name, "kind") != 0 && strcmp (name, "left_out") != 0)
+      ck_assert_msg (strstr (members, quoted) != NULL, "%s in %s", name, text);
+  }
+}
+
+static char *
+log_of (unsigned vm)
+{
+  CP_AUTO_FREE char *path
+      = g_strdup_printf ("%s/daemon-%u.log", stage.folder, vm);
+  char *text = NULL;
+
+  ck_assert (g_file_get_contents (path, &text, NULL, NULL));
+  return text;
+}
+
+START_TEST (every_line_is_as_documented)
+{
+  const char *top = getenv ("TOP");
+  CP_AUTO_FREE char *path = NULL;
+  CP_AUTO_FREE char *page = NULL;
+  unsigned lines = 0;
+
+  path = g_strdup_printf ("%s/docs/LOGS.md", top == NULL ? "." : top);
+  ck_assert (g_file_get_contents (path, &page, NULL, NULL));
+  call ("GET", "/read/1", "a1");
+  call ("GET", "/read/1?cut-once", "a2");
+  call ("POST", "/write/1?shed", "a3");
+  call ("POST", "/short/1?hang", "a4");
+  call ("GET", "/nowhere/1", "a\"5\\");
+  stage_put (&stage, "servers/forged\"\\", "no entry");
+  stage_write_settings (&stage, 3, ",\"zone\":7");
+  kill (stage.daemons[3].pid, SIGHUP);
+  process_signal (&stage.daemons[1], SIGKILL);
+  g_usleep (800000);
+  for (unsigned vm = 1; vm <= VMS; vm++)
+    {
+      CP_AUTO_FREE char *text = log_of (vm);
+      g_auto (GStrv) split = g_strsplit (text, "\n", -1);
+
+      for (unsigned i = 0; split[i] != NULL && split[i][0] != '\0'; i++)
+        {
+          check_line (page, split[i]);
+          lines++;
+        }
+    }
+  ck_assert_uint_gt (lines, 20);
+}
+END_TEST
+
+/* Runs cornelpick with ARGUMENTS on the logs of all VMs.  */
+static char *
+cornelpick (const char *arguments, const char *last)
+{
+  const char *build = getenv ("BUILD");
+  CP_AUTO_FREE char *script = g_strdup_printf (
+      "%s/cornelpick/cornelpick %s %s/daemon-*.log %s",
+      build == NULL ? "build" : build, arguments, stage.folder, last);
+  char *command[] = { "sh", "-c", script, NULL };
+  char *out = NULL;
+
+  ck_assert (g_spawn_sync (NULL, command, NULL, G_SPAWN_SEARCH_PATH, NULL,
+                           NULL, &out, NULL, NULL, NULL));
+  return out;
+}
+
+static void
+expect (const char *text, const char *part)
+{
+  ck_assert_msg (strstr (text, part) != NULL, "no \"%s\" in:\n%s", part, text);
+}
+
+START_TEST (failures_are_told_with_their_causes)
+{
+  CP_AUTO_FREE char *causes = NULL;
+  CP_AUTO_FREE char *refused = NULL;
+  CP_AUTO_FREE char *late = NULL;
+
+  ck_assert_int_eq (call ("POST", "/write/1?shed", "b1"), 503);
+  ck_assert_int_eq (call ("POST", "/short/1?hang", "b2"), 504);
+  ck_assert_int_eq (call ("POST", "/write/1?cut", "b3"), 502);
+  g_usleep (600000);
+  causes = cornelpick ("log", "");
+  expect (causes, "503  server-full");
+  expect (causes, "504  timeout");
+  expect (causes, "502  cut");
+  refused = cornelpick ("explain --log", "b1");
+  expect (refused, "answers 503: server-full; 2 asked, 2 reached");
+  expect (refused, "has not run");
+  expect (refused, "ended: server-full");
+  late = cornelpick ("explain --log", "b2");
+  expect (late, "answers 504: timeout; 1 asked, 1 reached");
+}
+END_TEST
+
+START_TEST (logs_of_others_and_cut_lines_are_passed_over)
+{
+  CP_AUTO_FREE char *path = g_strdup_printf ("%s/daemon-9.log", stage.folder);
+  CP_AUTO_FREE char *filler = g_strnfill (200000, 'x');
+  CP_AUTO_FREE char *text = g_strdup_printf (
+      "another program\n{\"t\":1,\"kind\":\"failed\",\"request\":\"c1\",\"st\n"
+      "%s\n{\"t\":1.5,\"vm\":\"v\",\"kind\":\"failed\",\"status\":503,"
+      "\"reason\":\"full\",\"request\":\"c2\"}\n{\"t\":2,",
+      filler);
+  CP_AUTO_FREE char *causes = NULL;
+
+  ck_assert (g_file_set_contents (path, text, -1, NULL));
+  causes = cornelpick ("log", "");
+  expect (causes, "503  full              c2");
+}
+END_TEST
+
+/* The output of VM 3's daemon is a pipe that nobody reads.  */
+START_TEST (a_flood_of_failures_is_bounded_and_blocks_nothing)
+{
+  CP_AUTO_FREE char *path = g_strdup_printf ("%s/daemon-3.log", stage.folder);
+  char buffer[65536];
+  gint64 began;
+  ssize_t count;
+  int fd;
+
+  process_signal (&stage.daemons[3], SIGKILL);
+  unlink (path);
+  ck_assert_int_eq (mkfifo (path, 0600), 0);
+  fd = open (path, O_RDWR | O_NONBLOCK);
+  stage_start_daemon (&stage, 3);
+  stage_wait_ready (&stage, 3);
+  began = g_get_monotonic_time ();
+  for (unsigned i = 0; i < FLOOD; i++)
+    ck_assert_int_eq (call ("GET", "/nowhere/1", "d1"), 404);
+  /* 4 ms each would be slow on a busy machine; a blocked daemon takes
+     forever.  */
+  ck_assert_int_lt (g_get_monotonic_time () - began, FLOOD * 10000);
+  ck_assert_int_eq (call ("GET", "/nowhere/1", "d2"), 404);
+  began = g_get_monotonic_time ();
+  kill (stage.daemons[3].pid, SIGTERM);
+  ck_assert_int_eq (process_wait (&stage.daemons[3]), 0);
+  ck_assert_int_lt (g_get_monotonic_time () - began, 6000000);
+  count = read (fd, buffer, sizeof buffer);
+  ck_assert_int_gt (count, 0);
+  close (fd);
+}
+END_TEST
+
+START_TEST (each_kind_keeps_its_bound)
+{
+  CP_AUTO_FREE char *text = NULL;
+  gint64 began = g_get_monotonic_time ();
+  unsigned lines = 0;
+  unsigned seconds;
+
+  for (unsigned i = 0; i < FLOOD; i++)
+    call ("GET", "/nowhere/1", "e1");
+  g_usleep (1300000);
+  call ("GET", "/nowhere/1", "e2");
+  g_usleep (600000);
+  seconds = (unsigned)((g_get_monotonic_time () - began) / G_USEC_PER_SEC) + 2;
+  text = log_of (3);
+  for (const char *at = text; (at = strstr (at, "\"refused\"")) != NULL; at++)
+    lines++;
+  ck_assert_uint_gt (lines, 0);
+  ck_assert_uint_le (lines, seconds * 201);
+}
+END_TEST
+
+static void
+add_tests (TCase *tests)
+{
+  tcase_add_checked_fixture (tests, setup, teardown);
+  tcase_add_test (tests, every_line_is_as_documented);
+  tcase_add_test (tests, failures_are_told_with_their_causes);
+  tcase_add_test (tests, logs_of_others_and_cut_lines_are_passed_over);
+  tcase_add_test (tests, a_flood_of_failures_is_bounded_and_blocks_nothing);
+  tcase_add_test (tests, each_kind_keeps_its_bound);
+}
+
+int
+main (void)
+{
+  return suite_run ("mesh_logs", add_tests, 90);
+}
