Remember how attempts ended for senders that lost the message

The story: the server's connection and the link were reset in the same moment; the inbound side ended the job as failed, sent that over the link that was already gone, and forgot the job; asked over the new link it answered "never seen", which the outbound side took for proof. Ruled out: a write that was taken for unsent (the server had begun 159 ms before), another incarnation.

The end of a job that may not be repeated is kept for 3 s and told again as often as it is asked for.

--- a/meshd/inbound.c
+++ b/meshd/inbound.c
@@ -19,10 +19,11 @@
    longer wait here would leave no time there.  */
 #define WAIT_SHARE 0.2
 
-/* How long a job whose link broke is kept for its sender.  A sender comes back
-   within the time to notice silence and to connect, and takes a word that the
-   job is not known for proof only up to half a second less.  */
-#define LOST_US UINT64_C (3000000)
+/* How long the end of a job is kept for its sender, and a job that waits with
+   its link broken.  A sender comes back within the time to notice silence and
+   to connect, and takes a word that the job is not known for proof only up to
+   half a second less after it sent the attempt.  */
+#define REMEMBERED_US UINT64_C (3000000)
 
 /* An idempotent job whose link broke is ended after this long: its caller has
    either gone or been served elsewhere.  */
@@ -88,30 +89,39 @@
   g_free (job);
 }
 
-/* Delivers the one message that JOB ends with, or keeps it for a sender that
-   may come back.  */
+/* Returns whether the sender of JOB may ask for its end again: the message may
+   be lost with its link, and must not be replaced by a word that the job was
+   never seen.  What may be repeated is not worth the memory.  */
+static bool
+is_remembered (const struct mesh_job *job,
+               const struct cp_peer_message *message)
+{
+  return !job->local && !job->idempotent && message->kind != CP_PEER_REFUSAL;
+}
+
+/* Delivers the one message that JOB ends with.  */
 static void
 job_end (struct mesh_job *job, const struct cp_peer_message *message)
 {
   struct mesh_inbound *inbound = job->inbound;
+  struct mesh_link *link = job->link;
+  bool local = job->local;
 
   job->state = MESH_JOB_ENDED;
+  job->ended_us = now_us ();
   if (job->silent)
-    job_free (job);
-  else if (job->link != NULL)
-    {
-      struct mesh_link *link = job->link;
-
-      job_free (job);
-      mesh_link_send (link, message);
-    }
-  else if (job->local)
     {
       job_free (job);
-      inbound->events->reply (inbound->context, message);
+      return;
     }
-  else
+  if (is_remembered (job, message))
     job->kept = mesh_encode (message);
+  else
+    job_free (job);
+  if (local)
+    inbound->events->reply (inbound->context, message);
+  else if (link != NULL)
+    mesh_link_send (link, message);
 }
 
 static void
@@ -351,6 +361,14 @@
     job_drop (job);
 }
 
+static GByteArray *
+copy_of (const GByteArray *bytes)
+{
+  GByteArray *copy = g_byte_array_sized_new (bytes->len);
+
+  return g_byte_array_append (copy, bytes->data, bytes->len);
+}
+
 void
 mesh_inbound_resume (struct mesh_inbound *inbound, struct mesh_link *link,
                      uint64_t stream)
@@ -369,13 +387,7 @@
   job->link = link;
   job->lost_us = 0;
   if (job->state == MESH_JOB_ENDED)
-    {
-      GByteArray *kept = job->kept;
-
-      job->kept = NULL;
-      job_free (job);
-      net_link_send (&link->link, kept);
-    }
+    net_link_send (&link->link, copy_of (job->kept));
 }
 
 void
@@ -394,16 +406,32 @@
 unsigned
 mesh_inbound_jobs (const struct mesh_inbound *inbound)
 {
-  return g_hash_table_size (inbound->by_stream);
+  const struct mesh_job *job;
+  unsigned count = 0;
+
+  cds_list_for_each_entry (job, &inbound->jobs, node) count
+      += job->state != MESH_JOB_ENDED;
+  return count;
+}
+
+/* Returns whether the sender of JOB has been away for too long.  */
+static bool
+is_given_up (const struct mesh_job *job, uint64_t now)
+{
+  if (job->state == MESH_JOB_ENDED)
+    return now - job->ended_us > REMEMBERED_US;
+  if (job->lost_us == 0)
+    return false;
+  if (job->idempotent)
+    return now - job->lost_us > LOST_IDEMPOTENT_US;
+  return job->state == MESH_JOB_QUEUED && now - job->lost_us > REMEMBERED_US;
 }
 
 /* Ends JOB when its time is over.  Returns whether it did.  */
 static bool
 check_job (struct mesh_job *job, uint64_t now)
 {
-  if (job->lost_us != 0
-      && now - job->lost_us > (job->idempotent ? LOST_IDEMPOTENT_US : LOST_US)
-      && (job->idempotent || job->state != MESH_JOB_RUNNING))
+  if (is_given_up (job, now))
     job_drop (job);
   else if (job->state == MESH_JOB_RUNNING
            && now > job->deadline_us + OVERTIME_US)
--- a/meshd/inbound.h
+++ b/meshd/inbound.h
@@ -3,9 +3,9 @@
    Attempts arrive from outbound sides, its own among them; each is a job.  A
    job waits for a slot, is sent over a kept connection, and ends with one
    message: the answer, a refusal that proves it has not run, or a failure that
-   proves nothing.  Jobs whose link broke are kept for a moment, since the
-   sender may come back for them over a new one.  Knows the server and the
-   gate, nothing of routes.  */
+   proves nothing.  Jobs whose link broke, and the ends of those that may not
+   be repeated, are kept for a moment, since the sender may come back for them
+   over a new link.  Knows the server and the gate, nothing of routes.  */
 #ifndef MESHD_INBOUND_H
 #define MESHD_INBOUND_H
 
--- a/meshd/inbound_internal.h
+++ b/meshd/inbound_internal.h
@@ -41,9 +41,10 @@
   uint64_t objective_us;
   uint64_t deadline_us;
   uint64_t started_us;
-  uint64_t lost_us;                   /* when its link broke, or 0 */
+  uint64_t lost_us; /* when its link broke, or 0 */
+  uint64_t ended_us;
   struct mesh_connection *connection; /* while it runs */
-  GByteArray *kept;                   /* its message, for a sender to come */
+  GByteArray *kept; /* its message, in case it is asked for again */
 };
 
 void mesh_job_refuse (struct mesh_job *job, enum mesh_reason reason,
--- /dev/null
+++ b/regress/meshd/check_mesh_peers.c
@@ -0,0 +1,229 @@
+/* Messages between daemons: the test speaks as an outbound side.  */
+#include <arpa/inet.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "lib/cleanup.h"
+#include "meshd/wire.h"
+#include "regress/harness/stage.h"
+#include "regress/harness/suite.h"
+
+#define VMS 2 /* VM 1 serves alpha */
+#define INCARNATION 4242
+
+static struct stage stage;
+static char instance[64];
+
+static void
+setup (void)
+{
+  struct reply reply;
+
+  stage_start (&stage, VMS);
+  reply_init (&reply);
+  stage_call (&stage, &reply, 2, "GET", "alpha.test", "/read/1", "first",
+              NULL);
+  ck_assert_int_eq (reply.status, 200);
+  reply_finish (&reply);
+  stage_server_header (&stage, 1, "X-Cornelpick-Expect-Instance", instance,
+                       sizeof instance);
+}
+
+static void
+teardown (void)
+{
+  stage_finish (&stage);
+}
+
+static void
+send_message (int fd, const struct cp_peer_message *message)
+{
+  GByteArray *record = mesh_encode (message);
+  uint32_t length = htonl (record->len - 4);
+
+  memcpy (record->data, &length, sizeof length);
+  ck_assert_int_eq (write (fd, record->data, record->len), record->len);
+  g_byte_array_unref (record);
+}
+
+static void
+read_whole (int fd, void *buffer, size_t size)
+{
+  size_t got = 0;
+
+  while (got < size)
+    {
+      ssize_t count = read (fd, (char *)buffer + got, size - got);
+
+      ck_assert_int_gt (count, 0);
+      got += (size_t)count;
+    }
+}
+
+/* Reads messages until one of KIND comes.  */
+static void
+await (int fd, enum cp_peer_kind kind, struct cp_peer_message *message)
+{
+  for (;;)
+    {
+      CP_AUTO_FREE char *data = NULL;
+      uint32_t length;
+
+      read_whole (fd, &length, sizeof length);
+      length = ntohl (length);
+      data = g_malloc (length);
+      read_whole (fd, data, length);
+      ck_assert (mesh_decode (message, data, length));
+      if (message->kind == kind)
+        return;
+      mesh_release (message);
+    }
+}
+
+static int
+open_link (void)
+{
+  struct cp_peer_message message = { .kind = CP_PEER_HELLO };
+  int fd = stage_open (&stage, 1, 7400);
+
+  message.cp_peer_message_u.hello.incarnation = INCARNATION;
+  send_message (fd, &message);
+  await (fd, CP_PEER_HELLO, &message);
+  mesh_release (&message);
+  return fd;
+}
+
+static void
+send_request (int fd, uint64_t stream, const char *path, bool idempotent)
+{
+  CP_AUTO_FREE char *head = g_strdup_printf (
+      "%s %s HTTP/1.1\r\nHost: alpha.test\r\nX-Cornelpick-Request-Id: q%u\r\n",
+      idempotent ? "GET" : "POST", path, (unsigned)stream);
+  CP_AUTO_FREE char *id = g_strdup_printf ("q%u", (unsigned)stream);
+  struct cp_peer_message message = { .kind = CP_PEER_REQUEST };
+  struct cp_peer_request *request = &message.cp_peer_message_u.request;
+
+  *request = (struct cp_peer_request){ .stream = stream,
+                                       .request_id = id,
+                                       .instance = instance,
+                                       .left = 2000,
+                                       .objective = 500,
+                                       .idempotent = idempotent,
+                                       .head = head };
+  send_message (fd, &message);
+}
+
+static void
+send_stream (int fd, enum cp_peer_kind kind, uint64_t stream)
+{
+  struct cp_peer_message message = { .kind = kind };
+
+  message.cp_peer_message_u.stream = stream;
+  send_message (fd, &message);
+}
+
+static bool
+has_run (void *context)
+{
+  return stage_runs (&stage, context) > 0;
+}
+
+/* The answer or failure of an attempt is under way when its link breaks: it
+   has run, and a new link must not be told that it was never seen.  */
+START_TEST (an_end_that_was_lost_with_its_link_is_told_again)
+{
+  static const char *const paths[]
+      = { "/write/1", "/write/1?cut", "/write/1?error" };
+  struct cp_peer_message message;
+  int fd = open_link ();
+
+  send_request (fd, 7, paths[_i], false);
+  wait_until (has_run, "q7");
+  g_usleep (200000);
+  close (fd);
+  fd = open_link ();
+  for (unsigned i = 0; i < 2; i++)
+    {
+      send_stream (fd, CP_PEER_RESUME, 7);
+      await (fd, _i == 1 ? CP_PEER_FAILURE : CP_PEER_ANSWER, &message);
+      mesh_release (&message);
+    }
+  ck_assert_uint_eq (stage_runs (&stage, "q7"), 1);
+  close (fd);
+}
+END_TEST
+
+START_TEST (an_attempt_that_goes_on_is_answered_over_the_new_link)
+{
+  struct cp_peer_message message;
+  int fd = open_link ();
+
+  send_request (fd, 8, "/write/1?slow=400", false);
+  wait_until (has_run, "q8");
+  close (fd);
+  fd = open_link ();
+  send_stream (fd, CP_PEER_RESUME, 8);
+  await (fd, CP_PEER_ANSWER, &message);
+  ck_assert_uint_eq (message.cp_peer_message_u.answer.stream, 8);
+  ck_assert_uint_eq (message.cp_peer_message_u.answer.status, 200);
+  mesh_release (&message);
+  close (fd);
+}
+END_TEST
+
+START_TEST (an_attempt_that_never_came_is_refused)
+{
+  struct cp_peer_message message;
+  int fd = open_link ();
+
+  send_stream (fd, CP_PEER_RESUME, 9);
+  await (fd, CP_PEER_REFUSAL, &message);
+  ck_assert_uint_eq (message.cp_peer_message_u.refusal.reason,
+                     MESH_REASON_UNKNOWN_ATTEMPT);
+  mesh_release (&message);
+  close (fd);
+}
+END_TEST
+
+START_TEST (records_that_are_none_end_the_link_only)
+{
+  static const char *const records[]
+      = { "\xff\xff\xff\xff rubbish", "\0\0\0\4\0\0\0\77", "\0\0\0\0" };
+  struct cp_peer_message message;
+  char byte;
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (records); i++)
+    {
+      int fd = open_link ();
+
+      ck_assert_int_gt (write (fd, records[i], 8), 0);
+      while (read (fd, &byte, 1) > 0)
+        continue;
+      close (fd);
+    }
+  int fd = open_link ();
+
+  send_request (fd, 10, "/read/1", true);
+  await (fd, CP_PEER_ANSWER, &message);
+  mesh_release (&message);
+  close (fd);
+}
+END_TEST
+
+static void
+add_tests (TCase *tests)
+{
+  tcase_add_checked_fixture (tests, setup, teardown);
+  tcase_add_loop_test (tests, an_end_that_was_lost_with_its_link_is_told_again,
+                       0, 3);
+  tcase_add_test (tests,
+                  an_attempt_that_goes_on_is_answered_over_the_new_link);
+  tcase_add_test (tests, an_attempt_that_never_came_is_refused);
+  tcase_add_test (tests, records_that_are_none_end_the_link_only);
+}
+
+int
+main (void)
+{
+  return suite_run ("mesh_peers", add_tests, 60);
+}
