Keep the way to a server until its last attempt has ended

Cause: when the entry of a server went, and it was the last on its VM, the way there was closed with its attempts open; their answers came to nobody and the callers waited for the time-out. Servers serve for a while after their entry went.

A removed server gives its way back when nobody refers to it any more. Ways know themselves whether the daemon behind them is another process, and lost attempts are found by way, those at removed servers too.

--- a/lib/gate.h
+++ b/lib/gate.h
@@ -18,9 +18,9 @@
 struct cp_gate_entry
 {
   struct cds_list_head node;
-  unsigned priority;
   uint64_t arrived_us;
   uint64_t give_up_us; /* it may not wait longer */
+  unsigned priority;
   bool waiting;
 };
 
--- a/lib/roster.c
+++ b/lib/roster.c
@@ -44,6 +44,9 @@
 static void
 server_free (struct cp_server *server)
 {
+  const struct cp_roster *roster = server->roster;
+
+  roster->events->released (roster->context, server->owner);
   g_free (server->instance);
   g_free (server->service);
   g_free (server->domain);
@@ -127,6 +130,7 @@
   GPtrArray *servers = servers_of (roster, entry->service);
 
   server->references = 1;
+  server->roster = roster;
   server->instance = g_strdup (entry->instance);
   server->service = g_strdup (entry->service);
   server->domain = g_strdup (entry->domain);
--- a/lib/roster.h
+++ b/lib/roster.h
@@ -44,6 +44,8 @@
                              taken out; 0 when nothing is known */
 };
 
+struct cp_roster;
+
 struct cp_server
 {
   char *instance;
@@ -63,13 +65,13 @@
   uint64_t load_us;    /* when LOAD was taken */
   unsigned sent_since; /* own attempts since then */
   unsigned own_in_flight;
-  double failures;          /* moving share of own attempts */
-  uint64_t failures_us;     /* when it was last moved */
-  unsigned references;      /* of attempts, and one of the roster */
+  double failures;      /* moving share of own attempts */
+  uint64_t failures_us; /* when it was last moved */
+  unsigned references;  /* of attempts, and one of the roster */
+  const struct cp_roster *roster;
   const uint64_t *asked_us; /* when the daemon beside it was asked for a sign
                                of life that has not come, or 0; NULL when it
                                needs none */
-  uint64_t daemon;          /* incarnation of the daemon beside it, or 0 */
   void *owner;              /* of whoever keeps the way to it */
 };
 
@@ -77,6 +79,9 @@
 {
   void (*added) (void *context, struct cp_server *server);
   void (*removed) (void *context, struct cp_server *server);
+
+  /* Nobody refers to a removed server any more; OWNER is its own.  */
+  void (*released) (void *context, void *owner);
 };
 
 struct cp_roster
--- a/meshd/daemon.c
+++ b/meshd/daemon.c
@@ -164,13 +164,19 @@
 {
   (void)context;
   server->reachable = false;
-  server->asked_us = NULL;
-  if (server->owner != NULL)
-    mesh_way_release (server->owner);
-  server->owner = NULL;
 }
 
-static const struct cp_roster_events roster_events = { on_added, on_removed };
+/* The way to a removed server is kept until the last attempt there ended.  */
+static void
+on_server_released (void *context, void *owner)
+{
+  (void)context;
+  if (owner != NULL)
+    mesh_way_release (owner);
+}
+
+static const struct cp_roster_events roster_events
+    = { on_added, on_removed, on_server_released };
 
 static void
 on_table (void *context, struct cp_table *table, uint64_t revision)
@@ -296,53 +302,36 @@
 /* Calls VISIT for each server whose way is WAY.  */
 static void
 each_server (struct mesh_daemon *daemon, const struct mesh_way *way,
-             void (*visit) (struct mesh_daemon *, struct cp_server *, void *),
-             void *argument)
+             void (*visit) (struct cp_server *server,
+                            const struct mesh_way *way))
 {
-  GPtrArray *found = g_ptr_array_new ();
   GHashTableIter iter;
   void *value;
 
   g_hash_table_iter_init (&iter, daemon->roster.instances);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (((struct cp_server *)value)->owner == way)
-      g_ptr_array_add (found, cp_server_ref (value));
-  for (unsigned i = 0; i < found->len; i++)
-    {
-      visit (daemon, found->pdata[i], argument);
-      cp_server_unref (found->pdata[i]);
-    }
-  g_ptr_array_unref (found);
+      visit (value, way);
 }
 
 static void
-server_up (struct mesh_daemon *daemon, struct cp_server *server,
-           void *argument)
+server_up (struct cp_server *server, const struct mesh_way *way)
 {
-  const struct mesh_way *way = argument;
-  bool restarted = server->daemon != 0 && server->daemon != way->incarnation;
-
-  server->daemon = way->incarnation;
   server->reachable = true;
   server->leaving = way->leaving;
-  mesh_outbound_server_back (&daemon->outbound, server, restarted);
 }
 
 static void
-server_down (struct mesh_daemon *daemon, struct cp_server *server,
-             void *argument)
+server_down (struct cp_server *server, const struct mesh_way *way)
 {
-  (void)argument;
+  (void)way;
   server->reachable = false;
-  mesh_outbound_server_lost (&daemon->outbound, server);
 }
 
 static void
-server_leaving (struct mesh_daemon *daemon, struct cp_server *server,
-                void *argument)
+server_leaving (struct cp_server *server, const struct mesh_way *way)
 {
-  (void)daemon;
-  (void)argument;
+  (void)way;
   server->leaving = true;
 }
 
@@ -358,15 +347,21 @@
 static void
 on_up (void *context, struct mesh_way *way)
 {
+  struct mesh_daemon *daemon = context;
+
   log_way (way, "up", "");
-  each_server (context, way, server_up, way);
+  each_server (daemon, way, server_up);
+  mesh_outbound_back (&daemon->outbound, way, way->restarted);
 }
 
 static void
 on_down (void *context, struct mesh_way *way, const char *reason)
 {
+  struct mesh_daemon *daemon = context;
+
   log_way (way, "down", reason);
-  each_server (context, way, server_down, NULL);
+  each_server (daemon, way, server_down);
+  mesh_outbound_lost (&daemon->outbound, way);
 }
 
 static void
@@ -497,7 +492,7 @@
       break;
     case CP_PEER_LEAVING:
       if (link->way != NULL)
-        each_server (daemon, link->way, server_leaving, NULL);
+        each_server (daemon, link->way, server_leaving);
       break;
     default:
       mesh_outbound_receive (&daemon->outbound, message);
--- a/meshd/outbound.c
+++ b/meshd/outbound.c
@@ -716,8 +716,7 @@
 }
 
 static struct mesh_attempt **
-attempts_at (struct mesh_outbound *outbound, const struct cp_server *server,
-             unsigned *count)
+attempts_at (struct mesh_outbound *outbound, const void *way, unsigned *count)
 {
   GPtrArray *found = g_ptr_array_new ();
   GHashTableIter iter;
@@ -725,7 +724,7 @@
 
   g_hash_table_iter_init (&iter, outbound->attempts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((struct mesh_attempt *)value)->server == server)
+    if (((struct mesh_attempt *)value)->server->owner == way)
       g_ptr_array_add (found, value);
   *count = found->len;
   return (struct mesh_attempt **)g_ptr_array_free (found, FALSE);
@@ -749,11 +748,10 @@
 }
 
 void
-mesh_outbound_server_lost (struct mesh_outbound *outbound,
-                           struct cp_server *server)
+mesh_outbound_lost (struct mesh_outbound *outbound, const void *way)
 {
   unsigned count;
-  struct mesh_attempt **found = attempts_at (outbound, server, &count);
+  struct mesh_attempt **found = attempts_at (outbound, way, &count);
 
   for (unsigned i = 0; i < count; i++)
     if (found[i]->lost)
@@ -767,11 +765,11 @@
 }
 
 void
-mesh_outbound_server_back (struct mesh_outbound *outbound,
-                           struct cp_server *server, bool restarted)
+mesh_outbound_back (struct mesh_outbound *outbound, const void *way,
+                    bool restarted)
 {
   unsigned count;
-  struct mesh_attempt **found = attempts_at (outbound, server, &count);
+  struct mesh_attempt **found = attempts_at (outbound, way, &count);
 
   for (unsigned i = 0; i < count; i++)
     {
@@ -784,7 +782,7 @@
       if (restarted)
         attempt_failed (found[i], MESH_REASON_RESTARTED, true, true);
       else
-        outbound->events->send (outbound->context, server, &message);
+        outbound->events->send (outbound->context, found[i]->server, &message);
     }
   g_free (found);
 }
--- a/meshd/outbound.h
+++ b/meshd/outbound.h
@@ -82,12 +82,11 @@
 void mesh_outbound_receive (struct mesh_outbound *outbound,
                             const struct cp_peer_message *message);
 
-/* The way to the daemon beside SERVER broke; it may come back.  */
-void mesh_outbound_server_lost (struct mesh_outbound *outbound,
-                                struct cp_server *server);
+/* The way that owns servers broke; it may come back.  */
+void mesh_outbound_lost (struct mesh_outbound *outbound, const void *way);
 
 /* It came back; RESTARTED when the daemon there is another process.  */
-void mesh_outbound_server_back (struct mesh_outbound *outbound,
-                                struct cp_server *server, bool restarted);
+void mesh_outbound_back (struct mesh_outbound *outbound, const void *way,
+                         bool restarted);
 
 #endif
--- a/meshd/peers.c
+++ b/meshd/peers.c
@@ -83,6 +83,8 @@
   way->up = true;
   way->failures = 0;
   way->leaving = hello->leaving;
+  way->restarted
+      = way->incarnation != 0 && way->incarnation != hello->incarnation;
   way->incarnation = hello->incarnation;
   peers->n_up++;
   peers->events->up (peers->context, way);
--- a/meshd/peers.h
+++ b/meshd/peers.h
@@ -38,6 +38,7 @@
   struct mesh_link *link; /* NULL when there is none */
   bool up;                /* the other daemon has said hello */
   bool leaving;           /* it says that it goes away */
+  bool restarted;         /* it is another process than before */
   uint64_t incarnation;
   uint64_t heard_us;  /* when a record last came */
   uint64_t pinged_us; /* when the oldest unanswered ping left, or 0 */
@@ -51,7 +52,7 @@
 {
   void (*up) (void *context, struct mesh_way *way);
 
-  /* The way broke.  RESTARTED is not known before UP.  */
+  /* The way broke.  */
   void (*down) (void *context, struct mesh_way *way, const char *reason);
 
   /* An incoming link came or went.  */
--- a/net/server.h
+++ b/net/server.h
@@ -35,11 +35,11 @@
   uint64_t read_ms;   /* loop time at which it was whole */
   GByteArray *answer; /* NULL until it is answered */
   bool close;         /* the connection ends with this answer */
-  void *owner;        /* of the user; NULL once abandoned is not wanted */
+  void *owner;        /* of the user; ABANDONED comes only while it is set */
 };
 
-/* ANSWERS_OWN fills the body and headers of an answer that the listener gives
-   by itself, with STATUS.  */
+/* What the user of a listener is told.  REFUSED: the listener has answered by
+   itself, with STATUS, or could not accept a connection (0).  */
 struct net_server_events
 {
   void (*request) (void *context, struct net_exchange *exchange);
--- a/regress/lib/check_roster.c
+++ b/regress/lib/check_roster.c
@@ -12,6 +12,7 @@
 static struct cp_seeded_random seeded;
 static unsigned n_added;
 static unsigned n_removed;
+static unsigned n_released;
 
 static void
 on_added (void *context, struct cp_server *server)
@@ -29,7 +30,16 @@
   n_removed++;
 }
 
-static const struct cp_roster_events events = { on_added, on_removed };
+static void
+on_released (void *context, void *owner)
+{
+  (void)context;
+  (void)owner;
+  n_released++;
+}
+
+static const struct cp_roster_events events
+    = { on_added, on_removed, on_released };
 
 static struct cp_server *
 enter (const char *instance, const char *domain, uint64_t born_ms,
@@ -53,7 +63,7 @@
 static void
 setup (void)
 {
-  n_added = n_removed = 0;
+  n_added = n_removed = n_released = 0;
   cp_seeded_random_init (&seeded, 7);
   cp_roster_init (&roster, "near", &events, NULL);
 }
@@ -199,7 +209,9 @@
   ck_assert_uint_eq (n_added, 2);
   ck_assert_uint_eq (n_removed, 1);
   ck_assert_ptr_eq (enter ("a", "near", 2, true), again);
+  ck_assert_uint_eq (n_released, 0);
   cp_server_unref (a);
+  ck_assert_uint_eq (n_released, 1);
 }
 END_TEST
 
--- a/regress/meshd/check_mesh_answers.c
+++ b/regress/meshd/check_mesh_answers.c
@@ -1,26 +1,6 @@
 /* What callers get, whatever servers answer.  */
 #include "lib/cleanup.h"
-#include "regress/harness/stage.h"
-#include "regress/harness/suite.h"
-
-#define VMS 3 /* 1 and 2 serve alpha, 3 serves beta */
-
-static struct stage stage;
-static struct reply reply;
-
-static void
-setup (void)
-{
-  stage_start (&stage, VMS);
-  reply_init (&reply);
-}
-
-static void
-teardown (void)
-{
-  reply_finish (&reply);
-  stage_finish (&stage);
-}
+#include "regress/harness/stage_fixture.h"
 
 /* Calls alpha through VM 3, which has no server of it.  */
 static void
--- a/regress/meshd/check_mesh_life.c
+++ b/regress/meshd/check_mesh_life.c
@@ -4,27 +4,7 @@
 #include <unistd.h>
 
 #include "lib/cleanup.h"
-#include "regress/harness/stage.h"
-#include "regress/harness/suite.h"
-
-#define VMS 3
-
-static struct stage stage;
-static struct reply reply;
-
-static void
-setup (void)
-{
-  stage_start (&stage, VMS);
-  reply_init (&reply);
-}
-
-static void
-teardown (void)
-{
-  reply_finish (&reply);
-  stage_finish (&stage);
-}
+#include "regress/harness/stage_fixture.h"
 
 static void
 send_text (int fd, const char *text)
--- a/regress/meshd/check_mesh_logs.c
+++ b/regress/meshd/check_mesh_logs.c
@@ -6,29 +6,10 @@
 #include <unistd.h>
 
 #include "lib/cleanup.h"
-#include "regress/harness/stage.h"
-#include "regress/harness/suite.h"
+#include "regress/harness/stage_fixture.h"
 
-#define VMS 3
 #define FLOOD 1500
 
-static struct stage stage;
-static struct reply reply;
-
-static void
-setup (void)
-{
-  stage_start (&stage, VMS);
-  reply_init (&reply);
-}
-
-static void
-teardown (void)
-{
-  reply_finish (&reply);
-  stage_finish (&stage);
-}
-
 static int
 call (const char *method, const char *path, const char *id)
 {
--- a/regress/meshd/check_mesh_state.c
+++ b/regress/meshd/check_mesh_state.c
@@ -4,10 +4,7 @@
 #include <string.h>
 
 #include "lib/cleanup.h"
-#include "regress/harness/stage.h"
-#include "regress/harness/suite.h"
-
-#define VMS 3
+#include "regress/harness/stage_fixture.h"
 
 /* A change must be in force this long after the store took it.  */
 #define IN_FORCE_US 2000000
@@ -17,23 +14,6 @@
   "\"priority\":1,\"match\":{\"prefix\":\"/new/\"},\"action\":{\"service\":"  \
   "\"alpha\",\"timeout\":\"2000ms\",\"maxAttempts\":2}}"
 
-static struct stage stage;
-static struct reply reply;
-
-static void
-setup (void)
-{
-  stage_start (&stage, VMS);
-  reply_init (&reply);
-}
-
-static void
-teardown (void)
-{
-  reply_finish (&reply);
-  stage_finish (&stage);
-}
-
 static int
 status_at (unsigned vm, const char *path)
 {
@@ -183,6 +163,43 @@
 }
 END_TEST
 
+/* A thread that makes one call.  */
+static void *
+make_slow_call (void *status)
+{
+  struct reply own;
+
+  reply_init (&own);
+  stage_call (&stage, &own, 3, "POST", "alpha.test", "/write/1?slow=700", "w1",
+              "order");
+  *(int *)status = own.status;
+  reply_finish (&own);
+  return NULL;
+}
+
+/* The server goes on with what it has after its entry went.  */
+START_TEST (a_call_at_a_server_whose_entry_goes_is_answered)
+{
+  CP_AUTO_FREE char *entry = NULL;
+  char instance[128];
+  pthread_t thread;
+  int status = 0;
+  unsigned vm;
+
+  ck_assert_int_eq (pthread_create (&thread, NULL, make_slow_call, &status),
+                    0);
+  while (stage_runs (&stage, "w1") == 0)
+    g_usleep (10000);
+  vm = stage_server_runs (&stage, 1) > 0 ? 1 : 2;
+  stage_server_header (&stage, vm, "X-Cornelpick-Expect-Instance", instance,
+                       sizeof instance);
+  entry = g_strdup_printf ("servers/%s", instance);
+  stage_remove (&stage, entry);
+  pthread_join (thread, NULL);
+  ck_assert_int_eq (status, 200);
+}
+END_TEST
+
 START_TEST (entries_and_configurations_that_cannot_be_read_change_nothing)
 {
   static const char *const values[]
@@ -247,6 +264,7 @@
                   a_daemon_that_knows_nothing_refuses_at_once_pipelined_too);
   tcase_add_test (tests, a_server_that_drains_gets_nothing_more);
   tcase_add_test (tests, a_server_whose_entry_went_gets_nothing_more);
+  tcase_add_test (tests, a_call_at_a_server_whose_entry_goes_is_answered);
   tcase_add_test (
       tests, entries_and_configurations_that_cannot_be_read_change_nothing);
   tcase_add_test (tests, weights_hold_exactly);
