Give the peer test records of the length that it sends

Cause: records_that_are_none_end_the_link_only read past the shortest of its own records (address sanitizer, in the test).

--- a/regress/meshd/check_mesh_peers.c
+++ b/regress/meshd/check_mesh_peers.c
@@ -187,8 +187,9 @@
 
 START_TEST (records_that_are_none_end_the_link_only)
 {
-  static const char *const records[]
-      = { "\xff\xff\xff\xff rubbish", "\0\0\0\4\0\0\0\77", "\0\0\0\0" };
+  static const char records[][9] = { "\xff\xff\xff\xff"
+                                     "rest",
+                                     "\0\0\0\4\0\0\0\77", "\0\0\0\0\0\0\0\1" };
   struct cp_peer_message message;
   char byte;
 
