--- a/regress/meshd/check_mesh_peers.c
+++ b/regress/meshd/check_mesh_peers.c
@@ -187,8 +187,7 @@
 
 START_TEST (records_that_are_none_end_the_link_only)
 {
-  static const char records[][9] = { "\xff\xff\xff\xff"
-                                     "rest",
+  static const char records[][9] = { "\xff\xff\xff\xff\x72\x65\x73\x74",
                                      "\0\0\0\4\0\0\0\77", "\0\0\0\0\0\0\0\1" };
   struct cp_peer_message message;
   char byte;
