Close the connection of a health check when the daemon ends

Ruled out: links, timers, client connections.

All connections to the server are listed and closed at the end.

--- a/meshd/inbound.c
+++ b/meshd/inbound.c
@@ -511,6 +511,7 @@
                                     .context = context };
   CDS_INIT_LIST_HEAD (&inbound->jobs);
   CDS_INIT_LIST_HEAD (&inbound->idle);
+  CDS_INIT_LIST_HEAD (&inbound->connections);
   inbound->by_stream = g_hash_table_new (key_hash, key_equal);
   cp_gate_init (&inbound->gate);
   cp_gate_set_capacity (&inbound->gate, CAPACITY_UNKNOWN);
@@ -580,6 +581,6 @@
   /* Keeps the slots that come free from being used.  */
   inbound->leave_us = 1;
   end_jobs (inbound);
-  mesh_server_forget (inbound);
+  mesh_server_close_all (inbound);
   g_hash_table_unref (inbound->by_stream);
 }
--- a/meshd/inbound.h
+++ b/meshd/inbound.h
@@ -49,7 +49,7 @@
   struct cds_list_head jobs;
   GHashTable *by_stream;
   struct cds_list_head idle; /* connections, the last used first */
-  unsigned n_connections;
+  struct cds_list_head connections;
   unsigned slowness_percent; /* as the server last said */
   uint64_t slowness_us;      /* when it said so */
   double service_us;         /* moving mean, slowness taken out */
--- a/meshd/inbound_internal.h
+++ b/meshd/inbound_internal.h
@@ -69,4 +69,7 @@
 /* Closes all idle connections.  */
 void mesh_server_forget (struct mesh_inbound *inbound);
 
+/* Closes all connections, those of health checks too.  */
+void mesh_server_close_all (struct mesh_inbound *inbound);
+
 #endif
--- a/meshd/server.c
+++ b/meshd/server.c
@@ -33,6 +33,7 @@
 struct mesh_connection
 {
   struct net_client client;
+  struct cds_list_head all;  /* until it is released */
   struct cds_list_head node; /* while idle */
   struct mesh_inbound *inbound;
   struct mesh_job *job;
@@ -288,7 +289,7 @@
 {
   struct mesh_connection *connection = client->context;
 
-  connection->inbound->n_connections--;
+  cds_list_del (&connection->all);
   free (connection);
 }
 
@@ -328,7 +329,7 @@
     }
   connection = g_new0 (struct mesh_connection, 1);
   connection->inbound = inbound;
-  inbound->n_connections++;
+  cds_list_add (&connection->all, &inbound->connections);
   inbound->counts.connections++;
   return connection;
 }
@@ -421,3 +422,13 @@
   cds_list_for_each_entry_safe (connection, next, &inbound->idle, node)
       connection_close (connection);
 }
+
+void
+mesh_server_close_all (struct mesh_inbound *inbound)
+{
+  struct mesh_connection *connection;
+  struct mesh_connection *next;
+
+  cds_list_for_each_entry_safe (connection, next, &inbound->connections, all)
+      connection_close (connection);
+}
--- a/regress/harness/stage.h
+++ b/regress/harness/stage.h
@@ -109,6 +109,9 @@
 void stage_server_header (struct stage *stage, unsigned vm, const char *name,
                           char *value, size_t size);
 
+/* VM's server answers no health check any more.  */
+void stage_server_mute_health (struct stage *stage, unsigned vm);
+
 /* Stops VM's server from listening, or starts it under a new instance.  */
 void stage_server_stop (struct stage *stage, unsigned vm);
 void stage_server_restart (struct stage *stage, unsigned vm);
--- a/regress/harness/stage_server.c
+++ b/regress/harness/stage_server.c
@@ -30,7 +30,8 @@
   uv_tcp_t listener;
   bool listening;
   bool closing;
-  bool wanted; /* it should listen */
+  bool mute_health; /* health checks get no answer */
+  bool wanted;      /* it should listen */
   char instance[32];
   uint64_t born_ms;
   struct cds_list_head guests;
@@ -196,6 +197,17 @@
   finish (timer->data, false);
 }
 
+static bool
+is_mute (const struct stage_server *server)
+{
+  bool mute;
+
+  pthread_mutex_lock (&server->stage->lock);
+  mute = server->mute_health;
+  pthread_mutex_unlock (&server->stage->lock);
+  return mute;
+}
+
 /* Answers what is not run.  Returns false when the request is to run.  */
 static bool
 turn_away (struct guest *guest)
@@ -206,6 +218,8 @@
   CP_AUTO_FREE char *own
       = g_strdup_printf ("X-Cornelpick-Instance-Id: %s\r\n", server->instance);
 
+  if (strcmp (guest->request.target->str, "/health") == 0 && is_mute (server))
+    return true;
   if (strcmp (guest->request.target->str, "/health") == 0)
     answer (guest, "200 OK", own, "");
   else if (expected != NULL && strcmp (expected, server->instance) != 0)
@@ -444,6 +458,14 @@
   uv_async_send (&stage->wake);
 }
 
+void
+stage_server_mute_health (struct stage *stage, unsigned vm)
+{
+  pthread_mutex_lock (&stage->lock);
+  stage->servers[vm]->mute_health = true;
+  pthread_mutex_unlock (&stage->lock);
+}
+
 void
 stage_server_stop (struct stage *stage, unsigned vm)
 {
--- a/regress/meshd/check_mesh_life.c
+++ b/regress/meshd/check_mesh_life.c
@@ -294,6 +294,27 @@
 }
 END_TEST
 
+/* A health check is under way when the daemon ends.  */
+START_TEST (a_health_check_without_answer_does_not_keep_a_daemon)
+{
+  gint64 since;
+
+  stage_server_mute_health (&stage, 1);
+  stage_server_mute_health (&stage, 2);
+  for (unsigned i = 0; i < 8; i++)
+    {
+      stage_call (&stage, &reply, 3, "GET", "alpha.test", "/read/1", "h",
+                  NULL);
+      ck_assert_int_eq (reply.status, 200);
+    }
+  g_usleep (300000);
+  since = g_get_monotonic_time ();
+  kill (stage.daemons[1].pid, SIGTERM);
+  ck_assert_int_eq (process_wait (&stage.daemons[1]), 0);
+  ck_assert_int_lt (g_get_monotonic_time () - since, 6000000);
+}
+END_TEST
+
 START_TEST (settings_that_cannot_be_read_leave_the_old_ones_in_force)
 {
   stage_write_settings (&stage, 3, ",\"zone\":7");
@@ -323,6 +344,7 @@
   tcase_add_test (tests, a_daemon_that_is_told_to_leave_loses_nothing);
   tcase_add_test (tests,
                   a_daemon_that_is_told_to_leave_ends_within_the_grace_time);
+  tcase_add_test (tests, a_health_check_without_answer_does_not_keep_a_daemon);
   tcase_add_test (tests,
                   settings_that_cannot_be_read_leave_the_old_ones_in_force);
 }
