--- a/regress/harness/stage_server.c
+++ b/regress/harness/stage_server.c
@@ -30,6 +30,7 @@
   uv_tcp_t listener;
   bool listening;
   bool closing;
+  bool stopped;     /* since it was last wanted */
   bool mute_health; /* health checks get no answer */
   bool wanted;      /* it should listen */
   char instance[32];
@@ -425,7 +426,12 @@
   wanted = server->wanted;
   pthread_mutex_unlock (&server->stage->lock);
   if (!wanted)
-    server_close (server);
+    {
+      server_close (server);
+      pthread_mutex_lock (&server->stage->lock);
+      server->stopped = true;
+      pthread_mutex_unlock (&server->stage->lock);
+    }
   else if (!server->listening && !server->closing)
     server_listen (server);
 }
@@ -454,6 +460,7 @@
 {
   pthread_mutex_lock (&stage->lock);
   stage->servers[vm]->wanted = wanted;
+  stage->servers[vm]->stopped = false;
   pthread_mutex_unlock (&stage->lock);
   uv_async_send (&stage->wake);
 }
@@ -469,7 +476,16 @@
 void
 stage_server_stop (struct stage *stage, unsigned vm)
 {
+  bool stopped = false;
+
   want (stage, vm, false);
+  while (!stopped)
+    {
+      g_usleep (1000);
+      pthread_mutex_lock (&stage->lock);
+      stopped = stage->servers[vm]->stopped;
+      pthread_mutex_unlock (&stage->lock);
+    }
 }
 
 void
