--- a/regress/meshd/check_mesh_answers.c
+++ b/regress/meshd/check_mesh_answers.c
@@ -65,17 +65,16 @@
 }
 END_TEST
 
-/* The bad answers of a server, each on the first arrival only.  */
+/* The bad answers of a server.  The stand-in can give all but the last on the
+   first arrival only, so that one is not tried with a repeat.  */
 static const char *const bad_answers[]
-    = { "cut", "reset", "garble", "unsigned", "error" };
+    = { "cut", "reset", "garble", "error", "unsigned" };
 
 START_TEST (what_may_be_repeated_is_served_after_a_bad_answer)
 {
   CP_AUTO_FREE char *path
       = g_strdup_printf ("/read/1?%s-once", bad_answers[_i]);
 
-  if (_i == 3) /* an unsigned success is bad each time; see below */
-    return;
   call ("GET", path, "r1", NULL);
   ck_assert_int_eq (reply.status, 200);
   ck_assert_str_eq (reply.body->str, "whole");
@@ -88,7 +87,7 @@
   CP_AUTO_FREE char *path = g_strdup_printf ("/write/1?%s", bad_answers[_i]);
 
   call ("POST", path, "r1", "order");
-  ck_assert_int_eq (reply.status, _i == 4 ? 500 : 502);
+  ck_assert_int_eq (reply.status, _i == 3 ? 500 : 502);
   ck_assert_uint_eq (stage_runs (&stage, "r1"), 1);
 }
 END_TEST
@@ -188,7 +187,7 @@
   tcase_add_test (tests, headers_of_the_system_are_not_taken_from_callers);
   tcase_add_test (tests, unknown_routes_get_404);
   tcase_add_loop_test (
-      tests, what_may_be_repeated_is_served_after_a_bad_answer, 0, 5);
+      tests, what_may_be_repeated_is_served_after_a_bad_answer, 0, 4);
   tcase_add_loop_test (
       tests, what_may_not_is_run_once_and_never_said_not_to_have_run, 0, 5);
   tcase_add_test (tests, an_answer_without_length_is_passed_whole);
--- a/regress/meshd/check_mesh_logs.c
+++ b/regress/meshd/check_mesh_logs.c
@@ -177,6 +177,8 @@
   unlink (path);
   ck_assert_int_eq (mkfifo (path, 0600), 0);
   fd = open (path, O_RDWR | O_NONBLOCK);
+  /* A page: the flood's lines are many times that.  */
+  ck_assert_int_gt (fcntl (fd, F_SETPIPE_SZ, 4096), 0);
   stage_start_daemon (&stage, 3);
   stage_wait_ready (&stage, 3);
   began = g_get_monotonic_time ();
