Let eight daemons watch the store; the others learn from peers

Every daemon watched, so each change cost a call for each.

Change: meshd/exchange.c, split off daemon.c, holds the store's client and the registry. Two daemons or more of each failure domain are elected by weight over the peers that each sees (lib/watchers, as cornelpickd does); eight in all. Whoever reaches a newer state tells four daemons of its domain, which ask for the changes; pings repair the rest. Views carry whether the store answers, so that others watch beside a watcher whose store does not. The inbound side also logs when its server's machine turns slow or fast (kind load), and a daemon when it begins or leaves off to watch (kind watch).

Ruled out: one watcher a domain (a third of all VMs turned away in silence takes all four in one case of 80); pushing the changes (90 kB to 22 daemons takes two seconds on a link of 10 Mbit/s).

Tests: check_mesh_exchange with 12 daemons, 5 of 5; those_that_do_not_watch and the count of watchers cannot hold before the change (all watched). The peer tests' hello names a domain now: 6 of 6. check_mesh_state 11 of 11, check_mesh_logs 5 of 5, check_platform 14 of 14, plain build.

--- a/meshd/daemon.c
+++ b/meshd/daemon.c
@@ -13,19 +13,6 @@
    after its entry went.  */
 #define LAPSE_US UINT64_C (1800000)
 
-/* A removal this soon after a failed call of the store proves nothing.  */
-#define DISTURBED_US UINT64_C (3000000)
-
-/* How long this daemon may lag behind a peer before it asks for the changes,
-   while its own watch works: twice the time that changes are collected.  */
-#define BEHIND_US UINT64_C (400000)
-
-/* Least time between two such questions.  */
-#define PULL_US UINT64_C (200000)
-
-/* Entries in one message of changes.  */
-#define ITEMS_MAX 1000
-
 /* After SIGTERM.  Clients stay away after two missed ready questions, a second
    apart; until then they are served as before.  */
 #define LEAVE_US UINT64_C (1800000)
@@ -125,8 +112,9 @@
 
   if (daemon->settings.server.length == 0)
     return;
-  if (daemon->registry.table != NULL)
-    rule = cp_table_service (daemon->registry.table, daemon->settings.service);
+  if (daemon->exchange.registry.table != NULL)
+    rule = cp_table_service (daemon->exchange.registry.table,
+                             daemon->settings.service);
   server = cp_roster_at (&daemon->roster, daemon->settings.server.text);
   mesh_inbound_set_server (&daemon->inbound, server,
                            rule == NULL ? NULL : rule->health_path);
@@ -247,58 +235,6 @@
 static const struct platform_registry_events registry_events
     = { on_table, on_server, on_server_removed, on_unreadable };
 
-/* Returns whether a removal that is learned now may be due to a disturbance of
-   the store.  */
-static bool
-is_disturbed (const struct mesh_daemon *daemon)
-{
-  return !daemon->store.answers
-         || (daemon->store.disturbed_us != 0
-             && now_us () - daemon->store.disturbed_us < DISTURBED_US);
-}
-
-static void
-on_item (void *context, const struct platform_item *item)
-{
-  struct mesh_daemon *daemon = context;
-
-  platform_registry_take (&daemon->registry, item, is_disturbed (daemon));
-}
-
-static void
-on_reread (void *context, uint64_t revision)
-{
-  struct mesh_daemon *daemon = context;
-
-  platform_registry_reread (&daemon->registry, revision,
-                            is_disturbed (daemon));
-}
-
-static void
-on_reached (void *context, uint64_t revision)
-{
-  struct mesh_daemon *daemon = context;
-
-  platform_registry_reached (&daemon->registry, revision);
-  daemon->peers.revision = daemon->registry.revision;
-}
-
-static void
-on_store_state (void *context, bool answers, const char *reason)
-{
-  struct mesh_daemon *daemon = context;
-
-  if (mesh_log_due (MESH_LOG_STORE))
-    mesh_log (
-        MESH_LOG_STORE,
-        "\"answers\":%s,\"reason\":\"%s\",\"revision\":%" G_GUINT64_FORMAT,
-        answers ? "true" : "false", reason == NULL ? "" : reason,
-        daemon->registry.revision);
-}
-
-static const struct platform_store_events store_events
-    = { on_item, on_reread, on_reached, on_store_state };
-
 /* Calls VISIT for each server whose way is WAY.  */
 static void
 each_server (struct mesh_daemon *daemon, const struct mesh_way *way,
@@ -390,80 +326,6 @@
   mesh_inbound_link_lost (&daemon->inbound, link);
 }
 
-/* Changes that are being put together for a peer.  */
-struct collecting
-{
-  struct mesh_link *link;
-  struct cp_peer_item items[ITEMS_MAX];
-  unsigned count;
-};
-
-static void
-send_items (struct collecting *collecting, uint64_t revision)
-{
-  struct cp_peer_message message = { .kind = CP_PEER_ITEMS };
-  struct cp_peer_items *items = &message.cp_peer_message_u.items;
-
-  items->revision = revision;
-  items->items.items_len = collecting->count;
-  items->items.items_val = collecting->items;
-  mesh_link_send (collecting->link, &message);
-  collecting->count = 0;
-}
-
-static void
-collect (void *context, const struct platform_record *record)
-{
-  struct collecting *collecting = context;
-  struct cp_peer_item *item;
-  gsize length = 0;
-
-  if (collecting->count == ITEMS_MAX)
-    send_items (collecting, 0);
-  item = &collecting->items[collecting->count++];
-  *item = (struct cp_peer_item){ .key = record->key,
-                                 .revision = record->revision,
-                                 .removed = record->value == NULL,
-                                 .unsure = record->unsure };
-  if (record->value != NULL)
-    item->value.value_val = (char *)g_bytes_get_data (record->value, &length);
-  item->value.value_len = (u_int)length;
-}
-
-/* A peer asks for what changed after REVISION.  */
-static void
-answer_pull (struct mesh_daemon *daemon, struct mesh_link *link,
-             uint64_t revision)
-{
-  struct collecting *collecting = g_new0 (struct collecting, 1);
-
-  collecting->link = link;
-  platform_registry_since (&daemon->registry, revision, collect, collecting);
-  send_items (collecting, daemon->registry.revision);
-  g_free (collecting);
-}
-
-static void
-take_items (struct mesh_daemon *daemon, const struct cp_peer_items *items)
-{
-  for (u_int i = 0; i < items->items.items_len; i++)
-    {
-      const struct cp_peer_item *from = &items->items.items_val[i];
-      struct platform_item item = { .key = from->key,
-                                    .value = from->value.value_val,
-                                    .length = from->value.value_len,
-                                    .revision = from->revision,
-                                    .removed = from->removed };
-
-      platform_registry_take (&daemon->registry, &item, from->unsure);
-    }
-  if (items->revision > 0)
-    {
-      on_reached (daemon, items->revision);
-      platform_store_learned (&daemon->store, items->revision);
-    }
-}
-
 static void
 on_message (void *context, struct mesh_link *link,
             const struct cp_peer_message *message)
@@ -485,10 +347,12 @@
                            message->cp_peer_message_u.stream);
       break;
     case CP_PEER_PULL:
-      answer_pull (daemon, link, message->cp_peer_message_u.revision);
+      mesh_exchange_answer (&daemon->exchange, link,
+                            message->cp_peer_message_u.revision);
       break;
     case CP_PEER_ITEMS:
-      take_items (daemon, &message->cp_peer_message_u.items);
+      mesh_exchange_take (&daemon->exchange,
+                          &message->cp_peer_message_u.items);
       break;
     case CP_PEER_LEAVING:
       if (link->way != NULL)
@@ -500,30 +364,15 @@
 }
 
 static void
-on_revision (void *context, struct mesh_link *link, uint64_t revision)
+on_viewed (void *context, struct mesh_link *link)
 {
   struct mesh_daemon *daemon = context;
-  struct cp_peer_message message = { .kind = CP_PEER_PULL };
-  uint64_t now = now_us ();
 
-  if (revision <= daemon->registry.revision)
-    return;
-  if (daemon->behind_revision <= daemon->registry.revision)
-    {
-      daemon->behind_revision = revision;
-      daemon->behind_us = now;
-    }
-  if (daemon->store.answers && now - daemon->behind_us < BEHIND_US)
-    return;
-  if (now - daemon->pulled_us < PULL_US)
-    return;
-  daemon->pulled_us = now;
-  message.cp_peer_message_u.revision = daemon->registry.revision;
-  mesh_link_send (link, &message);
+  mesh_exchange_viewed (&daemon->exchange, link);
 }
 
 static const struct mesh_peers_events peers_events
-    = { on_up, on_down, on_joined, on_lost, on_message, on_revision };
+    = { on_up, on_down, on_joined, on_lost, on_message, on_viewed };
 
 /* Hands MESSAGE to the inbound side of this daemon.  */
 static void
@@ -715,7 +564,7 @@
   uv_close ((uv_handle_t *)&daemon->tick, NULL);
   for (unsigned i = 0; i < G_N_ELEMENTS (daemon->signals); i++)
     uv_close ((uv_handle_t *)&daemon->signals[i], NULL);
-  platform_store_stop (&daemon->store);
+  mesh_exchange_stop (&daemon->exchange);
   mesh_outbound_stop (&daemon->outbound);
   mesh_inbound_stop (&daemon->inbound);
   net_server_finish (&daemon->ready);
@@ -771,6 +620,7 @@
   uint64_t now = now_us ();
 
   cp_roster_expire (&daemon->roster, now - LAPSE_US);
+  mesh_exchange_elect (&daemon->exchange);
   if (daemon->term_us != 0)
     leave (daemon, now);
   else
@@ -847,11 +697,11 @@
   int code;
 
   cp_roster_init (&daemon->roster, settings->domain, &roster_events, daemon);
-  platform_registry_init (&daemon->registry, &registry_events, daemon);
   mesh_inbound_init (&daemon->inbound, &daemon->loop, &settings->server,
                      incarnation, &inbound_events, daemon);
-  code = mesh_peers_init (&daemon->peers, &daemon->loop, &settings->peers,
-                          incarnation, &peers_events, daemon);
+  code
+      = mesh_peers_init (&daemon->peers, &daemon->loop, &settings->peers,
+                         incarnation, settings->domain, &peers_events, daemon);
   if (code != 0)
     return listen_error (error, &settings->peers, code);
   code = mesh_outbound_init (
@@ -863,8 +713,9 @@
   if (code != 0)
     return listen_error (error, &settings->calls, code);
   apply_settings (daemon);
-  platform_store_init (&daemon->store, &daemon->loop, &settings->store,
-                       &daemon->random.random, &store_events, daemon);
+  mesh_exchange_init (&daemon->exchange, &daemon->loop, &settings->store,
+                      &settings->peers, &daemon->peers, &daemon->random.random,
+                      &registry_events, daemon);
   return 0;
 }
 
@@ -895,7 +746,7 @@
   start_timers (daemon);
   use_seeds (daemon);
   step (daemon, EVENT_LISTENING);
-  platform_store_start (&daemon->store);
+  mesh_exchange_start (&daemon->exchange);
   return 0;
 }
 
@@ -910,7 +761,7 @@
 void
 mesh_daemon_finish (struct mesh_daemon *daemon)
 {
-  platform_registry_finish (&daemon->registry);
+  mesh_exchange_finish (&daemon->exchange);
   uv_loop_close (&daemon->loop);
   cp_seeded_random_finish (&daemon->random);
 }
--- a/meshd/daemon.h
+++ b/meshd/daemon.h
@@ -6,11 +6,10 @@
 
 #include "lib/chart.h"
 #include "lib/error.h"
+#include "meshd/exchange.h"
 #include "meshd/inbound.h"
 #include "meshd/outbound.h"
-#include "platform/registry.h"
 #include "platform/settings.h"
-#include "platform/store.h"
 
 struct mesh_daemon
 {
@@ -21,8 +20,7 @@
   int state;
   uint64_t started_us;
   uint64_t term_us; /* when SIGTERM came, or 0 */
-  struct platform_store store;
-  struct platform_registry registry;
+  struct mesh_exchange exchange;
   struct cp_roster roster;
   struct mesh_peers peers;
   struct mesh_inbound inbound;
@@ -33,10 +31,7 @@
   bool left; /* peers were told that this daemon goes away */
   struct mesh_way *seeds[PLATFORM_SEEDS_MAX];
   unsigned n_seeds;
-  uint64_t pulled_us;       /* when a peer was last asked for changes */
-  uint64_t behind_revision; /* of a peer that knew more, */
-  uint64_t behind_us;       /* and since when */
-  uint64_t checked_us;      /* when the settings file was last looked at */
+  uint64_t checked_us; /* when the settings file was last looked at */
   struct timespec settings_time;
   uv_timer_t tick;
   uv_signal_t signals[3];
--- a/meshd/metrics.c
+++ b/meshd/metrics.c
@@ -98,11 +98,14 @@
 {
   write_outbound (&daemon->outbound, text);
   write_inbound (&daemon->inbound, text);
-  counter (text, "store_calls_total", daemon->store.calls);
-  gauge (text, "store_answers", daemon->store.answers);
-  gauge (text, "store_revision", daemon->registry.revision);
+  counter (text, "store_calls_total", daemon->exchange.store.calls);
+  gauge (text, "store_answers", daemon->exchange.store.answers);
+  gauge (text, "store_watching", daemon->exchange.watching);
+  gauge (text, "store_revision", daemon->exchange.registry.revision);
   gauge (text, "config_version",
-         daemon->registry.table == NULL ? 0 : daemon->registry.table->version);
+         daemon->exchange.registry.table == NULL
+             ? 0
+             : daemon->exchange.registry.table->version);
   gauge (text, "servers", cp_roster_count (&daemon->roster));
   gauge (text, "peers_up", daemon->peers.n_up);
 }
--- a/meshd/peers.c
+++ b/meshd/peers.c
@@ -41,8 +41,9 @@
 
   message.cp_peer_message_u.hello
       = (struct cp_peer_hello){ .incarnation = peers->incarnation,
-                                .revision = peers->revision,
-                                .leaving = peers->leaving };
+                                .view = peers->view,
+                                .leaving = peers->leaving,
+                                .domain = (char *)peers->domain };
   mesh_link_send (link, &message);
 }
 
@@ -107,12 +108,21 @@
   }
 }
 
+static void
+take_view (struct mesh_link *link, const struct cp_peer_view *view)
+{
+  link->view = *view;
+  link->peers->events->viewed (link->peers->context, link);
+}
+
 static void
 take_hello (struct mesh_link *link, const struct cp_peer_hello *hello)
 {
   struct mesh_peers *peers = link->peers;
 
   link->incarnation = hello->incarnation;
+  g_free (link->domain);
+  link->domain = g_strdup (hello->domain);
   if (link->way != NULL)
     way_hello (link->way, hello);
   else
@@ -121,7 +131,7 @@
       say_hello (link);
       peers->events->joined (peers->context, link);
     }
-  peers->events->revision (peers->context, link, hello->revision);
+  take_view (link, &hello->view);
 }
 
 static void
@@ -131,7 +141,7 @@
 
   message.cp_peer_message_u.ping
       = (struct cp_peer_ping){ .token = ping->token,
-                               .revision = link->peers->revision };
+                               .view = link->peers->view };
   mesh_link_send (link, &message);
 }
 
@@ -147,12 +157,13 @@
       break;
     case CP_PEER_PING:
       answer_ping (link, &message->cp_peer_message_u.ping);
-      peers->events->revision (peers->context, link,
-                               message->cp_peer_message_u.ping.revision);
+      take_view (link, &message->cp_peer_message_u.ping.view);
       break;
     case CP_PEER_PONG:
-      peers->events->revision (peers->context, link,
-                               message->cp_peer_message_u.ping.revision);
+      take_view (link, &message->cp_peer_message_u.ping.view);
+      break;
+    case CP_PEER_VIEW:
+      take_view (link, &message->cp_peer_message_u.view);
       break;
     default:
       if (message->kind == CP_PEER_LEAVING && link->way != NULL)
@@ -210,6 +221,7 @@
 
   if (link->node.next != NULL)
     cds_list_del (&link->node);
+  g_free (link->domain);
   free (link);
 }
 
@@ -254,8 +266,7 @@
   struct cp_peer_message message = { .kind = CP_PEER_PING };
 
   message.cp_peer_message_u.ping
-      = (struct cp_peer_ping){ .token = now,
-                               .revision = way->peers->revision };
+      = (struct cp_peer_ping){ .token = now, .view = way->peers->view };
   way->asked_us = now;
   if (way->pinged_us == 0)
     way->pinged_us = now;
@@ -312,12 +323,14 @@
 int
 mesh_peers_init (struct mesh_peers *peers, uv_loop_t *loop,
                  const struct cp_address *address, uint64_t incarnation,
-                 const struct mesh_peers_events *events, void *context)
+                 const char *domain, const struct mesh_peers_events *events,
+                 void *context)
 {
   int error;
 
   *peers = (struct mesh_peers){ .loop = loop,
                                 .incarnation = incarnation,
+                                .domain = domain,
                                 .events = events,
                                 .context = context };
   CDS_INIT_LIST_HEAD (&peers->ways);
--- a/meshd/peers.h
+++ b/meshd/peers.h
@@ -25,8 +25,10 @@
   struct net_link link;
   struct cds_list_head node;
   struct mesh_peers *peers;
-  struct mesh_way *way; /* NULL for an incoming link */
-  uint64_t incarnation; /* of the other daemon; 0 before its hello */
+  struct mesh_way *way;     /* NULL for an incoming link */
+  uint64_t incarnation;     /* of the other daemon; 0 before its hello */
+  char *domain;             /* its failure domain; NULL before its hello */
+  struct cp_peer_view view; /* what it knew of the store when last heard */
 };
 
 struct mesh_way
@@ -62,8 +64,8 @@
   void (*message) (void *context, struct mesh_link *link,
                    const struct cp_peer_message *message);
 
-  /* The daemon behind LINK knows the store's state up to REVISION.  */
-  void (*revision) (void *context, struct mesh_link *link, uint64_t revision);
+  /* The daemon behind LINK said what it knows of the store.  */
+  void (*viewed) (void *context, struct mesh_link *link);
 };
 
 struct mesh_peers
@@ -73,8 +75,9 @@
   uv_timer_t tick;
   struct cds_list_head ways;
   struct cds_list_head incoming;
-  uint64_t incarnation; /* of this daemon */
-  uint64_t revision;    /* of the store's state, told in pings */
+  uint64_t incarnation;     /* of this daemon */
+  const char *domain;       /* of this daemon */
+  struct cp_peer_view view; /* of the store, told in pings */
   uint64_t ticked_us;
   bool leaving;
   bool stopped;
@@ -86,6 +89,7 @@
 /* Listens at ADDRESS.  Returns 0 or a libuv error.  */
 int mesh_peers_init (struct mesh_peers *peers, uv_loop_t *loop,
                      const struct cp_address *address, uint64_t incarnation,
+                     const char *domain,
                      const struct mesh_peers_events *events, void *context);
 void mesh_peers_stop (struct mesh_peers *peers);
 
--- a/meshd/server.c
+++ b/meshd/server.c
@@ -133,6 +133,18 @@
     connection_release (connection, false);
 }
 
+static void
+log_slowness (const struct mesh_inbound *inbound, unsigned percent)
+{
+  if (mesh_log_due (MESH_LOG_LOAD))
+    mesh_log (MESH_LOG_LOAD,
+              "\"server\":\"%s\",\"was\":%u,\"slowness\":%u,"
+              "\"running\":%u,\"queued\":%u,\"limit\":%u",
+              inbound->instance, inbound->slowness_percent, percent,
+              inbound->gate.running, inbound->gate.queued,
+              inbound->gate.limit);
+}
+
 static void
 take_load (struct mesh_inbound *inbound, const struct platform_answer *says)
 {
@@ -141,6 +153,7 @@
   inbound->slowness_us = now_us ();
   if (inbound->slowness_percent != says->slowness_percent)
     {
+      log_slowness (inbound, says->slowness_percent);
       inbound->slowness_percent = says->slowness_percent;
       mesh_inbound_tell (inbound);
     }
--- a/regress/harness/stage.h
+++ b/regress/harness/stage.h
@@ -26,7 +26,7 @@
 
 #include "regress/harness/harness.h"
 
-#define STAGE_VMS_MAX 8
+#define STAGE_VMS_MAX 12
 
 enum stage_store_mode
 {
--- a/regress/meshd/check_mesh_peers.c
+++ b/regress/meshd/check_mesh_peers.c
@@ -83,10 +83,12 @@
 static int
 open_link (void)
 {
+  static char domain[] = "zone-a";
   struct cp_peer_message message = { .kind = CP_PEER_HELLO };
   int fd = stage_open (&stage, 1, 7400);
 
   message.cp_peer_message_u.hello.incarnation = INCARNATION;
+  message.cp_peer_message_u.hello.domain = domain;
   send_message (fd, &message);
   await (fd, CP_PEER_HELLO, &message);
   mesh_release (&message);
--- a/rpc/peer.h
+++ b/rpc/peer.h
@@ -3,8 +3,8 @@
  * It was generated using rpcgen.
  */
 
-#ifndef _N_H_RPCGEN
-#define _N_H_RPCGEN
+#ifndef _PEER_H_RPCGEN
+#define _PEER_H_RPCGEN
 
 #include <rpc/rpc.h>
 
@@ -44,13 +44,21 @@
 	CP_PEER_PULL = 11,
 	CP_PEER_ITEMS = 12,
 	CP_PEER_RESUME = 13,
+	CP_PEER_VIEW = 14,
 };
 typedef enum cp_peer_kind cp_peer_kind;
 
+struct cp_peer_view {
+	u_quad_t revision;
+	bool_t store_answers;
+};
+typedef struct cp_peer_view cp_peer_view;
+
 struct cp_peer_hello {
 	u_quad_t incarnation;
-	u_quad_t revision;
+	cp_peer_view view;
 	bool_t leaving;
+	cp_peer_name domain;
 };
 typedef struct cp_peer_hello cp_peer_hello;
 
@@ -104,7 +112,7 @@
 
 struct cp_peer_ping {
 	u_quad_t token;
-	u_quad_t revision;
+	cp_peer_view view;
 };
 typedef struct cp_peer_ping cp_peer_ping;
 
@@ -140,6 +148,7 @@
 		cp_peer_failure failure;
 		cp_peer_load load;
 		cp_peer_ping ping;
+		cp_peer_view view;
 		u_quad_t revision;
 		cp_peer_items items;
 	} cp_peer_message_u;
@@ -153,6 +162,7 @@
 extern  bool_t xdr_cp_peer_head (XDR *, cp_peer_head*);
 extern  bool_t xdr_cp_peer_body (XDR *, cp_peer_body*);
 extern  bool_t xdr_cp_peer_kind (XDR *, cp_peer_kind*);
+extern  bool_t xdr_cp_peer_view (XDR *, cp_peer_view*);
 extern  bool_t xdr_cp_peer_hello (XDR *, cp_peer_hello*);
 extern  bool_t xdr_cp_peer_load (XDR *, cp_peer_load*);
 extern  bool_t xdr_cp_peer_request (XDR *, cp_peer_request*);
@@ -169,6 +179,7 @@
 extern bool_t xdr_cp_peer_head ();
 extern bool_t xdr_cp_peer_body ();
 extern bool_t xdr_cp_peer_kind ();
+extern bool_t xdr_cp_peer_view ();
 extern bool_t xdr_cp_peer_hello ();
 extern bool_t xdr_cp_peer_load ();
 extern bool_t xdr_cp_peer_request ();
@@ -186,4 +197,4 @@
 }
 #endif
 
-#endif /* !_N_H_RPCGEN */
+#endif /* !_PEER_H_RPCGEN */
--- a/rpc/peer.x
+++ b/rpc/peer.x
@@ -30,14 +30,25 @@
 	CP_PEER_LEAVING = 10,
 	CP_PEER_PULL = 11,
 	CP_PEER_ITEMS = 12,
-	CP_PEER_RESUME = 13
+	CP_PEER_RESUME = 13,
+	CP_PEER_VIEW = 14
 };
 
-/* First message of both sides.  revision: newest state of the store known. */
+/*
+ * What a daemon knows of the store: the newest state, and whether the store
+ * answered its last call.
+ */
+struct cp_peer_view {
+	unsigned hyper revision;
+	bool store_answers;
+};
+
+/* First message of both sides.  domain: failure domain of the sender. */
 struct cp_peer_hello {
 	unsigned hyper incarnation;
-	unsigned hyper revision;
+	cp_peer_view view;
 	bool leaving;
+	cp_peer_name domain;
 };
 
 /* What an inbound side says of the server beside it. */
@@ -98,7 +109,7 @@
 
 struct cp_peer_ping {
 	unsigned hyper token;
-	unsigned hyper revision;
+	cp_peer_view view;
 };
 
 /* unsure: it went in a disturbance of the store, which may be why. */
@@ -135,6 +146,8 @@
 case CP_PEER_PING:
 case CP_PEER_PONG:
 	cp_peer_ping ping;
+case CP_PEER_VIEW:
+	cp_peer_view view;
 case CP_PEER_PULL:
 	unsigned hyper revision;
 case CP_PEER_ITEMS:
--- a/rpc/peer_xdr.c
+++ b/rpc/peer_xdr.c
@@ -45,6 +45,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_cp_peer_view (XDR *xdrs, cp_peer_view *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->store_answers))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_cp_peer_hello (XDR *xdrs, cp_peer_hello *objp)
 {
@@ -52,10 +64,12 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+	 if (!xdr_cp_peer_view (xdrs, &objp->view))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->leaving))
 		 return FALSE;
+	 if (!xdr_cp_peer_name (xdrs, &objp->domain))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -278,7 +292,7 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->token))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+	 if (!xdr_cp_peer_view (xdrs, &objp->view))
 		 return FALSE;
 	return TRUE;
 }
@@ -356,6 +370,10 @@
 		 if (!xdr_cp_peer_ping (xdrs, &objp->cp_peer_message_u.ping))
 			 return FALSE;
 		break;
+	case CP_PEER_VIEW:
+		 if (!xdr_cp_peer_view (xdrs, &objp->cp_peer_message_u.view))
+			 return FALSE;
+		break;
 	case CP_PEER_PULL:
 		 if (!xdr_u_quad_t (xdrs, &objp->cp_peer_message_u.revision))
 			 return FALSE;
