--- a/meshd/daemon.c
+++ b/meshd/daemon.c
@@ -297,7 +297,7 @@
 
   log_way (way, "down", reason);
   each_server (daemon, way, server_down);
-  mesh_outbound_lost (&daemon->outbound, way);
+  mesh_outbound_lost (&daemon->outbound, way, way->refused);
 }
 
 static void
--- a/meshd/outbound.h
+++ b/meshd/outbound.h
@@ -82,8 +82,10 @@
 void mesh_outbound_receive (struct mesh_outbound *outbound,
                             const struct cp_peer_message *message);
 
-/* The way that owns servers broke; it may come back.  */
-void mesh_outbound_lost (struct mesh_outbound *outbound, const void *way);
+/* The way that owns servers broke; it may come back.  REFUSED: no process is
+   there.  */
+void mesh_outbound_lost (struct mesh_outbound *outbound, const void *way,
+                         bool refused);
 
 /* It came back; RESTARTED when the daemon there is another process.  */
 void mesh_outbound_back (struct mesh_outbound *outbound, const void *way,
--- a/meshd/peers.c
+++ b/meshd/peers.c
@@ -63,6 +63,7 @@
     return;
   way->link = NULL;
   way->up = false;
+  way->refused = link->link.refused;
   way->retry_us = first ? 0 : now_us () + MIN (pause_us, RETRY_MOST_US);
   way->failures++;
   link->way = NULL;
@@ -316,8 +317,10 @@
   if (peers->ticked_us != 0 && now - peers->ticked_us > PAUSE_US)
     forgive (peers, now);
   peers->ticked_us = now;
+  /* What is done about one way may send on those after it: the time is read
+     anew, lest a ping that has just left seems to be ages old.  */
   cds_list_for_each_entry_safe (way, next, &peers->ways, node)
-      check_way (way, now);
+      check_way (way, now_us ());
 }
 
 int
--- a/meshd/peers.h
+++ b/meshd/peers.h
@@ -40,6 +40,7 @@
   struct mesh_link *link; /* NULL when there is none */
   bool up;                /* the other daemon has said hello */
   bool leaving;           /* it says that it goes away */
+  bool refused;           /* the last link found no process there */
   bool restarted;         /* it is another process than before */
   uint64_t incarnation;
   uint64_t heard_us;  /* when a record last came */
--- a/net/link.c
+++ b/net/link.c
@@ -19,6 +19,7 @@
 {
   struct net_link *link = stream->context;
 
+  link->refused = error == UV_ECONNREFUSED;
   if (error != 0)
     fail (link, uv_strerror (error));
   else
--- a/regress/meshd/check_mesh_life.c
+++ b/regress/meshd/check_mesh_life.c
@@ -228,18 +228,43 @@
 }
 END_TEST
 
-/* The link breaks while a server works, the daemon behind it lives on.  */
+/* Two more routes, which wait for longer than it takes to notice silence.  */
+#define LONG_RULE(kind, path)                                                 \
+  ",{\"name\":\"" path "\",\"kind\":\"" kind "\",\"targetLatency\":"          \
+  "\"200ms\",\"priority\":1,\"match\":{\"prefix\":\"/" path "/\"},"           \
+  "\"action\":{\"service\":\"alpha\",\"timeout\":\"3000ms\",\"maxAttempts\":" \
+  "3}}"
+#define LONG_ROUTES                                                           \
+  LONG_RULE ("non_idempotent", "long") LONG_RULE ("idempotent", "longread")
+
+static bool
+has_long_route (void *context)
+{
+  (void)context;
+  stage_call (&stage, &reply, 3, "POST", "alpha.test", "/long/0", "w0",
+              "order");
+  return reply.status == 200;
+}
+
+/* The link breaks while a server works, the daemon behind it lives on; in the
+   longer pause the new link fails as well: silence shows within 1.3 s, and a
+   link that gives no sign within 0.4 s more.  */
 START_TEST (an_answer_is_fetched_over_a_new_link_after_a_pause)
 {
+  static const unsigned pauses_us[] = { 450000, 1900000 };
   struct caller caller
-      = { .path = "/write/1?slow=600", .method = "POST", .id = "w1" };
+      = { .path = "/long/1?slow=600", .method = "POST", .id = "w1" };
+  unsigned runs_at_1;
   unsigned vm;
 
+  stage_configure (&stage, LONG_ROUTES);
+  wait_until (has_long_route, NULL);
+  runs_at_1 = stage_server_runs (&stage, 1);
   start_call (&caller);
   wait_until (has_run, "w1");
-  vm = stage_server_runs (&stage, 1) > 0 ? 1 : 2;
+  vm = runs_at_1 < stage_server_runs (&stage, 1) ? 1 : 2;
   kill (stage.daemons[vm].pid, SIGSTOP);
-  g_usleep (450000);
+  g_usleep (pauses_us[_i]);
   kill (stage.daemons[vm].pid, SIGCONT);
   pthread_join (caller.thread, NULL);
   ck_assert_int_eq (caller.status, 200);
@@ -247,6 +272,25 @@
 }
 END_TEST
 
+/* No other server can be reached, and each link fails twice.  */
+START_TEST (a_read_waits_for_the_only_server_that_may_come_back)
+{
+  struct caller caller
+      = { .path = "/longread/1", .method = "GET", .id = "r1" };
+
+  stage_configure (&stage, LONG_ROUTES);
+  wait_until (has_long_route, NULL);
+  for (unsigned vm = 1; vm <= 2; vm++)
+    kill (stage.daemons[vm].pid, SIGSTOP);
+  start_call (&caller);
+  g_usleep (1800000);
+  for (unsigned vm = 1; vm <= 2; vm++)
+    kill (stage.daemons[vm].pid, SIGCONT);
+  pthread_join (caller.thread, NULL);
+  ck_assert_int_eq (caller.status, 200);
+}
+END_TEST
+
 START_TEST (a_daemon_that_is_told_to_leave_loses_nothing)
 {
   struct caller caller
@@ -340,7 +384,9 @@
   tcase_add_test (tests,
                   a_call_at_a_daemon_that_dies_is_never_run_twice_or_denied);
   tcase_add_test (tests, a_read_at_a_daemon_that_freezes_is_served_by_another);
-  tcase_add_test (tests, an_answer_is_fetched_over_a_new_link_after_a_pause);
+  tcase_add_loop_test (
+      tests, an_answer_is_fetched_over_a_new_link_after_a_pause, 0, 2);
+  tcase_add_test (tests, a_read_waits_for_the_only_server_that_may_come_back);
   tcase_add_test (tests, a_daemon_that_is_told_to_leave_loses_nothing);
   tcase_add_test (tests,
                   a_daemon_that_is_told_to_leave_ends_within_the_grace_time);
--- /dev/null
+++ b/regress/meshd/check_mesh_ways.c
@@ -0,0 +1,129 @@
+/* Ways between daemons, three of which share the loop of the test.  */
+#include <unistd.h>
+
+#include "meshd/peers.h"
+#include "regress/harness/suite.h"
+
+/* Longer than silence takes to end a way, and shorter than a link may take to
+   give its first sign.  */
+#define RUN_MS 1700
+
+static uv_loop_t loop;
+static struct mesh_peers first;
+static struct mesh_peers mute;
+static struct mesh_peers other;
+static struct mesh_way *to_mute;
+static struct mesh_way *to_other;
+static unsigned mute_down;
+static unsigned other_down;
+
+static void
+on_up (void *context, struct mesh_way *way)
+{
+  (void)context;
+  (void)way;
+}
+
+/* Sends on the next way, as a call does that is asked for elsewhere.  */
+static void
+on_down (void *context, struct mesh_way *way, const char *reason)
+{
+  struct cp_peer_message message = { .kind = CP_PEER_VIEW };
+
+  (void)context;
+  (void)reason;
+  mute_down += way == to_mute;
+  other_down += way == to_other;
+  if (way == to_mute)
+    mesh_way_send (to_other, &message);
+}
+
+/* From its first link on, the mute daemon reads nothing.  */
+static void
+on_joined (void *context, struct mesh_link *link)
+{
+  if (context == &mute)
+    net_stream_read (&link->link.stream, false);
+}
+
+static void
+on_link (void *context, struct mesh_link *link)
+{
+  (void)context;
+  (void)link;
+}
+
+static void
+on_message (void *context, struct mesh_link *link,
+            const struct cp_peer_message *message)
+{
+  (void)context;
+  (void)link;
+  (void)message;
+}
+
+static const struct mesh_peers_events events
+    = { on_up, on_down, on_joined, on_link, on_message, on_link };
+
+static struct cp_address
+address_of (unsigned vm)
+{
+  struct cp_address address;
+  char text[56];
+  unsigned number = (unsigned)getpid ();
+
+  g_snprintf (text, sizeof text, "127.%u.%u.%u:7400", number >> 8 & 127,
+              number & 255, vm);
+  ck_assert (cp_address_parse (&address, text));
+  return address;
+}
+
+static void
+start (struct mesh_peers *peers, unsigned vm)
+{
+  struct cp_address address = address_of (vm);
+
+  ck_assert_int_eq (
+      mesh_peers_init (peers, &loop, &address, vm, "zone-a", &events, peers),
+      0);
+}
+
+static void
+on_time (uv_timer_t *timer)
+{
+  uv_close ((uv_handle_t *)timer, NULL);
+  mesh_peers_stop (&first);
+  mesh_peers_stop (&mute);
+  mesh_peers_stop (&other);
+}
+
+START_TEST (a_way_that_goes_silent_takes_no_other_with_it)
+{
+  struct cp_address to[2] = { address_of (2), address_of (3) };
+  uv_timer_t timer;
+
+  uv_loop_init (&loop);
+  start (&first, 1);
+  start (&mute, 2);
+  start (&other, 3);
+  to_mute = mesh_way_use (&first, &to[0]);
+  to_other = mesh_way_use (&first, &to[1]);
+  uv_timer_init (&loop, &timer);
+  uv_timer_start (&timer, on_time, RUN_MS, 0);
+  uv_run (&loop, UV_RUN_DEFAULT);
+  ck_assert_uint_gt (mute_down, 0);
+  ck_assert_uint_eq (other_down, 0);
+}
+END_TEST
+
+static void
+add_tests (TCase *tests)
+{
+  tcase_add_test (tests, a_way_that_goes_silent_takes_no_other_with_it);
+}
+
+int
+main (void)
+{
+  return suite_run ("mesh_ways", add_tests, 30);
+}
