--- a/lib/roster.c
+++ b/lib/roster.c
@@ -38,6 +38,14 @@
 /* Weight of busy slots among servers that have free ones.  */
 #define BUSY_COST 0.25
 
+/* Servers that are compared for one request.  Daemons that see the same few
+   cheapest servers would all send there; of five drawn at random one is calm
+   in 99 of 100 cases while a third of the machines is slow.
+   Source: M. Mitzenmacher, The Power of Two Choices in Randomized Load
+   Balancing, IEEE Transactions on Parallel and Distributed Systems 12(10),
+   2001.  */
+#define COMPARED_MOST 5
+
 /* A pace within this factor of the best is taken for chance.  */
 #define CHANCE_FACTOR 1.4
 
@@ -375,26 +383,42 @@
   return least;
 }
 
+/* Moves a server drawn from those at INDEX and behind it to INDEX, and returns
+   it; their order means nothing.  */
+static struct cp_server *
+draw (GPtrArray *servers, unsigned index, const struct cp_random *random)
+{
+  unsigned other
+      = index + (unsigned)cp_random_below (random, servers->len - index);
+  void *drawn = servers->pdata[other];
+
+  servers->pdata[other] = servers->pdata[index];
+  servers->pdata[index] = drawn;
+  return drawn;
+}
+
 struct cp_server *
 cp_roster_pick (const struct cp_roster *roster,
                 const struct cp_server_wish *wish,
                 const struct cp_random *random)
 {
-  const GPtrArray *servers = servers_of (roster, wish->service);
+  GPtrArray *servers = servers_of (roster, wish->service);
   struct cp_server *best = NULL;
   double best_cost = 0;
   double usual_pace;
+  unsigned compared = 0;
 
   if (servers == NULL)
     return NULL;
   usual_pace = usual_pace_of (servers);
-  for (unsigned i = 0; i < servers->len; i++)
+  for (unsigned i = 0; i < servers->len && compared < COMPARED_MOST; i++)
     {
-      struct cp_server *server = servers->pdata[i];
+      struct cp_server *server = draw (servers, i, random);
       double cost;
 
       if (!is_candidate (server, wish))
         continue;
+      compared++;
       cost = cp_server_cost (server, wish, usual_pace)
              * (1 + SPREAD * cp_random_unit (random));
       if (best == NULL || cost < best_cost)
--- a/lib/roster.h
+++ b/lib/roster.h
@@ -4,9 +4,9 @@
    units of what it takes on a calm one: the server's own word on how slow its
    machine is now, its measured service times against those of its kin, its
    warm-up, the wait for a slot, and its recent failures at this daemon.  What
-   crossing a failure domain costs is added.  The cheapest is taken; costs are
-   spread by a random share so that daemons that see the same do not all choose
-   the same one.  Pure; not thread-safe.  */
+   crossing a failure domain costs is added.  The cheapest of a few drawn at
+   random is taken, and costs are spread by a random share, so that daemons that
+   see the same do not all choose the same one.  Pure; not thread-safe.  */
 #ifndef CP_ROSTER_H
 #define CP_ROSTER_H
 
--- a/meshd/exchange.c
+++ b/meshd/exchange.c
@@ -26,8 +26,8 @@
 #define DISTURBED_US UINT64_C (3000000)
 
 /* How long a watcher may lag behind a peer before it asks for the changes:
-   twice the time that it collects changes itself.  */
-#define BEHIND_US UINT64_C (400000)
+   more than the 400 ms for which it collects changes itself.  */
+#define BEHIND_US UINT64_C (600000)
 
 /* Least time between two such questions.  */
 #define ASK_US UINT64_C (200000)
--- a/regress/lib/check_roster.c
+++ b/regress/lib/check_roster.c
@@ -53,8 +53,7 @@
                                    .draining = draining };
   char address[64];
 
-  snprintf (address, sizeof address, "10.0.0.%u:80",
-            (unsigned)(instance[0] - 'a' + 1));
+  snprintf (address, sizeof address, "10.0.0.%u:80", (unsigned)instance[0]);
   cp_address_parse (&entry.address, address);
   cp_roster_update (&roster, &entry, NOW_US);
   return cp_roster_find (&roster, instance);
@@ -129,6 +128,45 @@
 }
 END_TEST
 
+/* Many daemons see the same loads and know nothing of each other's choices:
+   one request of each must not go to the same few servers, nor to slow ones
+   while there are calm ones.  */
+START_TEST (daemons_that_see_the_same_spread_their_requests)
+{
+  enum
+  {
+    SERVERS = 36,
+    SLOW = 12,
+    REQUESTS = 7200
+  };
+  struct cp_server *servers[SERVERS];
+  unsigned picks[SERVERS] = { 0 };
+  unsigned slow = 0;
+
+  for (unsigned i = 0; i < SERVERS; i++)
+    {
+      char instance[16];
+
+      snprintf (instance, sizeof instance, "%u", i);
+      servers[i] = enter (instance, "near", 1, false);
+      load (servers[i], i % 4, i < SLOW ? 400 : 100);
+    }
+  for (unsigned n = 0; n < REQUESTS; n++)
+    {
+      const struct cp_server *picked = pick_of (0, NULL, 0);
+
+      for (unsigned i = 0; i < SERVERS; i++)
+        picks[i] += servers[i] == picked;
+    }
+  for (unsigned i = 0; i < SERVERS; i++)
+    {
+      ck_assert_uint_le (picks[i], 4 * REQUESTS / SERVERS);
+      slow += i < SLOW ? picks[i] : 0;
+    }
+  ck_assert_uint_le (slow, REQUESTS / 100);
+}
+END_TEST
+
 START_TEST (own_attempts_since_the_report_count)
 {
   struct cp_server *a = enter ("a", "near", 1, false);
@@ -239,6 +277,7 @@
   tcase_add_checked_fixture (tests, setup, teardown);
   tcase_add_test (tests, equal_servers_share);
   tcase_add_test (tests, a_slow_machine_is_left_until_the_others_are_full);
+  tcase_add_test (tests, daemons_that_see_the_same_spread_their_requests);
   tcase_add_test (tests, own_attempts_since_the_report_count);
   tcase_add_test (tests, failures_drive_away_and_are_forgotten);
   tcase_add_test (tests, silence_of_the_daemon_beside_drives_away);
