--- /dev/null
+++ b/meshd/daemon_internal.h
@@ -0,0 +1,63 @@
+/* What the files of the daemon share: daemon.c connects the parts, life.c has
+   its states, signals and questions from outside, reload.c its settings.  */
+#ifndef MESHD_DAEMON_INTERNAL_H
+#define MESHD_DAEMON_INTERNAL_H
+
+#include "meshd/daemon.h"
+
+/* The states and events of charts/daemon.json.  */
+enum mesh_state
+{
+  MESH_STATE_STARTING,
+  MESH_STATE_WARMING,
+  MESH_STATE_SERVING,
+  MESH_STATE_DRAINING,
+  MESH_STATE_GONE,
+  MESH_STATE_COUNT
+};
+
+enum mesh_event
+{
+  MESH_EVENT_LISTENING,
+  MESH_EVENT_CONFIGURED,
+  MESH_EVENT_DRAIN,
+  MESH_EVENT_STOP,
+  MESH_EVENT_COUNT
+};
+
+extern const struct cp_chart_names mesh_daemon_chart;
+
+/* life.c  */
+void mesh_daemon_step (struct mesh_daemon *daemon, enum mesh_event event);
+
+/* Answers ready questions, and metrics at METRICS unless it is NULL.  Returns
+   0, or -1 with ERROR set.  */
+int mesh_daemon_start_ready (struct mesh_daemon *daemon, const char *metrics,
+                             struct cp_error *error);
+void mesh_daemon_start_timers (struct mesh_daemon *daemon);
+
+/* reload.c  */
+void mesh_daemon_apply_settings (struct mesh_daemon *daemon);
+
+/* Opens ways to the daemons that the settings name.  */
+void mesh_daemon_use_seeds (struct mesh_daemon *daemon);
+
+/* Reads the settings again.  Faulty ones leave those before in force.  */
+void mesh_daemon_reload (struct mesh_daemon *daemon);
+
+/* Reloads when the settings file is another one than before.  */
+void mesh_daemon_check_settings (struct mesh_daemon *daemon, uint64_t now);
+
+/* daemon.c  */
+
+/* Takes what is known of the server beside this daemon.  */
+void mesh_daemon_update_server (struct mesh_daemon *daemon);
+
+/* Returns the address of the daemon beside SERVER: the same host, and the port
+   of our own, which is the same on all VMs.  */
+struct cp_address mesh_daemon_beside (const struct mesh_daemon *daemon,
+                                      const struct cp_server *server);
+int mesh_listen_error (struct cp_error *error,
+                       const struct cp_address *address, int code);
+
+#endif
--- /dev/null
+++ b/meshd/life.c
@@ -0,0 +1,211 @@
+/* The daemon's states, signals, and the questions from outside.  */
+#include <string.h>
+
+#include "meshd/daemon_internal.h"
+#include "meshd/log.h"
+#include "platform/headers.h"
+
+#define TICK_MS 200
+
+/* How long a server whose entry lapsed in a disturbance of the store is kept.
+   Entries of living servers are back within two seconds of its return; a
+   request may not reach a server later than the drain bound, also two seconds,
+   after its entry went.  */
+#define LAPSE_US UINT64_C (1800000)
+
+/* After SIGTERM.  Clients stay away after two missed ready questions, a second
+   apart; until then they are served as before.  */
+#define LEAVE_US UINT64_C (1800000)
+#define CLOSE_US UINT64_C (2300000)
+
+/* Kept free of the grace time for the end of the process.  */
+#define GRACE_MARGIN_US UINT64_C (400000)
+
+static const char *const state_names[MESH_STATE_COUNT]
+    = { "starting", "warming", "serving", "draining", "gone" };
+static const char *const event_names[MESH_EVENT_COUNT]
+    = { "listening", "configured", "drain", "stop" };
+
+const struct cp_chart_names mesh_daemon_chart
+    = { state_names, MESH_STATE_COUNT, event_names, MESH_EVENT_COUNT };
+
+static const int signal_numbers[3] = { SIGTERM, SIGINT, SIGHUP };
+
+static uint64_t
+now_us (void)
+{
+  return cp_clock_now_us (&cp_clock_boot);
+}
+
+void
+mesh_daemon_step (struct mesh_daemon *daemon, enum mesh_event event)
+{
+  int before = daemon->state;
+
+  if (!cp_chart_step (&daemon->chart, &daemon->state, event)
+      || before == daemon->state)
+    return;
+  if (mesh_log_due (MESH_LOG_STATE))
+    mesh_log (MESH_LOG_STATE, "\"from\":\"%s\",\"to\":\"%s\"",
+              state_names[before], state_names[daemon->state]);
+}
+
+static void
+on_ready_request (void *context, struct net_exchange *exchange)
+{
+  struct mesh_daemon *daemon = context;
+  bool known
+      = strcmp (exchange->request.target->str, PLATFORM_READY_PATH) == 0;
+
+  net_exchange_answer (exchange,
+                       !known                                ? 404
+                       : daemon->state == MESH_STATE_SERVING ? 200
+                                                             : 503,
+                       NULL, NULL, 0);
+}
+
+static void
+on_metrics_request (void *context, struct net_exchange *exchange)
+{
+  GString *text = g_string_new (NULL);
+
+  mesh_metrics_write (context, text);
+  net_exchange_answer (exchange, 200,
+                       "Content-Type: text/plain; version=0.0.4\r\n",
+                       text->str, text->len);
+  g_string_free (text, TRUE);
+}
+
+static void
+ignore_abandoned (void *context, struct net_exchange *exchange)
+{
+  (void)context;
+  (void)exchange;
+}
+
+static void
+ignore_refused (void *context, unsigned status, const char *reason)
+{
+  (void)context;
+  if (mesh_log_due (MESH_LOG_REFUSED))
+    mesh_log (MESH_LOG_REFUSED, "\"status\":%u,\"reason\":\"%s\"", status,
+              reason);
+}
+
+static const struct net_server_events ready_events
+    = { on_ready_request, ignore_abandoned, ignore_refused };
+static const struct net_server_events metrics_events
+    = { on_metrics_request, ignore_abandoned, ignore_refused };
+
+/* Begins to leave.  */
+static void
+terminate (struct mesh_daemon *daemon)
+{
+  if (daemon->term_us != 0)
+    return;
+  daemon->term_us = now_us ();
+  mesh_daemon_step (daemon, MESH_EVENT_DRAIN);
+}
+
+static void
+on_signal (uv_signal_t *handle, int number)
+{
+  if (number == SIGHUP)
+    mesh_daemon_reload (handle->data);
+  else
+    terminate (handle->data);
+}
+
+/* Ends what keeps the loop running.  */
+static void
+stop (struct mesh_daemon *daemon)
+{
+  mesh_daemon_step (daemon, MESH_EVENT_STOP);
+  uv_close ((uv_handle_t *)&daemon->tick, NULL);
+  for (unsigned i = 0; i < G_N_ELEMENTS (daemon->signals); i++)
+    uv_close ((uv_handle_t *)&daemon->signals[i], NULL);
+  mesh_exchange_stop (&daemon->exchange);
+  mesh_outbound_stop (&daemon->outbound);
+  mesh_inbound_stop (&daemon->inbound);
+  net_server_finish (&daemon->ready);
+  if (daemon->has_metrics)
+    net_server_finish (&daemon->metrics);
+  cp_roster_finish (&daemon->roster);
+  mesh_peers_stop (&daemon->peers);
+  uv_stop (&daemon->loop);
+}
+
+/* Goes on with leaving.  */
+static void
+leave (struct mesh_daemon *daemon, uint64_t now)
+{
+  uint64_t since_us = now - daemon->term_us;
+  bool idle = daemon->outbound.server.n_connections == 0
+              && mesh_inbound_jobs (&daemon->inbound) == 0;
+
+  if (since_us >= LEAVE_US && !daemon->left)
+    {
+      daemon->left = true;
+      mesh_peers_leave (&daemon->peers);
+      mesh_inbound_leave (&daemon->inbound, now + TICK_MS * CP_US_PER_MS);
+    }
+  if (since_us >= CLOSE_US && !daemon->outbound.server.draining)
+    net_server_drain (&daemon->outbound.server);
+  if ((daemon->outbound.server.draining && idle)
+      || since_us + GRACE_MARGIN_US >= daemon->settings.grace_us)
+    stop (daemon);
+}
+
+static void
+on_tick (uv_timer_t *timer)
+{
+  struct mesh_daemon *daemon = timer->data;
+  uint64_t now = now_us ();
+
+  cp_roster_expire (&daemon->roster, now - LAPSE_US);
+  mesh_exchange_elect (&daemon->exchange);
+  if (daemon->term_us != 0)
+    leave (daemon, now);
+  else
+    mesh_daemon_check_settings (daemon, now);
+}
+
+int
+mesh_daemon_start_ready (struct mesh_daemon *daemon, const char *metrics,
+                         struct cp_error *error)
+{
+  static const struct net_server_limits limits = { 16384, 16384, 3000, 60000 };
+  const struct platform_settings *settings = &daemon->settings;
+  struct cp_address address;
+  int code = net_server_init (&daemon->ready, &daemon->loop, &settings->ready,
+                              &limits, &ready_events, daemon);
+
+  if (code != 0)
+    return mesh_listen_error (error, &settings->ready, code);
+  if (metrics == NULL)
+    return 0;
+  if (!cp_address_parse (&address, metrics))
+    return cp_error_set (error, CP_ERROR_USAGE, metrics,
+                         "write --metrics IP:PORT",
+                         "the address for metrics is none");
+  code = net_server_init (&daemon->metrics, &daemon->loop, &address, &limits,
+                          &metrics_events, daemon);
+  if (code != 0)
+    return mesh_listen_error (error, &address, code);
+  daemon->has_metrics = true;
+  return 0;
+}
+
+void
+mesh_daemon_start_timers (struct mesh_daemon *daemon)
+{
+  uv_timer_init (&daemon->loop, &daemon->tick);
+  daemon->tick.data = daemon;
+  uv_timer_start (&daemon->tick, on_tick, TICK_MS, TICK_MS);
+  for (unsigned i = 0; i < G_N_ELEMENTS (daemon->signals); i++)
+    {
+      uv_signal_init (&daemon->loop, &daemon->signals[i]);
+      daemon->signals[i].data = daemon;
+      uv_signal_start (&daemon->signals[i], on_signal, signal_numbers[i]);
+    }
+}
