Send the whole state to a peer that may have missed removals

A daemon that started or read everything again does not know what was removed before; asked for the changes after an older revision it answered without the removals, and the asker took its revision over. The entry then stayed for good, and with it a server that has gone. Since most daemons learn from peers only, this weighs more than before. Ruled out as guards: pings (they carry the revision, which is equal) and the watch (it goes on from the new revision).

Change: the registry keeps the revision of its last reading of everything. Asked for changes since before it, a daemon sends all items, marked as whole; the receiver drops what is not among them, as after a reading of its own, and takes it for one.

--- a/lib/roster.h
+++ b/lib/roster.h
@@ -5,8 +5,8 @@
    machine is now, its measured service times against those of its kin, its
    warm-up, the wait for a slot, and its recent failures at this daemon.  What
    crossing a failure domain costs is added.  The cheapest of a few drawn at
-   random is taken, and costs are spread by a random share, so that daemons that
-   see the same do not all choose the same one.  Pure; not thread-safe.  */
+   random is taken, and costs are spread by a random share, so that daemons
+   that see the same do not all choose the same one.  Pure; not thread-safe. */
 #ifndef CP_ROSTER_H
 #define CP_ROSTER_H
 
--- a/meshd/exchange.c
+++ b/meshd/exchange.c
@@ -268,6 +268,8 @@
 struct collecting
 {
   struct mesh_link *link;
+  bool whole;
+  bool unsure;
   struct cp_peer_item items[ITEMS_MAX];
   unsigned count;
 };
@@ -279,6 +281,8 @@
   struct cp_peer_items *items = &message.cp_peer_message_u.items;
 
   items->revision = revision;
+  items->whole = collecting->whole;
+  items->unsure = collecting->unsure;
   items->items.items_len = collecting->count;
   items->items.items_val = collecting->items;
   mesh_link_send (collecting->link, &message);
@@ -311,6 +315,10 @@
   struct collecting *collecting = g_new0 (struct collecting, 1);
 
   collecting->link = link;
+  collecting->whole = revision < exchange->registry.base;
+  collecting->unsure = is_disturbed (exchange);
+  if (collecting->whole)
+    revision = 0;
   platform_registry_since (&exchange->registry, revision, collect, collecting);
   send_items (collecting, exchange->registry.revision);
   g_free (collecting);
@@ -327,12 +335,19 @@
                                     .value = from->value.value_val,
                                     .length = from->value.value_len,
                                     .revision = from->revision,
-                                    .removed = from->removed };
+                                    .removed = from->removed,
+                                    .listed = items->whole };
 
       platform_registry_take (&exchange->registry, &item, from->unsure);
     }
   if (items->revision == 0)
     return;
+  if (items->whole)
+    {
+      platform_registry_reread (&exchange->registry, items->revision,
+                                items->unsure || is_disturbed (exchange));
+      platform_store_learned_whole (&exchange->store, items->revision);
+    }
   reached (exchange, items->revision);
   platform_store_learned (&exchange->store, items->revision);
 }
--- a/regress/meshd/check_mesh_state.c
+++ b/regress/meshd/check_mesh_state.c
@@ -148,21 +148,54 @@
 }
 END_TEST
 
-START_TEST (a_server_whose_entry_went_gets_nothing_more)
+/* Removes the entry of VM's server.  */
+static void
+remove_entry (unsigned vm)
 {
   CP_AUTO_FREE char *entry = NULL;
-  char value[128];
+  char instance[128];
 
-  ck_assert_uint_gt (runs_in_calls (1, 40), 0);
-  stage_server_header (&stage, 1, "X-Cornelpick-Expect-Instance", value,
-                       sizeof value);
-  entry = g_strdup_printf ("servers/%s", value);
+  stage_server_header (&stage, vm, "X-Cornelpick-Expect-Instance", instance,
+                       sizeof instance);
+  entry = g_strdup_printf ("servers/%s", instance);
   stage_remove (&stage, entry);
+}
+
+START_TEST (a_server_whose_entry_went_gets_nothing_more)
+{
+  ck_assert_uint_gt (runs_in_calls (1, 40), 0);
+  remove_entry (1);
   g_usleep (1500000);
   ck_assert_uint_eq (runs_in_calls (1, 40), 0);
 }
 END_TEST
 
+static bool
+knows_two_servers (void *context)
+{
+  (void)context;
+  return stage_counter (&stage, 3, "servers") == 2;
+}
+
+/* One daemon stands still and hears nothing of the store; the others have
+   started after the entry went and never knew of it.  */
+START_TEST (a_removal_is_learned_from_daemons_that_started_after_it)
+{
+  ck_assert_uint_gt (runs_in_calls (1, 40), 0);
+  stage_store_mode (&stage, 3, STAGE_STORE_SILENT);
+  kill (stage.daemons[3].pid, SIGSTOP);
+  remove_entry (1);
+  for (unsigned vm = 1; vm <= 2; vm++)
+    {
+      process_signal (&stage.daemons[vm], SIGKILL);
+      stage_start_daemon (&stage, vm);
+      stage_wait_ready (&stage, vm);
+    }
+  kill (stage.daemons[3].pid, SIGCONT);
+  wait_until (knows_two_servers, NULL);
+}
+END_TEST
+
 /* A thread that makes one call.  */
 static void *
 make_slow_call (void *status)
@@ -180,8 +213,6 @@
 /* The server goes on with what it has after its entry went.  */
 START_TEST (a_call_at_a_server_whose_entry_goes_is_answered)
 {
-  CP_AUTO_FREE char *entry = NULL;
-  char instance[128];
   pthread_t thread;
   int status = 0;
   unsigned vm;
@@ -191,10 +222,7 @@
   while (stage_runs (&stage, "w1") == 0)
     g_usleep (10000);
   vm = stage_server_runs (&stage, 1) > 0 ? 1 : 2;
-  stage_server_header (&stage, vm, "X-Cornelpick-Expect-Instance", instance,
-                       sizeof instance);
-  entry = g_strdup_printf ("servers/%s", instance);
-  stage_remove (&stage, entry);
+  remove_entry (vm);
   pthread_join (thread, NULL);
   ck_assert_int_eq (status, 200);
 }
@@ -264,6 +292,8 @@
                   a_daemon_that_knows_nothing_refuses_at_once_pipelined_too);
   tcase_add_test (tests, a_server_that_drains_gets_nothing_more);
   tcase_add_test (tests, a_server_whose_entry_went_gets_nothing_more);
+  tcase_add_test (tests,
+                  a_removal_is_learned_from_daemons_that_started_after_it);
   tcase_add_test (tests, a_call_at_a_server_whose_entry_goes_is_answered);
   tcase_add_test (
       tests, entries_and_configurations_that_cannot_be_read_change_nothing);
--- a/rpc/peer.h
+++ b/rpc/peer.h
@@ -130,6 +130,8 @@
 
 struct cp_peer_items {
 	u_quad_t revision;
+	bool_t whole;
+	bool_t unsure;
 	struct {
 		u_int items_len;
 		cp_peer_item *items_val;
--- a/rpc/peer.x
+++ b/rpc/peer.x
@@ -121,9 +121,16 @@
 	bool unsure;
 };
 
-/* State of the store up to revision, of what changed after the one asked. */
+/*
+ * State of the store up to revision, of what changed after the one asked; 0
+ * when more messages follow.  whole: the items are all that there are, since
+ * the sender does not know what was removed after the revision asked; unsure
+ * then says that the store was in a disturbance, which may be why items went.
+ */
 struct cp_peer_items {
 	unsigned hyper revision;
+	bool whole;
+	bool unsure;
 	cp_peer_item items<CP_PEER_ITEMS_MAX>;
 };
 
--- a/rpc/peer_xdr.c
+++ b/rpc/peer_xdr.c
@@ -322,6 +322,10 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->whole))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->unsure))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, CP_PEER_ITEMS_MAX,
 		sizeof (cp_peer_item), (xdrproc_t) xdr_cp_peer_item))
 		 return FALSE;
