Let a watcher that collects learn from peers; look again at lagging views

Two parts, read from the code: with 400 ms of collecting, daemons could be between two watches when the test dropped the history, where it says that they wait; and a daemon that heard of a newer state inside the grace time looked again only at the next ping, up to a second later.

Change: only a daemon whose watch waits gives it time to answer; one that collects asks at once. What peers have said is looked at again each 200 ms. The test waits until all watches wait, as its comment says; bound and steps are as before. What is left: a history dropped while every watcher collects, within 400 ms of a change, shows at the next change or after ten seconds.

--- a/meshd/exchange.c
+++ b/meshd/exchange.c
@@ -25,9 +25,9 @@
 /* A removal this soon after a failed call of the store proves nothing.  */
 #define DISTURBED_US UINT64_C (3000000)
 
-/* How long a watcher may lag behind a peer before it asks for the changes:
-   more than the 400 ms for which it collects changes itself.  */
-#define BEHIND_US UINT64_C (600000)
+/* How long a watcher whose watch waits may lag behind a peer before it asks
+   for the changes; an answer of the store takes some milliseconds.  */
+#define BEHIND_US UINT64_C (400000)
 
 /* Least time between two such questions.  */
 #define ASK_US UINT64_C (200000)
@@ -224,8 +224,8 @@
                                  candidates.n_all, MAX (wanted, TRYING_MOST));
 }
 
-void
-mesh_exchange_elect (struct mesh_exchange *exchange)
+static void
+elect (struct mesh_exchange *exchange)
 {
   bool elected = is_elected (exchange);
 
@@ -254,7 +254,7 @@
       exchange->behind_revision = link->view.revision;
       exchange->behind_us = now;
     }
-  if (exchange->watching && exchange->store.answers
+  if (exchange->store.answers && exchange->store.call == PLATFORM_STORE_WATCH
       && now - exchange->behind_us < BEHIND_US)
     return;
   if (now - exchange->asked_us < ASK_US)
@@ -264,6 +264,30 @@
   mesh_link_send (link, &message);
 }
 
+/* Asks a peer that knows more, if there is one: what it said may have come too
+   soon to ask.  */
+static void
+catch_up (struct mesh_exchange *exchange)
+{
+  struct mesh_link *link;
+
+  cds_list_for_each_entry (link, &exchange->peers->incoming, node)
+  {
+    if (link->view.revision <= exchange->registry.revision
+        || link->link.failed)
+      continue;
+    mesh_exchange_viewed (exchange, link);
+    return;
+  }
+}
+
+void
+mesh_exchange_tick (struct mesh_exchange *exchange)
+{
+  elect (exchange);
+  catch_up (exchange);
+}
+
 /* Changes that are being put together for a peer.  */
 struct collecting
 {
--- a/meshd/exchange.h
+++ b/meshd/exchange.h
@@ -38,8 +38,8 @@
 void mesh_exchange_stop (struct mesh_exchange *exchange);
 void mesh_exchange_finish (struct mesh_exchange *exchange);
 
-/* Looks again who watches.  */
-void mesh_exchange_elect (struct mesh_exchange *exchange);
+/* Looks again who watches, and whether a peer knows more.  */
+void mesh_exchange_tick (struct mesh_exchange *exchange);
 
 /* The daemon behind LINK said what it knows.  */
 void mesh_exchange_viewed (struct mesh_exchange *exchange,
--- a/meshd/life.c
+++ b/meshd/life.c
@@ -163,7 +163,7 @@
   uint64_t now = now_us ();
 
   cp_roster_expire (&daemon->roster, now - LAPSE_US);
-  mesh_exchange_elect (&daemon->exchange);
+  mesh_exchange_tick (&daemon->exchange);
   if (daemon->term_us != 0)
     leave (daemon, now);
   else
--- a/regress/harness/stage.h
+++ b/regress/harness/stage.h
@@ -77,6 +77,9 @@
 void stage_store_mode (struct stage *stage, unsigned vm,
                        enum stage_store_mode mode);
 
+/* Returns how many watches wait.  */
+unsigned stage_watches (struct stage *stage);
+
 /* Watches hear nothing of what comes until the history is dropped.  */
 void stage_mute_watches (struct stage *stage);
 
--- a/regress/harness/stage_store.c
+++ b/regress/harness/stage_store.c
@@ -345,6 +345,18 @@
   pthread_mutex_unlock (&stage->lock);
 }
 
+unsigned
+stage_watches (struct stage *stage)
+{
+  const struct waiting *waiting;
+  unsigned count = 0;
+
+  pthread_mutex_lock (&stage->lock);
+  cds_list_for_each_entry (waiting, &stage->store->watches, node) count++;
+  pthread_mutex_unlock (&stage->lock);
+  return count;
+}
+
 void
 stage_mute_watches (struct stage *stage)
 {
--- a/regress/meshd/check_mesh_state.c
+++ b/regress/meshd/check_mesh_state.c
@@ -51,12 +51,20 @@
 }
 END_TEST
 
+static bool
+all_wait (void *context)
+{
+  (void)context;
+  return stage_watches (&stage) == VMS;
+}
+
 /* The watch hears nothing of a change, is cut, and its history is gone: the
    next watch would say so only at the next change.  */
 START_TEST (a_change_in_a_gap_of_the_history_is_in_force_in_time)
 {
   gint64 since;
 
+  wait_until (all_wait, NULL);
   stage_mute_watches (&stage);
   stage_configure (&stage, NEW_ROUTE);
   g_usleep (200000);
