Answer all who have connected before a daemon with CivetWeb ends

Closing a listening socket resets the connections that the kernel has completed and CivetWeb has not taken; and a request that waits for a thread of CivetWeb is counted nowhere, so that the process may take itself for idle and end.

Tests, in check_listener: those_who_wait_are_taken_before_the_address_refuses (failed before: reset), a_request_that_waits_for_a_thread_is_seen.

--- a/cornelpickd/daemon.c
+++ b/cornelpickd/daemon.c
@@ -14,7 +14,8 @@
 #define DRAIN_NOTICE_US (500 * CP_US_PER_MS)
 /* Calls that were cut have this long to be fenced and answered.  */
 #define DRAIN_CUT_US (2 * CP_US_PER_S)
-/* Connections that were taken just before are served for so long.  */
+/* Nothing must have been in flight or unread for so long before the end: a
+   thread takes less from reading a request to counting it.  */
 #define DRAIN_LAST_US (50 * CP_US_PER_MS)
 
 static int
@@ -162,6 +163,23 @@
   return true;
 }
 
+/* Waits until nothing has been in flight or unread for DRAIN_LAST_US.  */
+static void
+wait_served_until (struct daemon *daemon, uint64_t limit_us)
+{
+  uint64_t now = cp_clock_now_us (daemon->clock);
+  uint64_t busy_us = now;
+
+  while (now < limit_us && now - busy_us < DRAIN_LAST_US)
+    {
+      if (!is_idle (daemon) || listener_has_unread (&daemon->calls)
+          || listener_has_unread (&daemon->peers))
+        busy_us = now;
+      usleep (IDLE_POLL_US);
+      now = cp_clock_now_us (daemon->clock);
+    }
+}
+
 /* Returns the longest time that a service of the document gives its calls.  */
 static uint64_t
 drain_limit_us (struct daemon *daemon)
@@ -193,8 +211,7 @@
     }
   listener_refuse (&daemon->calls);
   listener_refuse (&daemon->peers);
-  usleep (DRAIN_LAST_US);
-  wait_idle_until (daemon, cp_clock_now_us (daemon->clock) + DRAIN_CUT_US);
+  wait_served_until (daemon, cp_clock_now_us (daemon->clock) + DRAIN_CUT_US);
   return idle;
 }
 
--- /dev/null
+++ b/regress/http/check_listener.c
@@ -0,0 +1,159 @@
+/* A listener that ends answers every caller that has connected.  */
+#include <pthread.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "http/http.h"
+#include "regress/harness/harness.h"
+#include "regress/harness/suite.h"
+
+#define BACKLOG 64
+#define CALLERS 20
+
+/* A server that is slow to take its connections.  */
+#define TAKE_US 3000
+
+static struct listener listener;
+static int listening;
+static unsigned taken;
+
+static int
+listen_at (struct cp_address *address)
+{
+  char text[56];
+  unsigned number = (unsigned)getpid ();
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  g_snprintf (text, sizeof text, "127.%u.%u.1:7402", number >> 8 & 127,
+              number & 255);
+  ck_assert (cp_address_parse (address, text));
+  ck_assert_int_eq (bind (fd, &address->socket.any, address->length), 0);
+  ck_assert_int_eq (listen (fd, BACKLOG), 0);
+  return fd;
+}
+
+static void *
+take_slowly (void *context)
+{
+  int fd;
+
+  (void)context;
+  while ((fd = accept (listening, NULL, NULL)) >= 0)
+    {
+      ck_assert_int_eq (send (fd, "x", 1, MSG_NOSIGNAL), 1);
+      close (fd);
+      taken++;
+      usleep (TAKE_US);
+    }
+  return NULL;
+}
+
+/* Connects without waiting.  */
+static int
+call (void)
+{
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  ck_assert_int_eq (
+      connect (fd, &listener.address.socket.any, listener.address.length), 0);
+  return fd;
+}
+
+START_TEST (those_who_wait_are_taken_before_the_address_refuses)
+{
+  int callers[CALLERS];
+  pthread_t thread;
+  char byte;
+
+  listening = listen_at (&listener.address);
+  /* Only whether there is one matters here.  */
+  listener.server = (struct mg_context *)&listener;
+  for (unsigned i = 0; i < CALLERS; i++)
+    callers[i] = call ();
+  ck_assert_int_eq (pthread_create (&thread, NULL, take_slowly, NULL), 0);
+  listener_refuse (&listener);
+  for (unsigned i = 0; i < CALLERS; i++)
+    {
+      ck_assert_int_eq (recv (callers[i], &byte, 1, 0), 1);
+      close (callers[i]);
+    }
+  pthread_join (thread, NULL);
+  ck_assert_uint_eq (taken, CALLERS);
+  callers[0] = socket (AF_INET, SOCK_STREAM, 0);
+  ck_assert_int_ne (connect (callers[0], &listener.address.socket.any,
+                             listener.address.length),
+                    0);
+  close (callers[0]);
+  close (listening);
+}
+END_TEST
+
+static pthread_mutex_t held = PTHREAD_MUTEX_INITIALIZER;
+
+/* Answers when the test lets go of the lock.  */
+static void
+answer_later (void *context, struct request *request)
+{
+  (void)context;
+  pthread_mutex_lock (&held);
+  request_answer (request, 200, NULL, "text/plain", "ok");
+  pthread_mutex_unlock (&held);
+}
+
+static int
+call_with_request (void)
+{
+  static const char request[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  int fd = call ();
+
+  ck_assert_int_eq (send (fd, request, strlen (request), 0), strlen (request));
+  return fd;
+}
+
+static bool
+nothing_unread (void *context)
+{
+  return !listener_has_unread (context);
+}
+
+START_TEST (a_request_that_waits_for_a_thread_is_seen)
+{
+  struct cp_error error = { 0 };
+  int busy;
+  int waiting;
+  char byte;
+
+  close (listen_at (&listener.address));
+  listener.clock = &cp_clock_boot;
+  listener.handle = answer_later;
+  pthread_mutex_lock (&held);
+  ck_assert_int_eq (listener_start (&listener, &listener.address, 1, &error),
+                    0);
+  busy = call_with_request ();
+  wait_until (nothing_unread, &listener);
+  waiting = call_with_request ();
+  ck_assert (listener_has_unread (&listener));
+  listener_close_kept (&listener);
+  pthread_mutex_unlock (&held);
+  wait_until (nothing_unread, &listener);
+  ck_assert_int_eq (recv (busy, &byte, 1, 0), 1);
+  ck_assert_int_eq (recv (waiting, &byte, 1, 0), 1);
+  listener_stop (&listener);
+  close (busy);
+  close (waiting);
+}
+END_TEST
+
+static void
+add_tests (TCase *tests)
+{
+  tcase_add_test (tests, a_request_that_waits_for_a_thread_is_seen);
+  tcase_add_test (tests, those_who_wait_are_taken_before_the_address_refuses);
+}
+
+int
+main (void)
+{
+  return suite_run ("listener", add_tests, 20);
+}
