Ask only the later born of two servers at an address

Ruled out: slow spreading of the new entries; nearly all daemons had them 0.3 s after the last birth.

Now: of several entries with one address only the one that was born last is asked; where one of them has been denied by its address, its birth no longer counts, since it may have been taken from another clock. And an inbound side whose server has denied an instance refuses attempts for it at once, unsent, for a second.

Tests: of_two_servers_at_one_address_the_later_born_is_asked, an_instance_that_has_ended_is_asked_for_once and the_later_born_of_two_servers_at_an_address_is_asked; each failed with the two conditions taken out.

--- a/lib/roster.c
+++ b/lib/roster.c
@@ -85,6 +85,47 @@
   roster->instances = g_hash_table_new (g_str_hash, g_str_equal);
   roster->services = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                             (GDestroyNotify)g_ptr_array_unref);
+  roster->places = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                          (GDestroyNotify)g_ptr_array_unref);
+}
+
+/* Adds SERVER to the array of KEY.  */
+static void
+file_under (GHashTable *arrays, const char *key, struct cp_server *server)
+{
+  GPtrArray *servers = g_hash_table_lookup (arrays, key);
+
+  if (servers == NULL)
+    {
+      servers = g_ptr_array_new ();
+      g_hash_table_insert (arrays, g_strdup (key), servers);
+    }
+  g_ptr_array_add (servers, server);
+}
+
+/* Finds out which of the servers at ADDRESS have ended.  One that another
+   instance answered for tells nothing of the others: its time of birth was
+   taken from another clock.  */
+static void
+settle (const struct cp_roster *roster, const char *address)
+{
+  GPtrArray *servers = g_hash_table_lookup (roster->places, address);
+  uint64_t last_born_ms = 0;
+
+  for (unsigned i = 0; i < servers->len; i++)
+    {
+      const struct cp_server *server = servers->pdata[i];
+
+      if (!server->replaced)
+        last_born_ms = MAX (last_born_ms, server->born_ms);
+    }
+  for (unsigned i = 0; i < servers->len; i++)
+    {
+      struct cp_server *server = servers->pdata[i];
+
+      server->succeeded
+          = server->born_ms != 0 && server->born_ms < last_born_ms;
+    }
 }
 
 static GPtrArray *
@@ -93,6 +134,19 @@
   return g_hash_table_lookup (roster->services, service);
 }
 
+static void
+leave_place (struct cp_roster *roster, struct cp_server *server)
+{
+  GPtrArray *servers
+      = g_hash_table_lookup (roster->places, server->address.text);
+
+  g_ptr_array_remove_fast (servers, server);
+  if (servers->len > 0)
+    settle (roster, server->address.text);
+  else
+    g_hash_table_remove (roster->places, server->address.text);
+}
+
 static void
 drop (struct cp_roster *roster, struct cp_server *server)
 {
@@ -100,6 +154,7 @@
 
   g_hash_table_remove (roster->instances, server->instance);
   g_ptr_array_remove_fast (servers, server);
+  leave_place (roster, server);
   roster->events->removed (roster->context, server);
   cp_server_unref (server);
 }
@@ -119,6 +174,7 @@
     }
   g_hash_table_unref (roster->instances);
   g_hash_table_unref (roster->services);
+  g_hash_table_unref (roster->places);
   g_free (roster->domain);
 }
 
@@ -135,7 +191,6 @@
 add (struct cp_roster *roster, const struct cp_server_entry *entry)
 {
   struct cp_server *server = g_new0 (struct cp_server, 1);
-  GPtrArray *servers = servers_of (roster, entry->service);
 
   server->references = 1;
   server->roster = roster;
@@ -146,13 +201,8 @@
   server->address = entry->address;
   server->born_ms = entry->born_ms;
   server->load.slowness_percent = CP_SLOWNESS_USUAL;
-  if (servers == NULL)
-    {
-      servers = g_ptr_array_new ();
-      g_hash_table_insert (roster->services, g_strdup (entry->service),
-                           servers);
-    }
-  g_ptr_array_add (servers, server);
+  file_under (roster->services, server->service, server);
+  file_under (roster->places, server->address.text, server);
   g_hash_table_insert (roster->instances, server->instance, server);
   return server;
 }
@@ -179,6 +229,7 @@
   server->replaced = false;
   server->gone_us = 0;
   server->warm_until_us = now_us + entry->warm_up_us;
+  settle (roster, server->address.text);
   if (is_new)
     roster->events->added (roster->context, server);
 }
@@ -197,6 +248,15 @@
     server->gone_us = now_us;
 }
 
+void
+cp_roster_replaced (struct cp_roster *roster, struct cp_server *server)
+{
+  server->replaced = true;
+  /* SERVER may have left the roster since it was asked.  */
+  if (cp_roster_find (roster, server->instance) == server)
+    settle (roster, server->address.text);
+}
+
 void
 cp_roster_expire (struct cp_roster *roster, uint64_t before_us)
 {
@@ -228,16 +288,14 @@
 struct cp_server *
 cp_roster_at (const struct cp_roster *roster, const char *address)
 {
+  GPtrArray *servers = g_hash_table_lookup (roster->places, address);
   struct cp_server *found = NULL;
-  GHashTableIter iter;
-  void *value;
 
-  g_hash_table_iter_init (&iter, roster->instances);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  for (unsigned i = 0; servers != NULL && i < servers->len; i++)
     {
-      struct cp_server *server = value;
+      struct cp_server *server = servers->pdata[i];
 
-      if (strcmp (server->address.text, address) == 0
+      if (!server->succeeded
           && (found == NULL || found->draining
               || (!server->draining && server->born_ms > found->born_ms)))
         found = server;
@@ -358,7 +416,7 @@
               const struct cp_server_wish *wish)
 {
   if (!server->reachable || server->draining || server->leaving
-      || server->replaced)
+      || server->replaced || server->succeeded)
     return false;
   for (unsigned i = 0; i < wish->n_tried; i++)
     if (wish->tried[i] == server)
--- a/lib/roster.h
+++ b/lib/roster.h
@@ -4,7 +4,9 @@
    units of what it takes on a calm one: the server's own word on how slow its
    machine is now, its measured service times against those of its kin, its
    warm-up, the wait for a slot, and its recent failures at this daemon.  What
-   crossing a failure domain costs is added.  The cheapest of a few drawn at
+   crossing a failure domain costs is added.  An address has one server: of
+   several entries with the same address, all but the one that was born last
+   are of servers that have ended.  The cheapest of a few drawn at
    random is taken, and costs are spread by a random share, so that daemons
    that see the same do not all choose the same one.  Pure; not thread-safe. */
 #ifndef CP_ROSTER_H
@@ -58,6 +60,7 @@
   bool same_domain;
   bool draining;
   bool replaced;    /* another instance answered at its address */
+  bool succeeded;   /* a server that was born later is at its address */
   bool leaving;     /* the daemon beside it goes away */
   bool reachable;   /* there is a way to the daemon beside it */
   uint64_t gone_us; /* when its entry went while that proves nothing, or 0 */
@@ -89,6 +92,7 @@
   char *domain; /* the daemon's own */
   GHashTable *instances;
   GHashTable *services; /* name to GPtrArray */
+  GHashTable *places;   /* address to GPtrArray */
   const struct cp_roster_events *events;
   void *context;
 };
@@ -117,14 +121,17 @@
 void cp_roster_remove (struct cp_roster *roster, const char *instance,
                        bool unsure, uint64_t now_us);
 
+/* Another instance than SERVER answered at its address.  */
+void cp_roster_replaced (struct cp_roster *roster, struct cp_server *server);
+
 /* Removes those whose entry went before BEFORE_US and has not come back.  */
 void cp_roster_expire (struct cp_roster *roster, uint64_t before_us);
 
 struct cp_server *cp_roster_find (const struct cp_roster *roster,
                                   const char *instance);
 
-/* Returns the server at ADDRESS that is not draining, else one that is, or
-   NULL.  */
+/* Returns the server at ADDRESS that is not draining and was born last, else
+   one that is draining, or NULL.  */
 struct cp_server *cp_roster_at (const struct cp_roster *roster,
                                 const char *address);
 
--- a/meshd/attempt.c
+++ b/meshd/attempt.c
@@ -22,7 +22,7 @@
   bool servers_fault = reached || reason == MESH_REASON_NO_SERVER;
 
   if (reason == MESH_REASON_OTHER_INSTANCE)
-    attempt->server->replaced = true;
+    cp_roster_replaced (call->outbound->roster, attempt->server);
   if (servers_fault)
     cp_server_count_end (attempt->server, true, now_us ());
   mesh_call_note_end (attempt, reason);
--- a/meshd/inbound.c
+++ b/meshd/inbound.c
@@ -25,6 +25,10 @@
    half a second less after it sent the attempt.  */
 #define REMEMBERED_US UINT64_C (3000000)
 
+/* How long an instance that the server beside said it is not counts as ended.
+   A server needs longer to start, with its old name or another.  */
+#define ENDED_US UINT64_C (1000000)
+
 /* An idempotent job whose link broke is ended after this long: its caller has
    either gone or been served elsewhere.  */
 #define LOST_IDEMPOTENT_US UINT64_C (400000)
@@ -287,6 +291,17 @@
   return job;
 }
 
+/* Returns whether REQUEST is meant for an instance that is known to have
+   ended.  */
+static bool
+is_for_ended (const struct mesh_inbound *inbound,
+              const struct cp_peer_request *request, uint64_t now)
+{
+  return inbound->ended[0] != '\0'
+         && strcmp (request->instance, inbound->ended) == 0
+         && now - inbound->ended_us < ENDED_US;
+}
+
 void
 mesh_inbound_offer (struct mesh_inbound *inbound, struct mesh_link *link,
                     const struct cp_peer_request *request)
@@ -304,6 +319,8 @@
     mesh_job_refuse (job, MESH_REASON_LEAVING, false);
   else if (inbound->refusals >= MESH_REFUSALS_MAX)
     mesh_job_refuse (job, MESH_REASON_NO_SERVER, false);
+  else if (is_for_ended (inbound, request, now))
+    mesh_job_refuse (job, MESH_REASON_OTHER_INSTANCE, false);
   else
     switch (cp_gate_offer (&inbound->gate, &job->entry, now, service_us))
       {
--- a/meshd/inbound.h
+++ b/meshd/inbound.h
@@ -43,6 +43,9 @@
   struct cp_address server; /* its address; length 0 for no server */
   char instance[CP_PEER_NAME_MAX + 1]; /* empty when not known */
   uint64_t born_ms;
+  char ended[CP_PEER_NAME_MAX + 1]; /* an instance that the server beside said
+                                       it is not; empty for none */
+  uint64_t ended_us;                /* when it last said so */
   char health_path[256];
   struct cp_gate gate;
   unsigned capacity;
--- a/meshd/server.c
+++ b/meshd/server.c
@@ -183,6 +183,14 @@
   inbound->pace += SERVICE_WEIGHT * (pace - inbound->pace);
 }
 
+/* The server beside is not the instance that JOB is meant for.  */
+static void
+note_ended (struct mesh_inbound *inbound, const struct mesh_job *job)
+{
+  g_strlcpy (inbound->ended, job->instance, sizeof inbound->ended);
+  inbound->ended_us = now_us ();
+}
+
 /* Ends JOB by what its answer says of itself.  */
 static void
 conclude (struct mesh_job *job, const struct net_message *answer,
@@ -191,7 +199,10 @@
   unsigned status = answer->parser.status_code;
 
   if (status == 421)
-    mesh_job_refuse (job, MESH_REASON_OTHER_INSTANCE, true);
+    {
+      note_ended (job->inbound, job);
+      mesh_job_refuse (job, MESH_REASON_OTHER_INSTANCE, true);
+    }
   else if (says->not_run && status != 400)
     mesh_job_refuse (job, MESH_REASON_SERVER_FULL, true);
   else if (says->encoded)
--- a/regress/harness/stage.h
+++ b/regress/harness/stage.h
@@ -108,6 +108,10 @@
 /* Returns how many requests of VM's server were given up by a close.  */
 unsigned stage_server_left (struct stage *stage, unsigned vm);
 
+/* Returns how many requests VM's server turned away because they were meant
+   for another instance.  */
+unsigned stage_server_misdirected (struct stage *stage, unsigned vm);
+
 /* Copies header NAME of the last request that VM's server ran.  */
 void stage_server_header (struct stage *stage, unsigned vm, const char *name,
                           char *value, size_t size);
--- a/regress/harness/stage_server.c
+++ b/regress/harness/stage_server.c
@@ -39,7 +39,8 @@
   unsigned running;
   unsigned runs;
   unsigned left;
-  GString *headers; /* of the last request, "Name: value\n" */
+  unsigned misdirected; /* requests for another instance */
+  GString *headers;     /* of the last request, "Name: value\n" */
 };
 
 static bool
@@ -209,6 +210,17 @@
   return mute;
 }
 
+static void
+misdirected (struct guest *guest, const char *own)
+{
+  struct stage_server *server = guest->server;
+
+  pthread_mutex_lock (&server->stage->lock);
+  server->misdirected++;
+  pthread_mutex_unlock (&server->stage->lock);
+  answer (guest, "421 Misdirected Request", own, "");
+}
+
 /* Answers what is not run.  Returns false when the request is to run.  */
 static bool
 turn_away (struct guest *guest)
@@ -224,7 +236,7 @@
   if (strcmp (guest->request.target->str, "/health") == 0)
     answer (guest, "200 OK", own, "");
   else if (expected != NULL && strcmp (expected, server->instance) != 0)
-    answer (guest, "421 Misdirected Request", own, "");
+    misdirected (guest, own);
   else if (asks (guest, "shed"))
     answer (guest, "503 Service Unavailable",
             "X-Cornelpick-Not-Executed: 1\r\n", "");
@@ -519,6 +531,17 @@
   return count;
 }
 
+unsigned
+stage_server_misdirected (struct stage *stage, unsigned vm)
+{
+  unsigned count;
+
+  pthread_mutex_lock (&stage->lock);
+  count = stage->servers[vm]->misdirected;
+  pthread_mutex_unlock (&stage->lock);
+  return count;
+}
+
 unsigned
 stage_server_left (struct stage *stage, unsigned vm)
 {
--- a/regress/lib/check_roster.c
+++ b/regress/lib/check_roster.c
@@ -271,6 +271,44 @@
 }
 END_TEST
 
+/* An entry that stays for some heartbeats after its server has ended.  */
+START_TEST (of_two_servers_at_one_address_the_later_born_is_asked)
+{
+  struct cp_server *late;
+
+  /* The order in which the entries are learned does not matter.  */
+  if (_i == 0)
+    enter ("a-old", "zone-a", 1000, false);
+  late = enter ("a-new", "zone-a", 2000, false);
+  if (_i == 1)
+    enter ("a-old", "zone-a", 1000, false);
+  for (unsigned i = 0; i < 20; i++)
+    ck_assert_str_eq (pick_of (0, NULL, 0)->instance, "a-new");
+  ck_assert_str_eq (cp_roster_at (&roster, "10.0.0.97:80")->instance, "a-new");
+  /* Its birth was taken from a wrong clock.  */
+  cp_roster_replaced (&roster, late);
+  ck_assert_str_eq (pick_of (0, NULL, 0)->instance, "a-old");
+  enter ("a-new", "zone-a", 2000, false);
+  ck_assert_str_eq (pick_of (0, NULL, 0)->instance, "a-new");
+  cp_roster_remove (&roster, "a-new", false, NOW_US);
+  ck_assert_str_eq (pick_of (0, NULL, 0)->instance, "a-old");
+}
+END_TEST
+
+/* Entries of servers that tell no birth.  */
+START_TEST (servers_at_one_address_that_tell_no_birth_are_both_asked)
+{
+  unsigned counts[2] = { 0, 0 };
+
+  enter ("a-1", "zone-a", 0, false);
+  enter ("a-2", "zone-a", 0, false);
+  for (unsigned i = 0; i < 100; i++)
+    counts[strcmp (pick_of (0, NULL, 0)->instance, "a-1") == 0]++;
+  ck_assert_uint_gt (counts[0], 0);
+  ck_assert_uint_gt (counts[1], 0);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
@@ -283,6 +321,10 @@
   tcase_add_test (tests, silence_of_the_daemon_beside_drives_away);
   tcase_add_test (tests, large_requests_stay_near_while_it_is_calm);
   tcase_add_test (tests, servers_that_may_not_be_asked_are_not);
+  tcase_add_loop_test (
+      tests, of_two_servers_at_one_address_the_later_born_is_asked, 0, 2);
+  tcase_add_test (tests,
+                  servers_at_one_address_that_tell_no_birth_are_both_asked);
   tcase_add_test (tests, another_incarnation_begins_with_nothing_known);
   tcase_add_test (tests, an_entry_that_went_unsurely_is_kept_for_a_while);
 }
--- a/regress/meshd/check_mesh_state.c
+++ b/regress/meshd/check_mesh_state.c
@@ -204,6 +204,49 @@
 }
 END_TEST
 
+/* Starts the servers of the service again, under new instances.  The entries
+   of the old ones stay, as they do for some heartbeats.  */
+static void
+restart_servers (void)
+{
+  for (unsigned vm = 1; vm <= 2; vm++)
+    stage_server_stop (&stage, vm);
+  g_usleep (300000);
+  for (unsigned vm = 1; vm <= 2; vm++)
+    stage_server_restart (&stage, vm);
+  g_usleep (500000);
+}
+
+START_TEST (an_instance_that_has_ended_is_asked_for_once)
+{
+  restart_servers ();
+  for (unsigned vm = 1; vm <= 3; vm++)
+    ck_assert_int_eq (status_at (vm, "/read/1"), 503);
+  for (unsigned vm = 1; vm <= 2; vm++)
+    ck_assert_uint_eq (stage_server_misdirected (&stage, vm), 1);
+}
+END_TEST
+
+static bool
+knows_five_servers (void *context)
+{
+  (void)context;
+  return stage_counter (&stage, 3, "servers") == 5;
+}
+
+START_TEST (the_later_born_of_two_servers_at_an_address_is_asked)
+{
+  restart_servers ();
+  for (unsigned vm = 1; vm <= 2; vm++)
+    stage_enter (&stage, vm, "ready");
+  wait_until (knows_five_servers, NULL);
+  for (unsigned i = 0; i < 40; i++)
+    ck_assert_int_eq (status_at (3, "/read/1"), 200);
+  for (unsigned vm = 1; vm <= 2; vm++)
+    ck_assert_uint_eq (stage_server_misdirected (&stage, vm), 0);
+}
+END_TEST
+
 /* A thread that makes one call.  */
 static void *
 make_slow_call (void *status)
@@ -302,6 +345,8 @@
   tcase_add_test (tests, a_server_whose_entry_went_gets_nothing_more);
   tcase_add_test (tests,
                   a_removal_is_learned_from_daemons_that_started_after_it);
+  tcase_add_test (tests, an_instance_that_has_ended_is_asked_for_once);
+  tcase_add_test (tests, the_later_born_of_two_servers_at_an_address_is_asked);
   tcase_add_test (tests, a_call_at_a_server_whose_entry_goes_is_answered);
   tcase_add_test (
       tests, entries_and_configurations_that_cannot_be_read_change_nothing);
