--- a/http/http.h
+++ b/http/http.h
@@ -53,12 +53,13 @@
 /* Ends each connection with the answer to its next request, and tells so.  */
 void listener_close_kept (struct listener *listener);
 
-/* Takes no more connections: they are refused from now on.  Those that were
-   taken or have waited to be are served.  May take half a second.  */
+/* listener_end.c: takes no more connections; they are refused from now on.
+   Those that were taken or have waited to be are served.  May take half a
+   second.  */
 void listener_refuse (struct listener *listener);
 
-/* Returns whether a request waits in a connection that no thread serves yet.
- */
+/* Returns whether a request waits in a connection that was taken and that no
+   thread serves yet.  */
 bool listener_has_unread (const struct listener *listener);
 
 /* Ends the connections and the threads.  */
--- a/http/internal.h
+++ b/http/internal.h
@@ -1,9 +1,13 @@
-/* What upstream.c and hedged.c share.  */
+/* What the files of this directory share.  */
 #ifndef HTTP_INTERNAL_H
 #define HTTP_INTERNAL_H
 
 #include "http/http.h"
 
+/* CivetWeb does not expose its sockets: they are looked for among the
+   descriptors below this one.  */
+#define DESCRIPTORS_SCANNED_MAX 8192
+
 /* One connection: an easy handle in a multi handle of its own, which keeps
    the connection between calls.  */
 struct upstream
--- /dev/null
+++ b/http/listener_end.c
@@ -0,0 +1,127 @@
+/* The end of a listener: whoever has connected is served, nobody is reset.  */
+#include <errno.h>
+#include <linux/filter.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "http/internal.h"
+#include "lib/log.h"
+
+/* Where the TCP header has its flags (RFC 9293, section 3.1), and two.  */
+#define TCP_FLAGS_OFFSET 13
+#define TCP_FLAG_SYN 0x02
+#define TCP_FLAG_ACK 0x10
+
+/* How long nobody must have waited for a connection before a listening socket
+   closes: more than a round trip within a region, 3 ms, in which a connection
+   is still being made.  */
+#define QUIET_MS 20
+
+/* CivetWeb looks at its listening sockets every 200 ms at the latest.  */
+#define TAKEN_MOST_MS 500
+
+/* Whether FD listens on ADDRESS.  */
+static bool
+listens_on (int fd, const struct cp_address *address)
+{
+  struct sockaddr_storage own = { 0 };
+  socklen_t own_length = sizeof own;
+  int listens = 0;
+  socklen_t listens_length = sizeof listens;
+
+  return getsockopt (fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &listens_length)
+             == 0
+         && listens != 0
+         && getsockname (fd, (struct sockaddr *)&own, &own_length) == 0
+         && own_length == address->length
+         && memcmp (&own, &address->socket, own_length) == 0;
+}
+
+/* Drops what asks for a new connection at FD, a listening socket, without a
+   word: the caller asks again after a second, when the address refuses.  */
+static void
+ignore_new (int fd)
+{
+  struct sock_filter drop_syn[] = {
+    BPF_STMT (BPF_LD | BPF_B | BPF_ABS, TCP_FLAGS_OFFSET),
+    BPF_STMT (BPF_ALU | BPF_AND | BPF_K, TCP_FLAG_SYN | TCP_FLAG_ACK),
+    BPF_JUMP (BPF_JMP | BPF_JEQ | BPF_K, TCP_FLAG_SYN, 0, 1),
+    BPF_STMT (BPF_RET | BPF_K, 0),
+    BPF_STMT (BPF_RET | BPF_K, UINT32_MAX),
+  };
+  struct sock_fprog program
+      = { .len = G_N_ELEMENTS (drop_syn), .filter = drop_syn };
+
+  if (setsockopt (fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program)
+      != 0)
+    cp_log (CP_LOG_WARNING, CP_PART_HTTP,
+            "A connection that arrives while the process ends may be reset: "
+            "no filter can be set, %s.",
+            strerror (errno));
+}
+
+/* Waits until no connection has waited at FD for a while, since those that
+   wait are reset when it closes.  */
+static void
+wait_taken (int fd)
+{
+  unsigned quiet_ms = 0;
+
+  for (unsigned ms = 0; ms < TAKEN_MOST_MS && quiet_ms < QUIET_MS; ms++)
+    {
+      struct pollfd waiting = { .fd = fd, .events = POLLIN };
+
+      quiet_ms = poll (&waiting, 1, 0) == 0 ? quiet_ms + 1 : 0;
+      usleep (1000);
+    }
+}
+
+static void
+refuse (int fd)
+{
+  ignore_new (fd);
+  wait_taken (fd);
+  shutdown (fd, SHUT_RD);
+}
+
+/* CivetWeb closes its listening sockets only after its threads have ended, so
+   that connections taken meanwhile would be lost.  */
+void
+listener_refuse (struct listener *listener)
+{
+  for (int fd = 0; listener->server != NULL && fd < DESCRIPTORS_SCANNED_MAX;
+       fd++)
+    if (listens_on (fd, &listener->address))
+      refuse (fd);
+}
+
+/* Returns whether FD is a connection at PORT with bytes that nobody has read.
+ */
+static bool
+holds_unread (int fd, in_port_t port)
+{
+  struct sockaddr_storage own = { 0 };
+  socklen_t own_length = sizeof own;
+  char byte;
+
+  if (getsockname (fd, (struct sockaddr *)&own, &own_length) != 0
+      || (own.ss_family != AF_INET && own.ss_family != AF_INET6)
+      || ((struct sockaddr_in *)&own)->sin_port != port)
+    return false;
+  return recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+bool
+listener_has_unread (const struct listener *listener)
+{
+  /* The port is at the same place in both kinds of address.  */
+  in_port_t port = listener->address.socket.v4.sin_port;
+
+  for (int fd = 0; listener->server != NULL && fd < DESCRIPTORS_SCANNED_MAX;
+       fd++)
+    if (holds_unread (fd, port))
+      return true;
+  return false;
+}
--- a/regress/http/check_listener.c
+++ b/regress/http/check_listener.c
@@ -90,12 +90,14 @@
 END_TEST
 
 static pthread_mutex_t held = PTHREAD_MUTEX_INITIALIZER;
+static bool handling;
 
 /* Answers when the test lets go of the lock.  */
 static void
 answer_later (void *context, struct request *request)
 {
   (void)context;
+  __atomic_store_n (&handling, true, __ATOMIC_RELEASE);
   pthread_mutex_lock (&held);
   request_answer (request, 200, NULL, "text/plain", "ok");
   pthread_mutex_unlock (&held);
@@ -111,6 +113,19 @@
   return fd;
 }
 
+static bool
+is_handling (void *context)
+{
+  (void)context;
+  return __atomic_load_n (&handling, __ATOMIC_ACQUIRE);
+}
+
+static bool
+something_unread (void *context)
+{
+  return listener_has_unread (context);
+}
+
 static bool
 nothing_unread (void *context)
 {
@@ -131,9 +146,10 @@
   ck_assert_int_eq (listener_start (&listener, &listener.address, 1, &error),
                     0);
   busy = call_with_request ();
-  wait_until (nothing_unread, &listener);
+  wait_until (is_handling, NULL);
+  ck_assert (!listener_has_unread (&listener));
   waiting = call_with_request ();
-  ck_assert (listener_has_unread (&listener));
+  wait_until (something_unread, &listener);
   listener_close_kept (&listener);
   pthread_mutex_unlock (&held);
   wait_until (nothing_unread, &listener);
