Wait until a stopped process stands; correct the cause of a red test

Cause, from that answer: an attempt gets there only after it was entered within its time to start, and is refused since its deadline has passed at admission. So it was read and entered before the stop and went on after it. kill returns before the threads of the process stand: SIGSTOP is taken by one thread, which must get a processor to stop the others. The tests sent the request meanwhile.

The harness now waits for the stop (waitpid with WUNTRACED), for all tests that stop a process.

--- a/regress/harness/harness.h
+++ b/regress/harness/harness.h
@@ -83,7 +83,7 @@
 void fleet_wait_serving (struct fleet *fleet, unsigned vm);
 
 /* Sends SIGNAL; after SIGKILL or SIGTERM it waits for the end and returns the
-   wait status, else 0.  */
+   wait status, else 0.  After SIGSTOP it waits until the process stands.  */
 int process_signal (struct process *process, int signal);
 
 /* Waits for the end of a process and returns its wait status.  */
--- a/regress/harness/process.c
+++ b/regress/harness/process.c
@@ -1,3 +1,4 @@
+#include <check.h>
 #include <fcntl.h>
 #include <glib.h>
 #include <signal.h>
@@ -81,12 +82,25 @@
   return status;
 }
 
+/* Waits until all threads of PROCESS stand still.  On a busy machine they go
+   on for a while after the signal was sent.  */
+static void
+wait_stopped (const struct process *process)
+{
+  int status;
+
+  ck_assert_int_eq (waitpid (process->pid, &status, WUNTRACED), process->pid);
+  ck_assert (WIFSTOPPED (status));
+}
+
 int
 process_signal (struct process *process, int signal)
 {
   if (process->pid == 0)
     return 0;
   kill (process->pid, signal);
+  if (signal == SIGSTOP)
+    wait_stopped (process);
   if (signal != SIGKILL && signal != SIGTERM)
     return 0;
   return process_wait (process);
--- a/regress/meshd/check_mesh_life.c
+++ b/regress/meshd/check_mesh_life.c
@@ -214,7 +214,7 @@
 {
   gint64 began;
 
-  kill (stage.daemons[1].pid, SIGSTOP);
+  process_signal (&stage.daemons[1], SIGSTOP);
   began = g_get_monotonic_time ();
   for (unsigned i = 0; i < 4; i++)
     {
@@ -263,7 +263,7 @@
   start_call (&caller);
   wait_until (has_run, "w1");
   vm = runs_at_1 < stage_server_runs (&stage, 1) ? 1 : 2;
-  kill (stage.daemons[vm].pid, SIGSTOP);
+  process_signal (&stage.daemons[vm], SIGSTOP);
   g_usleep (pauses_us[_i]);
   kill (stage.daemons[vm].pid, SIGCONT);
   pthread_join (caller.thread, NULL);
@@ -281,7 +281,7 @@
   stage_configure (&stage, LONG_ROUTES);
   wait_until (has_long_route, NULL);
   for (unsigned vm = 1; vm <= 2; vm++)
-    kill (stage.daemons[vm].pid, SIGSTOP);
+    process_signal (&stage.daemons[vm], SIGSTOP);
   start_call (&caller);
   g_usleep (1800000);
   for (unsigned vm = 1; vm <= 2; vm++)
--- a/regress/meshd/check_mesh_state.c
+++ b/regress/meshd/check_mesh_state.c
@@ -191,7 +191,7 @@
 {
   ck_assert_uint_gt (runs_in_calls (1, 40), 0);
   stage_store_mode (&stage, 3, STAGE_STORE_SILENT);
-  kill (stage.daemons[3].pid, SIGSTOP);
+  process_signal (&stage.daemons[3], SIGSTOP);
   remove_entry (1);
   for (unsigned vm = 1; vm <= 2; vm++)
     {
