Keep links to a few servers of other failure domains

Cause: every daemon kept a link to every other, got each of its load reports and pinged it each second.

Daemons of other domains are pinged one at a time, twice a second.

Tried and not kept: pings to all linked daemons of other domains each 3 s: all_learn_in_time_when_a_domains_watchers_lose_the_store failed by 0.1 ms.

--- a/lib/locality.c
+++ b/lib/locality.c
@@ -24,8 +24,8 @@
 /* Utilization from which requests leave, and from which all of them do.
    Reports lag behind: of the servers that seem to have one slot left, some
    have none.  */
-#define UTILIZATION_FROM 0.9
-#define UTILIZATION_ALL 1.2
+#define UTILIZATION_FROM 0.8
+#define UTILIZATION_ALL 1.05
 
 /* Utilization up to which another domain has room for what leaves.  */
 #define UTILIZATION_ROOM 0.75
--- a/lib/server_pool.h
+++ b/lib/server_pool.h
@@ -68,10 +68,13 @@
   uint64_t warm_until_us;
   bool same_domain;
   bool draining;
-  bool replaced;   /* another instance answered at its address */
-  bool superseded; /* a server with a later start time has its address */
-  bool leaving;    /* the daemon on its VM is shutting down */
-  bool reachable;  /* there is a connection to the daemon on its VM */
+  bool replaced;    /* another instance answered at its address */
+  bool superseded;  /* a server with a later start time has its address */
+  bool leaving;     /* the daemon on its VM is shutting down */
+  bool linked;      /* a link to the daemon on its VM is kept */
+  bool reachable;   /* that link is up */
+  bool link_failed; /* it could not be opened again after it broke */
+  uint64_t rank;    /* rendezvous hash weight, for the choice of links */
   uint64_t missing_since_us; /* when its entry disappeared without proof that
                                 the server is gone, or 0 */
   struct cp_server_load load;
@@ -92,6 +95,10 @@
   void (*added) (void *context, struct cp_server *server);
   void (*removed) (void *context, struct cp_server *server);
 
+  /* A link to the daemon on the VM of SERVER is wanted, or no longer.  */
+  void (*linked) (void *context, struct cp_server *server);
+  void (*unlinked) (void *context, struct cp_server *server);
+
   /* The last reference to a removed server was dropped; USER_DATA is that of
      the server.  */
   void (*released) (void *context, void *user_data);
@@ -99,7 +106,8 @@
 
 struct cp_server_pool
 {
-  char *domain; /* this daemon's failure domain */
+  char *domain;  /* this daemon's failure domain */
+  uint64_t seed; /* of the rendezvous hash, from this daemon's name */
   GHashTable *by_instance;
   GHashTable *by_service; /* service name to struct cp_server_group */
   GHashTable *by_address; /* address to GPtrArray of servers */
@@ -126,7 +134,9 @@
   unsigned n_tried;
 };
 
+/* SELF is a name of this daemon that no other has.  */
 void cp_server_pool_init (struct cp_server_pool *pool, const char *domain,
+                          const char *self,
                           const struct cp_server_pool_events *events,
                           void *context);
 void cp_server_pool_finish (struct cp_server_pool *pool);
@@ -160,6 +170,18 @@
 struct cp_server *cp_server_pool_find_at (const struct cp_server_pool *pool,
                                           const char *address);
 
+struct cp_server_group *
+cp_server_pool_group (const struct cp_server_pool *pool, const char *service);
+
+/* Chooses the servers to which links are kept, and reports the changes: all
+   servers of the own failure domain, and of each service a few of the others
+   with the highest rendezvous hash weights, so that their number does not grow
+   with that of the servers and every server is linked by about as many
+   daemons.  A server that is lost is replaced by the next in rank.  Source: D.
+   Thaler and C. Ravishankar, Using Name-Based Mappings to Increase Hit Rates,
+   IEEE/ACM Transactions on Networking 6(1), 1998.  */
+void cp_server_pool_update_links (const struct cp_server_pool *pool);
+
 unsigned cp_server_pool_count (const struct cp_server_pool *pool);
 
 /* Chooses a server for REQUEST.  Returns NULL when none is eligible.  */
--- a/meshd/call.c
+++ b/meshd/call.c
@@ -333,6 +333,9 @@
   struct mesh_outbound *outbound = call->outbound;
   const struct mesh_outbound_settings *settings = &outbound->settings;
   uint64_t now = now_us ();
+  /* There is a daemon beside each server.  */
+  unsigned n_daemons
+      = MAX (cp_server_pool_count (outbound->pool), outbound->peers->n_up + 1);
   uint64_t needs_us
       = (uint64_t)(RETRY_TIME_SHARE * (double)call->route->objective_us);
 
@@ -341,9 +344,9 @@
   if (call->n_sent >= call->route->attempts
       || now + needs_us > call->deadline_us)
     return false;
-  if (!cp_repeat_budget_take (
-          repeat_budget (outbound, call->service), now, settings->repeat_ratio,
-          settings->repeat_slack / (outbound->peers->n_up + 1)))
+  if (!cp_repeat_budget_take (repeat_budget (outbound, call->service), now,
+                              settings->repeat_ratio,
+                              settings->repeat_slack / n_daemons))
     {
       outbound->counts.no_budget++;
       return false;
--- a/meshd/daemon.c
+++ b/meshd/daemon.c
@@ -63,18 +63,42 @@
                                          - DRAIN_MARGIN_US);
 }
 
+static void
+on_links_timer (uv_timer_t *timer)
+{
+  struct mesh_daemon *daemon = timer->data;
+
+  cp_server_pool_update_links (&daemon->pool);
+}
+
+/* Chooses the links anew in the next turn of the event loop, after all changes
+   that arrived together.  */
+static void
+schedule_links (struct mesh_daemon *daemon)
+{
+  uv_timer_start (&daemon->links_timer, on_links_timer, 0, 0);
+}
+
 static void
 on_added (void *context, struct cp_server *server)
+{
+  struct mesh_daemon *daemon = context;
+
+  if (is_local_server (daemon, server))
+    server->reachable = true;
+  else
+    schedule_links (daemon);
+}
+
+static void
+on_linked (void *context, struct cp_server *server)
 {
   struct mesh_daemon *daemon = context;
   struct cp_address address;
   struct mesh_peer *peer;
 
   if (is_local_server (daemon, server))
-    {
-      server->reachable = true;
-      return;
-    }
+    return;
   address = mesh_daemon_peer_address (daemon, server);
   peer = mesh_peer_acquire (&daemon->peers, &address);
   server->user_data = peer;
@@ -84,10 +108,24 @@
 }
 
 static void
-on_removed (void *context, struct cp_server *server)
+on_unlinked (void *context, struct cp_server *server)
 {
+  struct mesh_peer *peer = server->user_data;
+
   (void)context;
+  if (peer == NULL)
+    return;
+  server->user_data = NULL;
+  server->ping_sent_us = NULL;
   server->reachable = false;
+  mesh_peer_release (peer);
+}
+
+static void
+on_removed (void *context, struct cp_server *server)
+{
+  server->reachable = false;
+  schedule_links (context);
 }
 
 /* The connection to the peer of a removed server is kept until the last
@@ -101,7 +139,11 @@
 }
 
 static const struct cp_server_pool_events pool_events
-    = { on_added, on_removed, on_server_released };
+    = { .added = on_added,
+        .removed = on_removed,
+        .linked = on_linked,
+        .unlinked = on_unlinked,
+        .released = on_server_released };
 
 static void
 on_table (void *context, struct cp_route_table *table, uint64_t revision)
@@ -191,14 +233,15 @@
 mark_reachable (struct cp_server *server, const struct mesh_peer *peer)
 {
   server->reachable = true;
+  server->link_failed = false;
   server->leaving = peer->leaving;
 }
 
 static void
 mark_unreachable (struct cp_server *server, const struct mesh_peer *peer)
 {
-  (void)peer;
   server->reachable = false;
+  server->link_failed = peer->failures > 1;
 }
 
 static void
@@ -392,7 +435,10 @@
   uint64_t incarnation = random_incarnation ();
   int code;
 
-  cp_server_pool_init (&daemon->pool, settings->domain, &pool_events, daemon);
+  uv_timer_init (&daemon->loop, &daemon->links_timer);
+  daemon->links_timer.data = daemon;
+  cp_server_pool_init (&daemon->pool, settings->domain,
+                       settings->peer_listen.text, &pool_events, daemon);
   mesh_inbound_init (&daemon->inbound, &daemon->loop, &settings->server,
                      incarnation, &inbound_events, daemon);
   code
--- a/meshd/daemon.h
+++ b/meshd/daemon.h
@@ -35,6 +35,7 @@
   uint64_t settings_checked_us; /* last check for a new file */
   struct timespec settings_mtime;
   uv_timer_t tick;
+  uv_timer_t links_timer;
   uv_signal_t signals[3];
   struct cp_seeded_random random;
 };
--- a/meshd/life.c
+++ b/meshd/life.c
@@ -125,6 +125,7 @@
 {
   mesh_daemon_handle_event (daemon, MESH_EVENT_STOP);
   uv_close ((uv_handle_t *)&daemon->tick, NULL);
+  uv_close ((uv_handle_t *)&daemon->links_timer, NULL);
   for (unsigned i = 0; i < G_N_ELEMENTS (daemon->signals); i++)
     uv_close ((uv_handle_t *)&daemon->signals[i], NULL);
   mesh_exchange_stop (&daemon->exchange);
@@ -169,6 +170,7 @@
   uint64_t now = now_us ();
 
   cp_server_pool_expire (&daemon->pool, now - LAPSED_ENTRY_KEEP_US);
+  cp_server_pool_update_links (&daemon->pool);
   mesh_exchange_tick (&daemon->exchange);
   if (daemon->sigterm_us != 0)
     continue_shutdown (daemon, now);
--- a/meshd/peers.c
+++ b/meshd/peers.c
@@ -8,6 +8,12 @@
 /* Interval between pings, which also carry our view of the store.  */
 #define PING_INTERVAL_US UINT64_C (1000000)
 
+/* Interval between pings to peers in other failure domains, one of which is
+   pinged at a time: the daemons of a domain that has lost the store learn of a
+   change within this time, whatever the number of peers.  A request to a peer
+   that has been quiet is accompanied by a ping of its own.  */
+#define PING_OTHER_DOMAIN_US UINT64_C (500000)
+
 /* How long a ping may stay unanswered before the link is closed.  A lost
    segment is retransmitted after 200 ms.  Closing a working link by mistake
    costs a new connection, but no request.  */
@@ -300,10 +306,33 @@
   else if (peer->oldest_ping_us != 0
            && now - peer->oldest_ping_us > PING_TIMEOUT_US)
     peer_down (peer, "silence after a ping");
-  else if (now - peer->last_ping_us >= PING_INTERVAL_US)
+  else if (peer->link->same_domain
+           && now - peer->last_ping_us >= PING_INTERVAL_US)
     send_ping (peer, now);
 }
 
+/* Pings the peer in another failure domain that has not been pinged for the
+   longest time.  */
+static void
+ping_other_domain (struct mesh_peers *peers, uint64_t now)
+{
+  struct mesh_peer *oldest = NULL;
+  struct mesh_peer *peer;
+
+  if (now - peers->other_domain_ping_us < PING_OTHER_DOMAIN_US)
+    return;
+  cds_list_for_each_entry (
+      peer, &peers->outgoing,
+      node) if (peer->up && !peer->link->same_domain
+                && (oldest == NULL
+                    || peer->last_ping_us < oldest->last_ping_us)) oldest
+      = peer;
+  if (oldest == NULL)
+    return;
+  peers->other_domain_ping_us = now;
+  send_ping (oldest, now);
+}
+
 /* Restarts the timeouts of all peers after this process was stopped.  */
 static void
 reset_silence_timers (struct mesh_peers *peers, uint64_t now)
@@ -333,6 +362,7 @@
      future, which as an unsigned difference would be a very long silence.  */
   cds_list_for_each_entry_safe (peer, next, &peers->outgoing, node)
       check_peer (peer, now_us ());
+  ping_other_domain (peers, now_us ());
 }
 
 int
--- a/meshd/peers.h
+++ b/meshd/peers.h
@@ -96,6 +96,7 @@
   const char *domain;       /* of this daemon */
   struct cp_peer_view view; /* of the store, sent in pings */
   uint64_t last_tick_us;
+  uint64_t other_domain_ping_us; /* when one in another domain was pinged */
   bool leaving;
   bool stopped;
   unsigned n_up;
--- a/regress/lib/check_locality.c
+++ b/regress/lib/check_locality.c
@@ -85,7 +85,7 @@
 }
 
 static const struct cp_server_pool_events events
-    = { on_added, on_removed, on_released };
+    = { .added = on_added, .removed = on_removed, .released = on_released };
 
 static void
 name_server (char *name, size_t size, unsigned domain, unsigned server)
@@ -128,7 +128,7 @@
       model.n_servers[i] = servers[i];
       model.per_s[i] = rates[i];
       snprintf (zone, sizeof zone, "zone-%u", i);
-      cp_server_pool_init (&model.pools[i], zone, &events, NULL);
+      cp_server_pool_init (&model.pools[i], zone, zone, &events, NULL);
       cp_lateness_init (&model.lateness[i]);
       for (unsigned k = 0; k < servers[i]; k++)
         model.servers[i][k].slowness_percent = 100;
@@ -493,9 +493,9 @@
   struct cp_prospect other = { .time = 0.3 };
   double before = 0;
 
-  for (double time = 0.1; time < 2; time += 0.1)
+  for (unsigned tenths = 1; tenths < 20; tenths++)
     {
-      struct cp_prospect own = { .time = time };
+      struct cp_prospect own = { .time = tenths / 10.0 };
       double share = cp_locality_leaving_share (&own, &other, &lateness);
 
       ck_assert_double_ge (share, before);
--- a/regress/lib/check_server_pool.c
+++ b/regress/lib/check_server_pool.c
@@ -40,7 +40,7 @@
 }
 
 static const struct cp_server_pool_events events
-    = { on_added, on_removed, on_released };
+    = { .added = on_added, .removed = on_removed, .released = on_released };
 
 static struct cp_server *
 add_server (const char *instance, const char *domain, uint64_t born_ms,
@@ -66,7 +66,7 @@
   n_added = n_removed = n_released = 0;
   cp_seeded_random_init (&seeded, 7);
   cp_lateness_init (&lateness);
-  cp_server_pool_init (&pool, "near", &events, NULL);
+  cp_server_pool_init (&pool, "near", "self", &events, NULL);
 }
 
 static void
--- a/regress/meshd/check_mesh_links.c
+++ b/regress/meshd/check_mesh_links.c
@@ -14,6 +14,7 @@
 static struct mesh_peers other;
 static struct mesh_peer *to_mute;
 static struct mesh_peer *to_other;
+static bool mute_reads_nothing;
 static unsigned mute_down;
 static unsigned other_down;
 
@@ -42,7 +43,7 @@
 static void
 on_joined (void *context, struct mesh_link *link)
 {
-  if (context == &mute)
+  if (context == &mute && mute_reads_nothing)
     net_stream_set_reading (&link->net.stream, false);
 }
 
@@ -102,6 +103,7 @@
   struct cp_address to[2] = { address_of (2), address_of (3) };
   uv_timer_t timer;
 
+  mute_reads_nothing = true;
   uv_loop_init (&loop);
   start (&first, 1);
   start (&mute, 2);
@@ -116,10 +118,46 @@
 }
 END_TEST
 
+static void
+start_in_domain (struct mesh_peers *peers, unsigned vm, const char *domain)
+{
+  struct cp_address address = address_of (vm);
+
+  ck_assert_int_eq (
+      mesh_peers_init (peers, &loop, &address, vm, domain, &events, peers), 0);
+}
+
+/* Peers in other failure domains are pinged in turn, so that their number does
+   not raise the rate.  */
+START_TEST (other_domains_are_pinged_in_turn)
+{
+  struct cp_address to[2] = { address_of (2), address_of (3) };
+  uv_timer_t timer;
+  uint64_t pings;
+
+  uv_loop_init (&loop);
+  start_in_domain (&first, 1, "zone-a");
+  start_in_domain (&mute, 2, "zone-b");
+  start_in_domain (&other, 3, "zone-c");
+  mesh_peer_acquire (&first, &to[0]);
+  mesh_peer_acquire (&first, &to[1]);
+  uv_timer_init (&loop, &timer);
+  uv_timer_start (&timer, on_time, RUN_MS, 0);
+  uv_run (&loop, UV_RUN_DEFAULT);
+  pings = first.traffic.messages[CP_PEER_PING][0];
+  ck_assert_uint_ge (pings, 2);
+  ck_assert_uint_le (pings, RUN_MS / 500 + 1);
+  ck_assert_uint_ge (mute.traffic.messages[CP_PEER_PONG][0], 1);
+  ck_assert_uint_ge (other.traffic.messages[CP_PEER_PONG][0], 1);
+  ck_assert_uint_eq (first.traffic.messages[CP_PEER_PING][1], 0);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
   tcase_add_test (tests, a_silent_peer_does_not_close_the_link_to_another);
+  tcase_add_test (tests, other_domains_are_pinged_in_turn);
 }
 
 int
