--- a/regress/lib/check_server_links.c
+++ b/regress/lib/check_server_links.c
@@ -188,18 +188,31 @@
 }
 END_TEST
 
-START_TEST (a_link_stays_while_attempts_are_open)
+/* Returns the linked server of another domain that has the lowest rank.  */
+static struct cp_server *
+find_last_linked (void)
 {
   struct cp_server *last = NULL;
 
-  start_pool (0, 0, SERVERS);
   for (unsigned i = 1; i < DOMAINS; i++)
     for (unsigned k = 0; k < SERVERS; k++)
-      if (find (i, k)->linked
-          && (last == NULL || find (i, k)->rank < last->rank))
-        last = find (i, k);
+      {
+        struct cp_server *server = find (i, k);
+
+        if (server->linked && (last == NULL || server->rank < last->rank))
+          last = server;
+      }
+  return last;
+}
+
+START_TEST (a_link_stays_while_attempts_are_open)
+{
+  struct cp_server *last;
+
+  start_pool (0, 0, SERVERS);
+  last = find_last_linked ();
   last->own_in_flight = 1;
-  /* A server of a higher rank takes its place.  */
+  /* Servers of a higher rank take its place.  */
   for (unsigned k = SERVERS; k < 5 * SERVERS; k++)
     add_server (1, k);
   cp_server_pool_update_links (&pool);
