Bound what a flood from a server, a stranger or a health check takes

Cause: bytes that are no answer may come without end. Sixteen orders whose answers never end took 657 MB in one daemon (each answer up to 64 MB), more than its VM has; a health check without an answer left its connection open, one more each second; a connection to the port for daemons could make it buffer a record of 64 MB before a hello.

Change: answers that are being received share an eighth of the VM's memory: a body within the share of its slot always fits, a longer one fails once all together are over it. A health check is closed at its time-out. Before a hello a record may have 512 bytes.

Ruled out by the same tests: endless heads (64 kB were the limit already) and an endless answer of the store (8 MB and two seconds were).

--- a/meshd/inbound.c
+++ b/meshd/inbound.c
@@ -536,6 +536,22 @@
   uv_timer_start (&inbound->tick, on_tick, TICK_MS, TICK_MS);
 }
 
+/* Divides the memory for answers among the slots.  */
+static void
+update_answer_budget (struct mesh_inbound *inbound)
+{
+  inbound->answer_budget.max = inbound->answer_memory;
+  inbound->answer_budget.share
+      = inbound->answer_memory / (inbound->queue.limit + 1);
+}
+
+void
+mesh_inbound_set_answer_memory (struct mesh_inbound *inbound, uint64_t bytes)
+{
+  inbound->answer_memory = bytes;
+  update_answer_budget (inbound);
+}
+
 void
 mesh_inbound_set_server (struct mesh_inbound *inbound,
                          const struct cp_server *server,
@@ -560,6 +576,7 @@
     {
       inbound->capacity = server->capacity;
       cp_job_queue_set_capacity (&inbound->queue, server->capacity);
+      update_answer_budget (inbound);
       mesh_inbound_start_queued (inbound);
     }
 }
--- a/meshd/inbound.h
+++ b/meshd/inbound.h
@@ -20,6 +20,8 @@
 #include "meshd/peers.h"
 #include "net/client.h"
 
+struct mesh_connection;
+
 struct mesh_inbound_events
 {
   /* A job of our own outbound side has ended.  */
@@ -63,7 +65,10 @@
   double pace;               /* the same as a share of the objective */
   unsigned connect_refusals; /* consecutive refused connections */
   uint64_t last_probe_us;    /* when the last probe was sent */
-  bool probing;
+  struct mesh_connection
+      *probe;             /* that of a health check under way, or NULL */
+  uint64_t answer_memory; /* for the answers that are being received */
+  struct net_body_budget answer_budget;
   uint64_t drain_deadline_us; /* no job is started later; 0 if not draining */
   struct cp_report_filter report_filter;
   uint64_t last_job_us; /* arrival of the last job */
@@ -81,6 +86,10 @@
                         void *context);
 void mesh_inbound_stop (struct mesh_inbound *inbound);
 
+/* Limits the memory for the answers that are being received to BYTES.  */
+void mesh_inbound_set_answer_memory (struct mesh_inbound *inbound,
+                                     uint64_t bytes);
+
 /* Sets the server pool's entry of the local server.  SERVER or HEALTH_PATH may
    be NULL, which leaves what is known.  */
 void mesh_inbound_set_server (struct mesh_inbound *inbound,
--- a/meshd/peers.c
+++ b/meshd/peers.c
@@ -23,6 +23,10 @@
    that silence is detected while the message matters.  */
 #define PING_AFTER_QUIET_US UINT64_C (50000)
 
+/* Longest record accepted before a hello, which has this much room for the
+   name of the failure domain.  */
+#define HELLO_BYTES_MAX (CP_PEER_NAME_MAX + 256)
+
 /* Maximum time to connect and receive the hello.  The round trip takes 2
    ms.  */
 #define CONNECT_TIMEOUT_US UINT64_C (400000)
@@ -136,6 +140,7 @@
 {
   struct mesh_peers *peers = link->peers;
 
+  link->net.record_max = NET_RECORD_MAX;
   link->incarnation = hello->incarnation;
   g_free (link->domain);
   link->domain = g_strdup (hello->domain);
@@ -259,6 +264,7 @@
   link->peers = peers;
   cds_list_add_tail (&link->node, &peers->incoming);
   net_link_accept (&link->net, listener, &link_events, link);
+  link->net.record_max = HELLO_BYTES_MAX;
 }
 
 static void
@@ -275,6 +281,7 @@
   link->peer = peer;
   net_link_connect (&link->net, peer->peers->loop, &peer->address,
                     &link_events, link);
+  link->net.record_max = HELLO_BYTES_MAX;
 }
 
 static void
--- a/meshd/reload.c
+++ b/meshd/reload.c
@@ -8,8 +8,10 @@
    signal.  A change must be in force within two seconds.  */
 #define SETTINGS_CHECK_US UINT64_C (1000000)
 
-/* Share of the VM's memory that request bodies may use.  */
+/* Shares of the VM's memory that request bodies and the answers that are being
+   received may use.  */
 #define BODY_MEMORY_SHARE 0.25
+#define ANSWER_MEMORY_SHARE 0.125
 
 static void
 log_faults (const char *faults)
@@ -33,6 +35,9 @@
   to->repeat_window_us = settings->repeat_window_us;
   to->body_bytes_max
       = (uint64_t)(BODY_MEMORY_SHARE * (double)settings->memory_bytes);
+  mesh_inbound_set_answer_memory (
+      &daemon->inbound,
+      (uint64_t)(ANSWER_MEMORY_SHARE * (double)settings->memory_bytes));
 }
 
 void
--- a/meshd/server.c
+++ b/meshd/server.c
@@ -42,7 +42,6 @@
   struct cds_list_head idle_node; /* in the idle connections */
   struct mesh_inbound *inbound;
   struct mesh_job *job;
-  bool probe;
   bool idle;
   uint64_t idle_us;
   uint64_t idle_timeout_us;
@@ -63,13 +62,19 @@
   cds_list_del (&connection->idle_node);
 }
 
+/* Returns whether a health check is under way on CONNECTION.  */
+static bool
+is_probe (const struct mesh_connection *connection)
+{
+  return connection->inbound->probe == connection;
+}
+
 static void
 connection_close (struct mesh_connection *connection)
 {
   remove_from_idle (connection);
-  if (connection->probe)
-    connection->inbound->probing = false;
-  connection->probe = false;
+  if (is_probe (connection))
+    connection->inbound->probe = NULL;
   net_client_close (&connection->client);
 }
 
@@ -132,7 +137,7 @@
 
   if (connection->job != NULL)
     write_job (connection);
-  else if (connection->probe)
+  else if (is_probe (connection))
     write_probe (connection);
   else
     connection_release (connection, false);
@@ -228,8 +233,7 @@
 {
   struct mesh_inbound *inbound = connection->inbound;
 
-  inbound->probing = false;
-  connection->probe = false;
+  inbound->probe = NULL;
   if (status == 200)
     inbound->connect_refusals = 0;
   connection_release (connection, closes);
@@ -306,7 +310,7 @@
   struct mesh_inbound *inbound = connection->inbound;
   struct mesh_job *job = connection->job;
 
-  if (connection->probe && failure == NET_FAILED_CONNECT)
+  if (is_probe (connection) && failure == NET_FAILED_CONNECT)
     inbound->connect_refusals++;
   connection->job = NULL;
   connection_close (connection);
@@ -375,8 +379,9 @@
 static void
 start_request (struct mesh_connection *connection)
 {
-  static const struct net_limits limits = { HEAD_BYTES_MAX, ANSWER_BYTES_MAX };
   struct mesh_inbound *inbound = connection->inbound;
+  struct net_limits limits
+      = { HEAD_BYTES_MAX, ANSWER_BYTES_MAX, &inbound->answer_budget };
 
   if (connection->client.is_connected)
     on_connected (&connection->client);
@@ -436,12 +441,15 @@
   if (inbound->server.length == 0 || inbound->health_path[0] == '\0'
       || pause_us == 0 || now - inbound->last_probe_us < pause_us)
     return;
-  if (inbound->probing && now - inbound->last_probe_us < PROBE_TIMEOUT_US)
-    return;
+  if (inbound->probe != NULL)
+    {
+      if (now - inbound->last_probe_us < PROBE_TIMEOUT_US)
+        return;
+      connection_close (inbound->probe);
+    }
   inbound->last_probe_us = now;
-  inbound->probing = true;
   connection = get_connection (inbound, false);
-  connection->probe = true;
+  inbound->probe = connection;
   start_request (connection);
 }
 
--- a/net/link.c
+++ b/net/link.c
@@ -52,7 +52,7 @@
 
       if (length - consumed < LENGTH_BYTES)
         break;
-      if (size == 0 || size > NET_RECORD_MAX)
+      if (size == 0 || size > link->record_max)
         {
           fail (link, "record length is 0 or exceeds the limit");
           break;
@@ -113,6 +113,7 @@
 {
   *link = (struct net_link){ .events = events,
                              .context = context,
+                             .record_max = NET_RECORD_MAX,
                              .input = g_byte_array_new () };
   net_stream_connect (&link->stream, loop, address, &stream_events, link);
 }
@@ -123,6 +124,7 @@
 {
   *link = (struct net_link){ .events = events,
                              .context = context,
+                             .record_max = NET_RECORD_MAX,
                              .input = g_byte_array_new () };
   return net_stream_accept (&link->stream, listener, &stream_events, link);
 }
--- a/net/link.h
+++ b/net/link.h
@@ -26,6 +26,7 @@
   GByteArray *input; /* start of an incomplete record */
   const struct net_link_events *events;
   void *context;
+  size_t record_max;       /* longest record that is accepted */
   bool connection_refused; /* the connect failed with ECONNREFUSED */
   bool failed;
 };
--- a/net/message.c
+++ b/net/message.c
@@ -132,6 +132,29 @@
   return message->bodiless ? 1 : 0;
 }
 
+/* Takes LENGTH more bytes of body from the budget.  Returns false if they do
+   not fit.  */
+static bool
+take_from_budget (struct net_message *message, size_t length)
+{
+  struct net_body_budget *budget = message->limits.budget;
+
+  if (budget == NULL)
+    return true;
+  if (message->body->len + length > budget->share
+      && budget->used + length > budget->max)
+    return false;
+  budget->used += length;
+  return true;
+}
+
+static void
+return_to_budget (struct net_message *message)
+{
+  if (message->limits.budget != NULL)
+    message->limits.budget->used -= message->body->len;
+}
+
 static int
 on_body (http_parser *parser, const char *data, size_t length)
 {
@@ -140,6 +163,8 @@
   if (message->limits.body > 0
       && message->body->len + length > message->limits.body)
     return stop_parsing (message, NET_BODY_TOO_LONG);
+  if (!take_from_budget (message, length))
+    return stop_parsing (message, NET_BODY_TOO_LONG);
   g_byte_array_append (message->body, (const guint8 *)data, (guint)length);
   return 0;
 }
@@ -181,6 +206,7 @@
 {
   g_string_free (message->headers.text, TRUE);
   g_string_free (message->target, TRUE);
+  return_to_budget (message);
   g_byte_array_unref (message->body);
 }
 
@@ -191,6 +217,7 @@
                     (enum http_parser_type)message->parser.type);
   g_string_truncate (message->headers.text, 0);
   g_string_truncate (message->target, 0);
+  return_to_budget (message);
   g_byte_array_unref (message->body);
   message->body = g_byte_array_new ();
   message->headers.count = 0;
--- a/net/message.h
+++ b/net/message.h
@@ -40,11 +40,23 @@
   NET_TOO_MANY_HEADERS
 };
 
-/* Size limits in bytes; 0 means unlimited.  */
+/* Memory for the bodies of several messages.  A body of up to SHARE bytes
+   always fits; a longer one is refused once all of them together exceed MAX.
+ */
+struct net_body_budget
+{
+  size_t used;
+  size_t share;
+  size_t max;
+};
+
+/* Size limits in bytes; 0 means unlimited.  BUDGET may be NULL; it outlives
+   the messages.  */
 struct net_limits
 {
   size_t head;
   size_t body;
+  struct net_body_budget *budget;
 };
 
 struct net_message
--- a/net/server.c
+++ b/net/server.c
@@ -48,8 +48,8 @@
 exchange_create (struct net_connection *connection)
 {
   struct net_exchange *exchange = g_new0 (struct net_exchange, 1);
-  struct net_limits limits = { connection->server->limits.head_bytes,
-                               connection->server->limits.body_bytes };
+  struct net_limits limits = { .head = connection->server->limits.head_bytes,
+                               .body = connection->server->limits.body_bytes };
 
   exchange->connection = connection;
   exchange->started_ms = uv_now (connection->server->loop);
--- a/regress/fuzz/fuzz_platform.c
+++ b/regress/fuzz/fuzz_platform.c
@@ -16,7 +16,7 @@
 read_message (enum http_parser_type kind, const char *data, size_t size,
               size_t step)
 {
-  static const struct net_limits limits = { 4096, 8192 };
+  static const struct net_limits limits = { .head = 4096, .body = 8192 };
   struct net_message message;
   struct platform_response answer;
   GString *head = g_string_new (NULL);
--- a/regress/harness/stage.h
+++ b/regress/harness/stage.h
@@ -18,7 +18,9 @@
      ?stray        sends an answer to another request before its own
      ?garble       sends bytes that are no answer
      ?unsigned     leaves the signature out
-     ?hang         never answers  */
+     ?hang         never answers
+     ?flood-head   sends a head without end
+     ?flood-body   sends a body without end  */
 #ifndef STAGE_H
 #define STAGE_H
 
@@ -31,8 +33,9 @@
 enum stage_store_mode
 {
   STAGE_STORE_NORMAL,
-  STAGE_STORE_BUSY,  /* 503 */
-  STAGE_STORE_SILENT /* no answer */
+  STAGE_STORE_BUSY,   /* 503 */
+  STAGE_STORE_SILENT, /* no answer */
+  STAGE_STORE_FLOOD   /* an answer of many MB that is no JSON */
 };
 
 struct stage_server;
--- a/regress/harness/stage_server.c
+++ b/regress/harness/stage_server.c
@@ -11,6 +11,10 @@
 
 #define SLOTS 13
 
+/* Bytes of a flood that are queued at once, and the interval in ms.  */
+#define FLOOD_BYTES (1U << 20)
+#define FLOOD_MS 2
+
 /* One connection to the server.  */
 struct guest
 {
@@ -129,6 +133,40 @@
   net_stream_close (&guest->stream);
 }
 
+/* Sends more of a head or body without end.  */
+static void
+on_flood (uv_timer_t *timer)
+{
+  struct guest *guest = timer->data;
+  GByteArray *bytes;
+
+  if (guest->stream.closing)
+    {
+      uv_timer_stop (timer);
+      return;
+    }
+  if (guest->stream.unwritten >= FLOOD_BYTES)
+    return;
+  bytes = g_byte_array_sized_new (FLOOD_BYTES);
+  g_byte_array_set_size (bytes, FLOOD_BYTES);
+  memset (bytes->data, 'x', FLOOD_BYTES);
+  net_stream_write (&guest->stream, bytes);
+}
+
+/* Begins an answer whose head or body never ends.  */
+static void
+begin_flood (struct guest *guest)
+{
+  CP_AUTO_FREE char *text = NULL;
+
+  if (asks (guest, "flood-body"))
+    text = compose (guest, "200 OK", request_id (guest), SIGNATURE, "", -1);
+  else
+    text = g_strdup ("HTTP/1.1 200 OK\r\nX-Long: ");
+  send_text (guest, text);
+  uv_timer_start (&guest->timer, on_flood, FLOOD_MS, FLOOD_MS);
+}
+
 /* Gives the answer that the query asks for when it is a bad one.  Returns
    false when it asks for none.  */
 static bool
@@ -261,6 +299,11 @@
   guest->server->running++;
   if (badly && asks (guest, "hang"))
     return;
+  if (badly && asks (guest, "flood"))
+    {
+      begin_flood (guest);
+      return;
+    }
   if (slow != NULL)
     uv_timer_start (&guest->timer, on_worked,
                     g_ascii_strtoull (slow + 5, NULL, 10), 0);
@@ -341,7 +384,7 @@
 static void
 on_accept (uv_stream_t *listener, int status)
 {
-  static const struct net_limits limits = { 65536, 1U << 24 };
+  static const struct net_limits limits = { .head = 65536, .body = 1U << 24 };
   struct stage_server *server = listener->data;
   struct guest *guest;
 
--- a/regress/harness/stage_store.c
+++ b/regress/harness/stage_store.c
@@ -7,6 +7,7 @@
 #include "regress/harness/stage_internal.h"
 
 #define WAIT_TICK_MS 20
+#define FLOOD_BYTES (64U << 20)
 
 struct item
 {
@@ -82,6 +83,15 @@
   json_decref (value);
 }
 
+static void
+answer_flood (struct net_exchange *exchange)
+{
+  CP_AUTO_FREE char *text = g_malloc (FLOOD_BYTES);
+
+  memset (text, '[', FLOOD_BYTES);
+  net_exchange_respond (exchange, 200, NULL, text, FLOOD_BYTES);
+}
+
 /* Returns the text of parameter NAME of TARGET's query, to be freed, or
    NULL.  */
 static char *
@@ -182,6 +192,8 @@
     net_exchange_respond (exchange, 503, NULL, NULL, 0);
   else if (door->mode == STAGE_STORE_SILENT)
     exchange->owner = NULL;
+  else if (door->mode == STAGE_STORE_FLOOD)
+    answer_flood (exchange);
   else if (g_str_has_prefix (target, "/cornelpick/kv-range"))
     answer_range (door->store, exchange);
   else if (g_str_has_prefix (target, "/cornelpick/kv-watch"))
--- /dev/null
+++ b/regress/meshd/check_mesh_floods.c
@@ -0,0 +1,223 @@
+/* Bytes without end, or silence, from a server and from what is no peer:
+   memory and time stay bounded, and other callers are served meanwhile.  */
+#include <arpa/inet.h>
+#include <dirent.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "lib/cleanup.h"
+#include "regress/harness/stage_fixture.h"
+
+/* A quarter of 160 MB, the memory of the smallest VMs, is for requests and as
+   much for answers; a daemon takes a few MB without them.  */
+#define MEMORY_KB_MAX (100 * 1024)
+
+/* Reads the largest resident size of VM's daemon so far, in kB.  */
+static unsigned long
+peak_kb (unsigned vm)
+{
+  char path[64];
+  char line[128];
+  unsigned long kb = 0;
+  FILE *file;
+
+  snprintf (path, sizeof path, "/proc/%d/status", (int)stage.daemons[vm].pid);
+  file = fopen (path, "r");
+  ck_assert_ptr_nonnull (file);
+  while (fgets (line, sizeof line, file) != NULL)
+    if (strncmp (line, "VmHWM:", 6) == 0)
+      kb = strtoul (line + 6, NULL, 10);
+  fclose (file);
+  return kb;
+}
+
+static unsigned
+count_descriptors (unsigned vm)
+{
+  char path[64];
+  unsigned count = 0;
+  DIR *folder;
+
+  snprintf (path, sizeof path, "/proc/%d/fd", (int)stage.daemons[vm].pid);
+  folder = opendir (path);
+  ck_assert_ptr_nonnull (folder);
+  while (readdir (folder) != NULL)
+    count++;
+  closedir (folder);
+  return count;
+}
+
+static void
+check_memory (void)
+{
+  for (unsigned vm = 1; vm <= VMS; vm++)
+    ck_assert_uint_lt (peak_kb (vm), MEMORY_KB_MAX);
+}
+
+static const char *const floods[] = { "flood-head", "flood-body" };
+
+START_TEST (a_read_that_meets_a_flood_is_served_by_another)
+{
+  CP_AUTO_FREE char *path = g_strdup_printf ("/read/1?%s-once", floods[_i]);
+  uint64_t began_us = (uint64_t)g_get_monotonic_time ();
+
+  stage_call (&stage, &reply, 3, "GET", "alpha.test", path, "r1", NULL);
+  ck_assert_int_eq (reply.status, 200);
+  ck_assert_str_eq (reply.body->str, "whole");
+  ck_assert_uint_lt ((uint64_t)g_get_monotonic_time () - began_us, 2000000);
+  check_memory ();
+}
+END_TEST
+
+START_TEST (an_order_that_meets_a_flood_has_an_unknown_end)
+{
+  CP_AUTO_FREE char *path = g_strdup_printf ("/write/1?%s", floods[_i]);
+
+  stage_call (&stage, &reply, 3, "POST", "alpha.test", path, "w1", "order");
+  ck_assert_int_eq (reply.status, 502);
+  ck_assert_uint_eq (stage_runs (&stage, "w1"), 1);
+  stage_call (&stage, &reply, 3, "GET", "alpha.test", "/read/1", "r2", NULL);
+  ck_assert_int_eq (reply.status, 200);
+  check_memory ();
+}
+END_TEST
+
+/* Opens a connection to VM 3 and sends an order on it that meets a flood.  */
+static int
+send_order (unsigned number)
+{
+  CP_AUTO_FREE char *text = g_strdup_printf (
+      "POST /write/1?flood-body HTTP/1.1\r\nHost: alpha.test\r\n"
+      "X-Cornelpick-Request-Id: f%u\r\nX-Cornelpick-Deadline-Ms: 3000\r\n"
+      "Content-Length: 0\r\n\r\n",
+      number);
+  int fd = stage_open (&stage, 3, 8000);
+
+  ck_assert_int_eq (write (fd, text, strlen (text)), strlen (text));
+  return fd;
+}
+
+START_TEST (floods_on_all_slots_stay_within_the_memory)
+{
+  enum
+  {
+    ORDERS = 16
+  };
+  int fds[ORDERS];
+  char status[13] = "";
+
+  for (unsigned i = 0; i < ORDERS; i++)
+    fds[i] = send_order (i);
+  for (unsigned i = 0; i < ORDERS; i++)
+    {
+      ck_assert_int_eq (read (fds[i], status, sizeof status - 1),
+                        sizeof status - 1);
+      ck_assert_str_eq (status, "HTTP/1.1 502");
+      close (fds[i]);
+    }
+  check_memory ();
+}
+END_TEST
+
+/* Health checks without an answer do not pile up as connections.  */
+START_TEST (unanswered_health_checks_are_closed)
+{
+  unsigned before;
+
+  stage_server_mute_health (&stage, 1);
+  stage_server_mute_health (&stage, 2);
+  for (unsigned i = 0; i < 6; i++)
+    {
+      stage_call (&stage, &reply, 3, "GET", "alpha.test", "/read/1", "r",
+                  NULL);
+      usleep (500000);
+    }
+  before = count_descriptors (1) + count_descriptors (2);
+  for (unsigned i = 0; i < 8; i++)
+    {
+      stage_call (&stage, &reply, 3, "GET", "alpha.test", "/read/1", "r",
+                  NULL);
+      usleep (500000);
+    }
+  ck_assert_uint_le (count_descriptors (1) + count_descriptors (2),
+                     before + 2);
+}
+END_TEST
+
+/* A connection to the port for daemons that announces a long record and says
+   no hello.  */
+START_TEST (a_long_record_without_hello_is_not_read)
+{
+  static char bytes[1 << 16];
+  uint32_t length = htonl (64U << 20);
+  int fd = stage_open (&stage, 1, 7400);
+  size_t written = 0;
+  ssize_t count = write (fd, &length, sizeof length);
+
+  ck_assert_int_eq (count, sizeof length);
+  while (written < (64U << 20) && count > 0)
+    {
+      count = write (fd, bytes, sizeof bytes);
+      written += count > 0 ? (size_t)count : 0;
+    }
+  ck_assert_uint_lt (written, 16U << 20);
+  close (fd);
+  stage_call (&stage, &reply, 3, "GET", "alpha.test", "/read/1", "r1", NULL);
+  ck_assert_int_eq (reply.status, 200);
+  check_memory ();
+}
+END_TEST
+
+static bool
+store_answers (void *context)
+{
+  (void)context;
+  return stage_counter (&stage, 3, "store_answers") == 1;
+}
+
+static bool
+store_fails (void *context)
+{
+  return !store_answers (context);
+}
+
+START_TEST (a_store_that_floods_is_left_until_it_answers)
+{
+  for (unsigned vm = 1; vm <= VMS; vm++)
+    stage_store_mode (&stage, vm, STAGE_STORE_FLOOD);
+  stage_drop_history (&stage);
+  wait_until (store_fails, NULL);
+  for (unsigned i = 0; i < 10; i++)
+    {
+      stage_call (&stage, &reply, 3, "GET", "alpha.test", "/read/1", "r",
+                  NULL);
+      ck_assert_int_eq (reply.status, 200);
+      usleep (200000);
+    }
+  check_memory ();
+  for (unsigned vm = 1; vm <= VMS; vm++)
+    stage_store_mode (&stage, vm, STAGE_STORE_NORMAL);
+  wait_until (store_answers, NULL);
+}
+END_TEST
+
+static void
+add_tests (TCase *tests)
+{
+  tcase_add_checked_fixture (tests, setup, teardown);
+  tcase_add_loop_test (tests, a_read_that_meets_a_flood_is_served_by_another,
+                       0, G_N_ELEMENTS (floods));
+  tcase_add_loop_test (tests, an_order_that_meets_a_flood_has_an_unknown_end,
+                       0, G_N_ELEMENTS (floods));
+  tcase_add_test (tests, floods_on_all_slots_stay_within_the_memory);
+  tcase_add_test (tests, unanswered_health_checks_are_closed);
+  tcase_add_test (tests, a_store_that_floods_is_left_until_it_answers);
+  tcase_add_test (tests, a_long_record_without_hello_is_not_read);
+}
+
+int
+main (void)
+{
+  return suite_run ("mesh_floods", add_tests, 40);
+}
--- a/regress/net/check_message.c
+++ b/regress/net/check_message.c
@@ -31,7 +31,7 @@
 static enum net_parse_state
 parse (enum http_parser_type kind, const char *text, size_t step)
 {
-  static const struct net_limits limits = { 4096, 100 };
+  static const struct net_limits limits = { .head = 4096, .body = 100 };
 
   net_message_init (&message, kind, &limits);
   return feed (text, step, NULL);
@@ -60,7 +60,7 @@
 
 START_TEST (bytes_after_a_request_are_left_for_the_next)
 {
-  static const struct net_limits limits = { 4096, 100 };
+  static const struct net_limits limits = { .head = 4096, .body = 100 };
   static const char text[] = "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n"
                              "GET /2 HTTP/1.1\r\nHost: x\r\n\r\n";
   size_t consumed;
@@ -194,9 +194,39 @@
 }
 END_TEST
 
+/* A flood does not take the share of other messages.  */
+START_TEST (a_body_within_its_share_always_fits)
+{
+  struct net_body_budget budget = { .share = 10, .max = 40 };
+  struct net_limits limits = { .budget = &budget };
+  struct net_message other;
+  size_t used;
+
+  net_message_init (&message, HTTP_RESPONSE, &limits);
+  net_message_init (&other, HTTP_RESPONSE, &limits);
+  ck_assert_int_eq (feed ("HTTP/1.1 200 OK\r\n\r\n"
+                          "0123456789012345678901234567890123456789",
+                          1000, NULL),
+                    NET_INCOMPLETE);
+  ck_assert_uint_eq (budget.used, 40);
+  ck_assert_int_eq (net_message_feed (&other,
+                                      "HTTP/1.1 200 OK\r\n"
+                                      "Content-Length: 10\r\n\r\n0123456789",
+                                      49, &used),
+                    NET_COMPLETE);
+  ck_assert_int_eq (feed ("0", 1, NULL), NET_BODY_TOO_LONG);
+  net_message_finish (&message);
+  net_message_reset (&other);
+  ck_assert_uint_eq (budget.used, 0);
+  net_message_finish (&other);
+  ck_assert_uint_eq (budget.used, 0);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
+  tcase_add_test (tests, a_body_within_its_share_always_fits);
   tcase_add_loop_test (tests, request_parses_alike_whole_and_bytewise, 0, 2);
   tcase_add_test (tests, bytes_after_a_request_are_left_for_the_next);
   tcase_add_test (tests, chunked_body_is_joined);
--- a/regress/platform/check_platform.c
+++ b/regress/platform/check_platform.c
@@ -264,7 +264,7 @@
 static void
 parse_response (const char *headers)
 {
-  static const struct net_limits limits = { 0, 0 };
+  static const struct net_limits limits = { .head = 0 };
   char *text = g_strdup_printf (
       "HTTP/1.1 200 OK\r\n%sContent-Length: 0\r\n\r\n", headers);
   size_t used;
