--- a/regress/harness/stage.h
+++ b/regress/harness/stage.h
@@ -119,6 +119,9 @@
 void stage_server_header (struct stage *stage, unsigned vm, const char *name,
                           char *value, size_t size);
 
+/* VM's server reports that its machine takes PERCENT of the usual time.  */
+void stage_server_slow (struct stage *stage, unsigned vm, unsigned percent);
+
 /* VM's server answers no health check any more.  */
 void stage_server_mute_health (struct stage *stage, unsigned vm);
 
--- a/regress/harness/stage_server.c
+++ b/regress/harness/stage_server.c
@@ -36,7 +36,8 @@
   bool closing;
   bool stopped;     /* since it was last wanted */
   bool mute_health; /* health checks get no answer */
-  bool wanted;      /* it should listen */
+  unsigned slowness_percent;
+  bool wanted; /* it should listen */
   char instance[32];
   uint64_t born_ms;
   struct cds_list_head guests;
@@ -94,6 +95,17 @@
   net_stream_write (&guest->stream, bytes);
 }
 
+static unsigned
+slowness_of (const struct stage_server *server)
+{
+  unsigned percent;
+
+  pthread_mutex_lock (&server->stage->lock);
+  percent = server->slowness_percent;
+  pthread_mutex_unlock (&server->stage->lock);
+  return percent;
+}
+
 /* Composes an answer.  LENGTH below 0 gives none.  */
 static char *
 compose (const struct guest *guest, const char *status, const char *id,
@@ -105,9 +117,10 @@
     g_snprintf (framing, sizeof framing, "Content-Length: %d\r\n", length);
   return g_strdup_printf (
       "HTTP/1.1 %s\r\nX-Cornelpick-Request-Id: %s\r\n%s"
-      "X-Cornelpick-Server-Load: %u,0,%d,100\r\nKeep-Alive: timeout=10\r\n"
+      "X-Cornelpick-Server-Load: %u,0,%d,%u\r\nKeep-Alive: timeout=10\r\n"
       "%s\r\n%s",
-      status, id, more, guest->server->running, SLOTS, framing, body);
+      status, id, more, guest->server->running, SLOTS,
+      slowness_of (guest->server), framing, body);
 }
 
 #define SIGNATURE "X-Cornelpick-Response-Signature: test\r\n"
@@ -433,6 +446,7 @@
   server->stage = stage;
   server->vm = vm;
   server->wanted = true;
+  server->slowness_percent = 100;
   server->headers = g_string_new (NULL);
   CDS_INIT_LIST_HEAD (&server->guests);
   set_instance (server);
@@ -520,6 +534,14 @@
   uv_async_send (&stage->wake);
 }
 
+void
+stage_server_slow (struct stage *stage, unsigned vm, unsigned percent)
+{
+  pthread_mutex_lock (&stage->lock);
+  stage->servers[vm]->slowness_percent = percent;
+  pthread_mutex_unlock (&stage->lock);
+}
+
 void
 stage_server_mute_health (struct stage *stage, unsigned vm)
 {
--- a/regress/meshd/check_mesh_state.c
+++ b/regress/meshd/check_mesh_state.c
@@ -331,10 +331,34 @@
 }
 END_TEST
 
+static bool
+is_normal (void *context)
+{
+  unsigned vm = *(const unsigned *)context;
+
+  return stage_counter (&stage, vm, "server_slowness_percent") == 100;
+}
+
+/* A server that is left for being slow gets no request that would show that it
+   is normal again, and no health check some seconds after its last request. */
+START_TEST (a_slow_server_without_requests_is_found_normal_again)
+{
+  unsigned vm = 1;
+
+  stage_server_slow (&stage, vm, 500);
+  while (is_normal (&vm))
+    status_at (vm, "/read/1");
+  g_usleep (6000000);
+  stage_server_slow (&stage, vm, 100);
+  wait_until (is_normal, &vm);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
   tcase_add_checked_fixture (tests, setup, teardown);
+  tcase_add_test (tests, a_slow_server_without_requests_is_found_normal_again);
   tcase_add_test (tests,
                   a_configuration_change_is_in_force_everywhere_in_time);
   tcase_add_test (tests, a_change_in_a_gap_of_the_history_is_in_force_in_time);
