Keep a sanitizer's hoard out of a bound on memory

The sanitizer keeps up to 256 MB of freed memory. Change: the test has it keep 1 MB; the bound is the same.

--- a/regress/meshd/check_mesh_floods.c
+++ b/regress/meshd/check_mesh_floods.c
@@ -216,8 +216,22 @@
   tcase_add_test (tests, a_long_record_without_hello_is_not_read);
 }
 
+/* Makes the address sanitizer of the daemons, if they have one, give freed
+   memory back: it keeps up to 256 MB, which would count as theirs.  */
+static void
+release_freed_memory (void)
+{
+  const char *options = getenv ("ASAN_OPTIONS");
+  CP_AUTO_FREE char *text = g_strdup_printf ("%s%squarantine_size_mb=1",
+                                             options == NULL ? "" : options,
+                                             options == NULL ? "" : ":");
+
+  setenv ("ASAN_OPTIONS", text, 1);
+}
+
 int
 main (void)
 {
+  release_freed_memory ();
   return suite_run ("mesh_floods", add_tests, 40);
 }
