Log the limit of requests a second that a server names

Change: the adapter decodes Server-Limit; the inbound side logs each change (line "rate_limit", with the requests admitted by then) and shows it as a gauge; what a server says of itself moves to meshd/notices.c. No decision uses it yet.

--- a/meshd/inbound.h
+++ b/meshd/inbound.h
@@ -61,6 +61,8 @@
   struct cds_list_head connections;
   unsigned slowness_percent; /* from the server's last load header */
   uint64_t slowness_read_us; /* when it was received */
+  bool has_rate_limit;       /* the server has named one */
+  double requests_per_s;     /* the limit, from all VMs together */
   double service_us;         /* moving average, corrected for slowness */
   double pace;               /* the same as a share of the objective */
   unsigned connect_refusals; /* consecutive refused connections */
--- a/meshd/inbound_internal.h
+++ b/meshd/inbound_internal.h
@@ -4,6 +4,7 @@
 #define MESHD_INBOUND_INTERNAL_H
 
 #include "meshd/inbound.h"
+#include "platform/headers.h"
 
 /* Consecutive refused connections after which jobs are refused without trying
    to connect, until a probe succeeds.  */
@@ -58,6 +59,10 @@
    choice of a server.  */
 void mesh_inbound_report_load (struct mesh_inbound *inbound);
 
+/* Takes in what the server says of itself in the HEADERS of an answer.  */
+void mesh_inbound_receive_notices (struct mesh_inbound *inbound,
+                                   const struct platform_response *headers);
+
 /* Sends JOB, which holds a slot, to the server.  */
 void mesh_server_send (struct mesh_inbound *inbound, struct mesh_job *job);
 
--- a/meshd/metrics.c
+++ b/meshd/metrics.c
@@ -25,6 +25,19 @@
       name, name, value);
 }
 
+static void
+write_rate_limit (GString *text, const struct mesh_inbound *inbound)
+{
+  char limit[G_ASCII_DTOSTR_BUF_SIZE] = "+Inf";
+
+  if (inbound->has_rate_limit)
+    g_ascii_formatd (limit, sizeof limit, "%g", inbound->requests_per_s);
+  g_string_append_printf (text,
+                          "# TYPE cornelpick_server_requests_per_s_limit gauge"
+                          "\ncornelpick_server_requests_per_s_limit %s\n",
+                          limit);
+}
+
 static void
 write_counter_by_reason (GString *text, const char *name,
                          const uint64_t counts[MESH_REASON_COUNT])
@@ -92,6 +105,7 @@
   write_gauge (text, "jobs_queued", inbound->queue.queued);
   write_gauge (text, "jobs_limit", inbound->queue.limit);
   write_gauge (text, "server_slowness_percent", inbound->slowness_percent);
+  write_rate_limit (text, inbound);
 }
 
 static void
--- a/meshd/server.c
+++ b/meshd/server.c
@@ -143,38 +143,6 @@
     connection_release (connection, false);
 }
 
-static void
-log_slowness_change (const struct mesh_inbound *inbound, unsigned percent)
-{
-  if (mesh_log_allowed (MESH_LOG_LOAD))
-    mesh_log (MESH_LOG_LOAD,
-              "\"server\":\"%s\",\"was\":%u,\"slowness\":%u,"
-              "\"running\":%u,\"queued\":%u,\"limit\":%u",
-              inbound->instance, inbound->slowness_percent, percent,
-              inbound->queue.running, inbound->queue.queued,
-              inbound->queue.limit);
-}
-
-static void
-receive_load (struct mesh_inbound *inbound,
-              const struct platform_response *headers)
-{
-  if (!headers->has_load)
-    return;
-  inbound->slowness_read_us = now_us ();
-  if (inbound->slowness_percent != headers->slowness_percent)
-    {
-      log_slowness_change (inbound, headers->slowness_percent);
-      inbound->slowness_percent = headers->slowness_percent;
-      mesh_inbound_report_load (inbound);
-    }
-  if (inbound->capacity == 0 && headers->slots > 0)
-    {
-      inbound->capacity = headers->slots;
-      cp_job_queue_set_capacity (&inbound->queue, headers->slots);
-    }
-}
-
 /* Adds the service time of JOB, which the server answered, to the moving
    averages.  */
 static void
@@ -248,7 +216,7 @@
   struct platform_response headers;
 
   platform_read_response (&headers, &answer->headers);
-  receive_load (inbound, &headers);
+  mesh_inbound_receive_notices (inbound, &headers);
   if (headers.keep_alive_us > 0)
     connection->idle_timeout_us = headers.keep_alive_us;
   if (job == NULL)
--- a/regress/platform/check_platform.c
+++ b/regress/platform/check_platform.c
@@ -283,8 +283,10 @@
                   "X-Cornelpick-Response-Signature: s\r\n"
                   "Keep-Alive: max=5, timeout=7\r\nConnection: Close\r\n"
                   "Content-Encoding: gzip\r\nX-Cornelpick-Not-Executed: 1\r\n"
-                  "X-Kept: yes\r\n");
+                  "Server-Limit: 24.8\r\nX-Kept: yes\r\n");
   platform_read_response (&response, &message.headers);
+  ck_assert (response.has_rate_limit);
+  ck_assert_double_eq (response.requests_per_s, 24.8);
   ck_assert (response.has_load && response.is_signed && response.closes
              && response.encoded && response.not_run);
   ck_assert_uint_eq (response.slots, 8);
@@ -340,6 +342,25 @@
 }
 END_TEST
 
+START_TEST (a_rate_limit_that_is_no_decimal_number_is_ignored)
+{
+  static const char *const bad[]
+      = { "", "x", "3,5", "-1", "nan", "inf", "7 a second" };
+  struct platform_response response;
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      char *header = g_strdup_printf ("Server-Limit: %s\r\n", bad[i]);
+
+      parse_response (header);
+      platform_read_response (&response, &message.headers);
+      ck_assert (!response.has_rate_limit);
+      net_message_finish (&message);
+      g_free (header);
+    }
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
@@ -351,6 +372,7 @@
   tcase_add_test (tests, newest_revision_of_each_key_wins);
   tcase_add_test (tests, unlisted_keys_are_removed_unless_newer);
   tcase_add_test (tests, response_headers_are_decoded);
+  tcase_add_test (tests, a_rate_limit_that_is_no_decimal_number_is_ignored);
   tcase_add_test (tests, settings_report_every_fault);
 }
 
