--- a/regress/harness/stage_internal.h
+++ b/regress/harness/stage_internal.h
@@ -3,6 +3,8 @@
 #ifndef STAGE_INTERNAL_H
 #define STAGE_INTERNAL_H
 
+#include <urcu/list.h>
+
 #include "regress/harness/stage.h"
 
 #define STAGE_PORT_SERVER 8080
@@ -17,6 +19,31 @@
 void stage_store_stop (struct stage_store *store);
 void stage_store_free (struct stage_store *store);
 
+/* The lock of the stage guards what a test sets or reads.  */
+struct stage_server
+{
+  struct stage *stage;
+  unsigned vm;
+  uv_tcp_t listener;
+  bool listening;
+  bool closing;
+  bool stopped;     /* since it was last wanted */
+  bool mute_health; /* health checks get no answer */
+  unsigned slowness_percent;
+  bool wanted; /* it should listen */
+  char instance[32];
+  uint64_t born_ms;
+  struct cds_list_head guests;
+  unsigned running;
+  unsigned runs;
+  unsigned left;
+  unsigned misdirected; /* requests for another instance */
+  GString *headers;     /* of the last request, "Name: value\n" */
+};
+
+/* Gives SERVER a new instance name and start time.  */
+void stage_server_set_instance (struct stage_server *server);
+
 struct stage_server *stage_server_create (struct stage *stage, unsigned vm);
 void stage_server_wake (struct stage_server *server);
 void stage_server_close (struct stage_server *server);
--- a/regress/harness/stage_server.c
+++ b/regress/harness/stage_server.c
@@ -27,27 +27,6 @@
   unsigned n_open; /* handles that are not closed yet */
 };
 
-struct stage_server
-{
-  struct stage *stage;
-  unsigned vm;
-  uv_tcp_t listener;
-  bool listening;
-  bool closing;
-  bool stopped;     /* since it was last wanted */
-  bool mute_health; /* health checks get no answer */
-  unsigned slowness_percent;
-  bool wanted; /* it should listen */
-  char instance[32];
-  uint64_t born_ms;
-  struct cds_list_head guests;
-  unsigned running;
-  unsigned runs;
-  unsigned left;
-  unsigned misdirected; /* requests for another instance */
-  GString *headers;     /* of the last request, "Name: value\n" */
-};
-
 static bool
 asks (const struct guest *guest, const char *what)
 {
@@ -413,8 +392,8 @@
   net_stream_accept (&guest->stream, listener, &guest_events, guest);
 }
 
-static void
-set_instance (struct stage_server *server)
+void
+stage_server_set_instance (struct stage_server *server)
 {
   server->born_ms = (uint64_t)g_get_real_time () / 1000;
   g_snprintf (server->instance, sizeof server->instance,
@@ -449,7 +428,7 @@
   server->slowness_percent = 100;
   server->headers = g_string_new (NULL);
   CDS_INIT_LIST_HEAD (&server->guests);
-  set_instance (server);
+  stage_server_set_instance (server);
   server_listen (server);
   return server;
 }
@@ -523,115 +502,3 @@
 {
   return server->born_ms;
 }
-
-static void
-want (struct stage *stage, unsigned vm, bool wanted)
-{
-  pthread_mutex_lock (&stage->lock);
-  stage->servers[vm]->wanted = wanted;
-  stage->servers[vm]->stopped = false;
-  pthread_mutex_unlock (&stage->lock);
-  uv_async_send (&stage->wake);
-}
-
-void
-stage_server_slow (struct stage *stage, unsigned vm, unsigned percent)
-{
-  pthread_mutex_lock (&stage->lock);
-  stage->servers[vm]->slowness_percent = percent;
-  pthread_mutex_unlock (&stage->lock);
-}
-
-void
-stage_server_mute_health (struct stage *stage, unsigned vm)
-{
-  pthread_mutex_lock (&stage->lock);
-  stage->servers[vm]->mute_health = true;
-  pthread_mutex_unlock (&stage->lock);
-}
-
-void
-stage_server_stop (struct stage *stage, unsigned vm)
-{
-  bool stopped = false;
-
-  want (stage, vm, false);
-  while (!stopped)
-    {
-      g_usleep (1000);
-      pthread_mutex_lock (&stage->lock);
-      stopped = stage->servers[vm]->stopped;
-      pthread_mutex_unlock (&stage->lock);
-    }
-}
-
-void
-stage_server_restart (struct stage *stage, unsigned vm)
-{
-  pthread_mutex_lock (&stage->lock);
-  set_instance (stage->servers[vm]);
-  pthread_mutex_unlock (&stage->lock);
-  want (stage, vm, true);
-}
-
-unsigned
-stage_runs (struct stage *stage, const char *id)
-{
-  unsigned count;
-
-  pthread_mutex_lock (&stage->lock);
-  count = GPOINTER_TO_UINT (g_hash_table_lookup (stage->runs, id));
-  pthread_mutex_unlock (&stage->lock);
-  return count;
-}
-
-unsigned
-stage_server_runs (struct stage *stage, unsigned vm)
-{
-  unsigned count;
-
-  pthread_mutex_lock (&stage->lock);
-  count = stage->servers[vm]->runs;
-  pthread_mutex_unlock (&stage->lock);
-  return count;
-}
-
-unsigned
-stage_server_misdirected (struct stage *stage, unsigned vm)
-{
-  unsigned count;
-
-  pthread_mutex_lock (&stage->lock);
-  count = stage->servers[vm]->misdirected;
-  pthread_mutex_unlock (&stage->lock);
-  return count;
-}
-
-unsigned
-stage_server_left (struct stage *stage, unsigned vm)
-{
-  unsigned count;
-
-  pthread_mutex_lock (&stage->lock);
-  count = stage->servers[vm]->left;
-  pthread_mutex_unlock (&stage->lock);
-  return count;
-}
-
-void
-stage_server_header (struct stage *stage, unsigned vm, const char *name,
-                     char *value, size_t size)
-{
-  CP_AUTO_FREE char *key = g_strdup_printf ("%s: ", name);
-  const char *at;
-
-  pthread_mutex_lock (&stage->lock);
-  at = strstr (stage->servers[vm]->headers->str, key);
-  value[0] = '\0';
-  if (at != NULL)
-    {
-      at += strlen (key);
-      g_strlcpy (value, at, MIN (size, strcspn (at, "\n") + 1));
-    }
-  pthread_mutex_unlock (&stage->lock);
-}
