--- a/regress/harness/stage.h
+++ b/regress/harness/stage.h
@@ -122,6 +122,9 @@
 /* VM's server reports that its machine takes PERCENT of the usual time.  */
 void stage_server_slow (struct stage *stage, unsigned vm, unsigned percent);
 
+/* VM's server adds NOTICE, whole header lines, to all its answers.  */
+void stage_server_say (struct stage *stage, unsigned vm, const char *notice);
+
 /* VM's server answers no health check any more.  */
 void stage_server_mute_health (struct stage *stage, unsigned vm);
 
--- a/regress/harness/stage_control.c
+++ b/regress/harness/stage_control.c
@@ -22,6 +22,15 @@
   pthread_mutex_unlock (&stage->lock);
 }
 
+void
+stage_server_say (struct stage *stage, unsigned vm, const char *notice)
+{
+  pthread_mutex_lock (&stage->lock);
+  g_strlcpy (stage->servers[vm]->notice, notice,
+             sizeof stage->servers[vm]->notice);
+  pthread_mutex_unlock (&stage->lock);
+}
+
 void
 stage_server_mute_health (struct stage *stage, unsigned vm)
 {
--- a/regress/harness/stage_internal.h
+++ b/regress/harness/stage_internal.h
@@ -30,7 +30,8 @@
   bool stopped;     /* since it was last wanted */
   bool mute_health; /* health checks get no answer */
   unsigned slowness_percent;
-  bool wanted; /* it should listen */
+  bool wanted;      /* it should listen */
+  char notice[128]; /* header lines in all its answers */
   char instance[32];
   uint64_t born_ms;
   struct cds_list_head guests;
--- a/regress/harness/stage_server.c
+++ b/regress/harness/stage_server.c
@@ -85,20 +85,32 @@
   return percent;
 }
 
+static char *
+copy_notice (const struct stage_server *server)
+{
+  char *notice;
+
+  pthread_mutex_lock (&server->stage->lock);
+  notice = g_strdup (server->notice);
+  pthread_mutex_unlock (&server->stage->lock);
+  return notice;
+}
+
 /* Composes an answer.  LENGTH below 0 gives none.  */
 static char *
 compose (const struct guest *guest, const char *status, const char *id,
          const char *more, const char *body, int length)
 {
   char framing[64] = "Connection: close\r\n";
+  CP_AUTO_FREE char *notice = copy_notice (guest->server);
 
   if (length >= 0)
     g_snprintf (framing, sizeof framing, "Content-Length: %d\r\n", length);
   return g_strdup_printf (
-      "HTTP/1.1 %s\r\nX-Cornelpick-Request-Id: %s\r\n%s"
+      "HTTP/1.1 %s\r\nX-Cornelpick-Request-Id: %s\r\n%s%s"
       "X-Cornelpick-Server-Load: %u,0,%d,%u\r\nKeep-Alive: timeout=10\r\n"
       "%s\r\n%s",
-      status, id, more, guest->server->running, SLOTS,
+      status, id, more, notice, guest->server->running, SLOTS,
       slowness_of (guest->server), framing, body);
 }
 
