Keep to the limit of requests a second that a server names

What callers saw: nothing at first; a server in need got up to twice what it had named (311 in 4 s where 166 are allowed), and a server that cannot take it gets slow for all. Evidence: with the line "rate_limit", the daemon beside a server that named 32.3 admitted far more; all requests pass through it, so nothing else can have sent them. Change: a token bucket in the admission queue; a used-up rate is reported as busy; until the server has answered a new daemon, two requests run at a time and a probe asks at once; probes of a limited server take a quarter of its rate at most. Why it works: the daemon beside a server is the only one that sends to it, so its bucket is the sum over all VMs, and restarts lose no more than two requests.

--- a/lib/job_queue.c
+++ b/lib/job_queue.c
@@ -1,3 +1,5 @@
+#include <glib.h>
+
 #include "lib/job_queue.h"
 
 /* Share of a server's slots that is used.  The servers of both users take 1.7
@@ -5,10 +7,14 @@
    "knee"), which costs more throughput than the additional slots give.  */
 #define UTILIZATION_MAX 0.8
 
+/* Entries that run at the same time until the server has answered.  */
+#define UNPROVED_MAX 2
+
 void
 cp_job_queue_init (struct cp_job_queue *queue)
 {
   *queue = (struct cp_job_queue){ .limit = 1 };
+  cp_rate_limit_init (&queue->rate);
   for (unsigned i = 0; i < CP_JOB_QUEUE_PRIORITIES; i++)
     CDS_INIT_LIST_HEAD (&queue->queues[i]);
 }
@@ -41,6 +47,28 @@
   return ahead;
 }
 
+static unsigned
+free_slots (const struct cp_job_queue *queue)
+{
+  unsigned limit
+      = queue->unproved ? MIN (queue->limit, UNPROVED_MAX) : queue->limit;
+
+  return limit - MIN (limit, queue->running);
+}
+
+/* Returns how long an entry waits that has AHEAD queued entries before it.  */
+static uint64_t
+expected_wait_us (const struct cp_job_queue *queue, unsigned ahead,
+                  uint64_t now_us, uint64_t service_us)
+{
+  uint64_t slot_us = 0;
+
+  if (ahead >= free_slots (queue))
+    slot_us = (uint64_t)(ahead + 1) * service_us / queue->limit;
+  return MAX (slot_us,
+              cp_rate_limit_wait_us (&queue->rate, ahead + 1, now_us));
+}
+
 enum cp_job_queue_result
 cp_job_queue_submit (struct cp_job_queue *queue,
                      struct cp_job_queue_entry *entry, uint64_t now_us,
@@ -52,13 +80,15 @@
 
   entry->arrived_us = now_us;
   entry->waiting = false;
-  if (queue->running < queue->limit && ahead == 0)
+  if (free_slots (queue) > 0 && ahead == 0
+      && cp_rate_limit_take (&queue->rate, now_us))
     {
       queue->running++;
       return CP_JOB_QUEUE_RUN;
     }
-  wait_us = (uint64_t)(ahead + 1) * service_us / queue->limit;
-  if (now_us + wait_us > entry->wait_until_us)
+  wait_us = expected_wait_us (queue, ahead, now_us, service_us);
+  if (now_us >= entry->wait_until_us
+      || wait_us > entry->wait_until_us - now_us)
     return CP_JOB_QUEUE_REFUSE;
   entry->waiting = true;
   cds_list_add_tail (&entry->node, &queue->queues[level]);
@@ -86,9 +116,10 @@
 }
 
 struct cp_job_queue_entry *
-cp_job_queue_start_next (struct cp_job_queue *queue)
+cp_job_queue_start_next (struct cp_job_queue *queue, uint64_t now_us)
 {
-  if (queue->running >= queue->limit)
+  if (queue->queued == 0 || free_slots (queue) == 0
+      || !cp_rate_limit_take (&queue->rate, now_us))
     return NULL;
   for (unsigned i = 0; i < CP_JOB_QUEUE_PRIORITIES; i++)
     if (queue->lengths[i] > 0)
@@ -117,3 +148,24 @@
     }
   return NULL;
 }
+
+unsigned
+cp_job_queue_concurrency (const struct cp_job_queue *queue,
+                          uint64_t service_us)
+{
+  double by_rate = queue->rate.per_s * (double)service_us / 1e6;
+
+  if (!queue->rate.active || service_us == 0 || by_rate >= queue->limit)
+    return queue->limit;
+  return MAX (1U, (unsigned)(by_rate + 0.5));
+}
+
+unsigned
+cp_job_queue_busy (const struct cp_job_queue *queue, uint64_t now_us,
+                   uint64_t service_us)
+{
+  double used = cp_rate_limit_used_share (&queue->rate, now_us);
+  unsigned limit = cp_job_queue_concurrency (queue, service_us);
+
+  return MAX (queue->running, (unsigned)(used * limit + 0.5));
+}
--- a/lib/job_queue.h
+++ b/lib/job_queue.h
@@ -5,7 +5,9 @@
    and then by arrival, at most until the time that each allows; an entry whose
    expected wait is longer is refused at once.  The limit is below the server's
    number of slots, since servers slow down when they are nearly full and a few
-   requests fewer give a higher throughput.
+   requests fewer give a higher throughput.  A server may also limit the
+   entries that start within a second.  Until it has answered for the first
+   time, it is not known whether it does, and only a few run at the same time.
 
    Performs no I/O; not thread-safe.  */
 #ifndef CP_JOB_QUEUE_H
@@ -15,6 +17,8 @@
 #include <stdint.h>
 #include <urcu/list.h>
 
+#include "lib/rate_limit.h"
+
 #define CP_JOB_QUEUE_PRIORITIES 8
 
 struct cp_job_queue_entry
@@ -31,6 +35,8 @@
   unsigned limit;
   unsigned running;
   unsigned queued;
+  bool unproved;             /* the server has not answered yet */
+  struct cp_rate_limit rate; /* of entries that start */
   struct cds_list_head queues[CP_JOB_QUEUE_PRIORITIES];
   unsigned lengths[CP_JOB_QUEUE_PRIORITIES];
 };
@@ -59,8 +65,18 @@
 
 /* Removes the next entry that may run from its queue, counts it as running and
    returns it; NULL when there is none.  */
-struct cp_job_queue_entry *
-cp_job_queue_start_next (struct cp_job_queue *queue);
+struct cp_job_queue_entry *cp_job_queue_start_next (struct cp_job_queue *queue,
+                                                    uint64_t now_us);
+
+/* Returns how many entries can run at the same time: the limit, or what the
+   rate allows at the present service time if that is less.  */
+unsigned cp_job_queue_concurrency (const struct cp_job_queue *queue,
+                                   uint64_t service_us);
+
+/* Returns how much of that is taken, by running entries or because the rate
+   allows no more of them now.  */
+unsigned cp_job_queue_busy (const struct cp_job_queue *queue, uint64_t now_us,
+                            uint64_t service_us);
 
 /* Removes ENTRY from its queue, if it waits.  */
 void cp_job_queue_remove (struct cp_job_queue *queue,
--- a/meshd/inbound.c
+++ b/meshd/inbound.c
@@ -58,14 +58,24 @@
   return memcmp (a, b, sizeof (struct mesh_job_key)) == 0;
 }
 
+/* Returns the time that the server takes for a request at present.  */
+static uint64_t
+current_service_us (const struct mesh_inbound *inbound)
+{
+  return (uint64_t)(inbound->service_us * inbound->slowness_percent
+                    / CP_SLOWNESS_NORMAL_PERCENT);
+}
+
 void
 mesh_inbound_get_load (const struct mesh_inbound *inbound,
                        struct cp_server_load *load)
 {
+  uint64_t service_us = current_service_us (inbound);
+
   *load = (struct cp_server_load){
-    .running = inbound->queue.running,
+    .running = cp_job_queue_busy (&inbound->queue, now_us (), service_us),
     .queued = inbound->queue.queued,
-    .limit = inbound->queue.limit,
+    .limit = cp_job_queue_concurrency (&inbound->queue, service_us),
     .slowness_percent = inbound->slowness_percent,
     .pace_permille = (unsigned)(inbound->pace * 1000),
   };
@@ -235,7 +245,8 @@
 {
   struct cp_job_queue_entry *entry;
 
-  while ((entry = cp_job_queue_start_next (&inbound->queue)) != NULL)
+  while ((entry = cp_job_queue_start_next (&inbound->queue, now_us ()))
+         != NULL)
     job_start (caa_container_of (entry, struct mesh_job, entry));
 }
 
@@ -246,13 +257,15 @@
   mesh_inbound_start_queued (inbound);
 }
 
-/* Refuses the queued jobs whose wait is over.  */
+/* Starts the queued jobs that the server's rate limit allows by now, and
+   refuses those whose wait is over.  */
 static void
 on_queue_timer (uv_timer_t *timer)
 {
   struct mesh_inbound *inbound = timer->data;
   struct cp_job_queue_entry *entry;
 
+  mesh_inbound_start_queued (inbound);
   while ((entry = cp_job_queue_take_expired (&inbound->queue, now_us ()))
          != NULL)
     mesh_job_refuse (caa_container_of (entry, struct mesh_job, entry),
@@ -312,9 +325,6 @@
 {
   struct mesh_job *job = job_create (inbound, link, request);
   uint64_t now = now_us ();
-  uint64_t service_us
-      = (uint64_t)(inbound->service_us * inbound->slowness_percent
-                   / CP_SLOWNESS_NORMAL_PERCENT);
 
   inbound->last_job_us = now;
   if (inbound->server.length == 0)
@@ -326,8 +336,8 @@
   else if (is_for_ended_instance (inbound, request, now))
     mesh_job_refuse (job, MESH_REASON_OTHER_INSTANCE, false);
   else
-    switch (
-        cp_job_queue_submit (&inbound->queue, &job->entry, now, service_us))
+    switch (cp_job_queue_submit (&inbound->queue, &job->entry, now,
+                                 current_service_us (inbound)))
       {
       case CP_JOB_QUEUE_RUN:
         job_start (job);
@@ -527,6 +537,7 @@
   CDS_INIT_LIST_HEAD (&inbound->connections);
   inbound->by_stream = g_hash_table_new (key_hash, key_equal);
   cp_job_queue_init (&inbound->queue);
+  inbound->queue.unproved = true;
   cp_report_filter_init (&inbound->report_filter);
   cp_job_queue_set_capacity (&inbound->queue, CAPACITY_DEFAULT);
   uv_timer_init (loop, &inbound->tick);
@@ -570,6 +581,9 @@
       inbound->service_us = 0;
       inbound->pace = 0;
       inbound->connect_refusals = 0;
+      inbound->queue.unproved = true;
+      inbound->server_number++;
+      mesh_inbound_forget_notices (inbound);
       mesh_server_close_idle (inbound);
     }
   if (server->capacity != inbound->capacity)
--- a/meshd/inbound.h
+++ b/meshd/inbound.h
@@ -49,6 +49,7 @@
   struct cp_address server;            /* the local one; length 0 for none */
   char instance[CP_PEER_NAME_MAX + 1]; /* empty if unknown */
   uint64_t born_ms;
+  unsigned server_number; /* rises with each instance and start */
   /* An instance that the server has answered it is not; empty for none.  */
   char ended_instance[CP_PEER_NAME_MAX + 1];
   uint64_t ended_instance_us; /* when the server last answered so */
@@ -61,8 +62,7 @@
   struct cds_list_head connections;
   unsigned slowness_percent; /* from the server's last load header */
   uint64_t slowness_read_us; /* when it was received */
-  bool has_rate_limit;       /* the server has named one */
-  double requests_per_s;     /* the limit, from all VMs together */
+  uint64_t rate_named_us;    /* when the server last named a rate limit */
   double service_us;         /* moving average, corrected for slowness */
   double pace;               /* the same as a share of the objective */
   unsigned connect_refusals; /* consecutive refused connections */
--- a/meshd/inbound_internal.h
+++ b/meshd/inbound_internal.h
@@ -59,9 +59,14 @@
    choice of a server.  */
 void mesh_inbound_report_load (struct mesh_inbound *inbound);
 
-/* Takes in what the server says of itself in the HEADERS of an answer.  */
+/* Takes in what the server says of itself in the HEADERS of an answer to a
+   request that was sent at SENT_US.  */
 void mesh_inbound_receive_notices (struct mesh_inbound *inbound,
-                                   const struct platform_response *headers);
+                                   const struct platform_response *headers,
+                                   uint64_t sent_us);
+
+/* Forgets what the server has said of itself, but for its load.  */
+void mesh_inbound_forget_notices (struct mesh_inbound *inbound);
 
 /* Sends JOB, which holds a slot, to the server.  */
 void mesh_server_send (struct mesh_inbound *inbound, struct mesh_job *job);
--- a/meshd/metrics.c
+++ b/meshd/metrics.c
@@ -30,8 +30,8 @@
 {
   char limit[G_ASCII_DTOSTR_BUF_SIZE] = "+Inf";
 
-  if (inbound->has_rate_limit)
-    g_ascii_formatd (limit, sizeof limit, "%g", inbound->requests_per_s);
+  if (inbound->queue.rate.active)
+    g_ascii_formatd (limit, sizeof limit, "%g", inbound->queue.rate.per_s);
   g_string_append_printf (text,
                           "# TYPE cornelpick_server_requests_per_s_limit gauge"
                           "\ncornelpick_server_requests_per_s_limit %s\n",
--- a/meshd/notices.c
+++ b/meshd/notices.c
@@ -48,29 +48,53 @@
 
   if (!mesh_log_allowed (MESH_LOG_RATE_LIMIT))
     return;
-  if (inbound->has_rate_limit)
-    g_ascii_formatd (text, sizeof text, "%g", inbound->requests_per_s);
+  if (inbound->queue.rate.active)
+    g_ascii_formatd (text, sizeof text, "%g", inbound->queue.rate.per_s);
   mesh_log (MESH_LOG_RATE_LIMIT,
             "\"server\":\"%s\",\"per_s\":%s,\"admitted\":%" G_GUINT64_FORMAT,
             inbound->instance, text, inbound->counts.admitted);
 }
 
 static void
-receive_rate_limit (struct mesh_inbound *inbound,
-                    const struct platform_response *headers)
+set_rate_limit (struct mesh_inbound *inbound, double per_s)
 {
-  if (inbound->has_rate_limit == headers->has_rate_limit
-      && inbound->requests_per_s == headers->requests_per_s)
+  struct cp_rate_limit *rate = &inbound->queue.rate;
+  bool changed = !rate->active || rate->per_s != per_s;
+
+  inbound->rate_named_us = now_us ();
+  if (!changed)
     return;
-  inbound->has_rate_limit = headers->has_rate_limit;
-  inbound->requests_per_s = headers->requests_per_s;
+  cp_rate_limit_set (rate, per_s, now_us ());
+  log_rate_limit (inbound);
+}
+
+static void
+lift_rate_limit (struct mesh_inbound *inbound)
+{
+  if (!inbound->queue.rate.active)
+    return;
+  cp_rate_limit_lift (&inbound->queue.rate);
   log_rate_limit (inbound);
 }
 
 void
 mesh_inbound_receive_notices (struct mesh_inbound *inbound,
-                              const struct platform_response *headers)
+                              const struct platform_response *headers,
+                              uint64_t sent_us)
 {
   receive_load (inbound, headers);
-  receive_rate_limit (inbound, headers);
+  if (headers->has_rate_limit)
+    set_rate_limit (inbound, headers->requests_per_s);
+  /* An answer to an earlier request may have overtaken the one that named the
+     limit.  */
+  else if (sent_us > inbound->rate_named_us)
+    lift_rate_limit (inbound);
+  inbound->queue.unproved = false;
+  mesh_inbound_start_queued (inbound);
+}
+
+void
+mesh_inbound_forget_notices (struct mesh_inbound *inbound)
+{
+  lift_rate_limit (inbound);
 }
--- a/meshd/server.c
+++ b/meshd/server.c
@@ -31,6 +31,13 @@
    again without one.  */
 #define PROBE_SLOW_INTERVAL_US UINT64_C (200000)
 
+/* Probes of a server that limits its rate, as a share of what it takes.  Those
+   of a server that takes next to nothing are no further apart than the
+   maximum.
+ */
+#define PROBE_RATE_SHARE 0.25
+#define PROBE_RATE_INTERVAL_MAX_US 2e6
+
 #define PROBE_TIMEOUT_US UINT64_C (1000000)
 
 #define SERVICE_WEIGHT 0.1 /* weight of one answer in the moving averages */
@@ -42,6 +49,7 @@
   struct cds_list_head idle_node; /* in the idle connections */
   struct mesh_inbound *inbound;
   struct mesh_job *job;
+  unsigned server_number; /* of the server it was opened to */
   bool idle;
   uint64_t idle_us;
   uint64_t idle_timeout_us;
@@ -83,6 +91,7 @@
 connection_release (struct mesh_connection *connection, bool closes)
 {
   if (closes || !connection->client.reusable
+      || connection->server_number != connection->inbound->server_number
       || net_client_is_writing (&connection->client))
     {
       connection_close (connection);
@@ -207,6 +216,18 @@
   connection_release (connection, closes);
 }
 
+/* Takes in what the server says of itself, unless the answer is from an
+   earlier one at the same address.  */
+static void
+receive_notices (const struct mesh_connection *connection,
+                 const struct platform_response *headers, uint64_t sent_us)
+{
+  struct mesh_inbound *inbound = connection->inbound;
+
+  if (connection->server_number == inbound->server_number)
+    mesh_inbound_receive_notices (inbound, headers, sent_us);
+}
+
 static bool
 on_answered (struct net_client *client, const struct net_message *answer)
 {
@@ -216,17 +237,18 @@
   struct platform_response headers;
 
   platform_read_response (&headers, &answer->headers);
-  mesh_inbound_receive_notices (inbound, &headers);
   if (headers.keep_alive_us > 0)
     connection->idle_timeout_us = headers.keep_alive_us;
   if (job == NULL)
     {
+      receive_notices (connection, &headers, inbound->last_probe_us);
       probe_answered (connection, answer->parser.status_code, headers.closes);
       return true;
     }
   if (headers.request_id != NULL && job->request_id[0] != '\0'
       && strcmp (headers.request_id, job->request_id) != 0)
     return false;
+  receive_notices (connection, &headers, job->started_us);
   connection->job = NULL;
   job->connection = NULL;
   inbound->connect_refusals = 0;
@@ -338,6 +360,7 @@
     }
   connection = g_new0 (struct mesh_connection, 1);
   connection->inbound = inbound;
+  connection->server_number = inbound->server_number;
   cds_list_add (&connection->all_node, &inbound->connections);
   inbound->counts.connections++;
   return connection;
@@ -387,12 +410,15 @@
   return inbound->slowness_percent > CP_SLOWNESS_NORMAL_PERCENT;
 }
 
-/* Returns the current interval between probes; 0 for no probes.  */
+/* Returns the interval between probes that the load and state of the server
+   require; 0 for no probes.  */
 static uint64_t
-probe_interval (const struct mesh_inbound *inbound, uint64_t now)
+required_interval (const struct mesh_inbound *inbound, uint64_t now)
 {
   if (inbound->connect_refusals >= MESH_CONNECT_REFUSALS_MAX)
     return PROBE_DOWN_INTERVAL_US;
+  if (inbound->queue.unproved)
+    return PROBE_DOWN_INTERVAL_US;
   if (now - inbound->slowness_read_us < PROBE_INTERVAL_US)
     return 0;
   if (now - inbound->last_job_us <= PROBE_STOP_US)
@@ -400,6 +426,21 @@
   return is_slow (inbound) ? PROBE_SLOW_INTERVAL_US : 0;
 }
 
+/* Returns the current interval between probes; 0 for no probes.  */
+static uint64_t
+probe_interval (const struct mesh_inbound *inbound, uint64_t now)
+{
+  const struct cp_rate_limit *rate = &inbound->queue.rate;
+  uint64_t required_us = required_interval (inbound, now);
+  double allowed_us;
+
+  if (required_us == 0 || !rate->active)
+    return required_us;
+  allowed_us = 1e6 / (PROBE_RATE_SHARE * rate->per_s);
+  return MAX (required_us,
+              (uint64_t)MIN (allowed_us, PROBE_RATE_INTERVAL_MAX_US));
+}
+
 static void
 probe (struct mesh_inbound *inbound, uint64_t now)
 {
--- a/regress/lib/check_job_queue.c
+++ b/regress/lib/check_job_queue.c
@@ -50,14 +50,14 @@
   ck_assert_int_eq (submit (&low, 2, 1, 100000), CP_JOB_QUEUE_WAIT);
   ck_assert_int_eq (submit (&high, 1, 2, 100000), CP_JOB_QUEUE_WAIT);
   ck_assert_int_eq (submit (&higher, 1, 3, 100000), CP_JOB_QUEUE_WAIT);
-  ck_assert_ptr_null (cp_job_queue_start_next (&queue));
+  ck_assert_ptr_null (cp_job_queue_start_next (&queue, 1));
   cp_job_queue_done (&queue);
-  ck_assert_ptr_eq (cp_job_queue_start_next (&queue), &high);
-  ck_assert_ptr_null (cp_job_queue_start_next (&queue));
+  ck_assert_ptr_eq (cp_job_queue_start_next (&queue, 1), &high);
+  ck_assert_ptr_null (cp_job_queue_start_next (&queue, 1));
   cp_job_queue_done (&queue);
-  ck_assert_ptr_eq (cp_job_queue_start_next (&queue), &higher);
+  ck_assert_ptr_eq (cp_job_queue_start_next (&queue, 1), &higher);
   cp_job_queue_done (&queue);
-  ck_assert_ptr_eq (cp_job_queue_start_next (&queue), &low);
+  ck_assert_ptr_eq (cp_job_queue_start_next (&queue, 1), &low);
   ck_assert_uint_eq (queue.running, 8);
   ck_assert_uint_eq (queue.queued, 0);
 }
@@ -94,6 +94,65 @@
 }
 END_TEST
 
+/* Guards against a queue that starts more than the server's rate allows: an
+   entry without a token waits for one, or is refused if it may not wait so
+   long.  */
+START_TEST (entries_wait_for_the_rate_of_the_server)
+{
+  struct cp_job_queue_entry first;
+  struct cp_job_queue_entry second;
+  struct cp_job_queue_entry third;
+
+  cp_job_queue_init (&queue);
+  cp_job_queue_set_capacity (&queue, 10);
+  cp_rate_limit_set (&queue.rate, 20, 1);
+  ck_assert_int_eq (submit (&first, 1, 1, 60000), CP_JOB_QUEUE_WAIT);
+  ck_assert_int_eq (submit (&second, 1, 1, 60000), CP_JOB_QUEUE_REFUSE);
+  ck_assert_int_eq (submit (&second, 1, 1, 101000), CP_JOB_QUEUE_WAIT);
+  ck_assert_ptr_null (cp_job_queue_start_next (&queue, 49000));
+  ck_assert_ptr_eq (cp_job_queue_start_next (&queue, 50002), &first);
+  ck_assert_ptr_null (cp_job_queue_start_next (&queue, 99000));
+  ck_assert_int_eq (submit (&third, 1, 99000, 0), CP_JOB_QUEUE_REFUSE);
+  cp_rate_limit_lift (&queue.rate);
+  ck_assert_ptr_eq (cp_job_queue_start_next (&queue, 99000), &second);
+}
+END_TEST
+
+/* Guards against a server that looks free to other daemons while its rate
+   allows it no request.  */
+START_TEST (a_used_up_rate_is_reported_as_busy)
+{
+  cp_job_queue_init (&queue);
+  cp_job_queue_set_capacity (&queue, 10);
+  ck_assert_uint_eq (cp_job_queue_concurrency (&queue, SERVICE_US), 8);
+  ck_assert_uint_eq (cp_job_queue_busy (&queue, 1, SERVICE_US), 0);
+  cp_rate_limit_set (&queue.rate, 40, 1);
+  ck_assert_uint_eq (cp_job_queue_concurrency (&queue, SERVICE_US), 3);
+  ck_assert_uint_eq (cp_job_queue_busy (&queue, 1, SERVICE_US), 3);
+  ck_assert_uint_eq (cp_job_queue_busy (&queue, 1000001, SERVICE_US), 0);
+  cp_rate_limit_set (&queue.rate, 0, 1000001);
+  ck_assert_uint_eq (cp_job_queue_concurrency (&queue, SERVICE_US), 1);
+  ck_assert_uint_eq (cp_job_queue_busy (&queue, 60000000, SERVICE_US), 1);
+}
+END_TEST
+
+/* Guards against a burst to a server whose rate is not known yet.  */
+START_TEST (a_server_that_has_not_answered_gets_few_entries_at_once)
+{
+  struct cp_job_queue_entry entries[3];
+
+  cp_job_queue_init (&queue);
+  cp_job_queue_set_capacity (&queue, 10);
+  queue.unproved = true;
+  ck_assert_int_eq (submit (&entries[0], 1, 1, 100000), CP_JOB_QUEUE_RUN);
+  ck_assert_int_eq (submit (&entries[1], 1, 1, 100000), CP_JOB_QUEUE_RUN);
+  ck_assert_int_eq (submit (&entries[2], 1, 1, 100000), CP_JOB_QUEUE_WAIT);
+  ck_assert_ptr_null (cp_job_queue_start_next (&queue, 2));
+  queue.unproved = false;
+  ck_assert_ptr_eq (cp_job_queue_start_next (&queue, 2), &entries[2]);
+}
+END_TEST
+
 #define STEP_MS 100
 #define STEPS 600
 #define WINDOW 100 /* steps */
@@ -158,6 +217,10 @@
   tcase_add_test (tests, the_most_urgent_goes_first_then_the_oldest);
   tcase_add_test (tests, a_wait_that_would_be_too_long_is_refused_at_once);
   tcase_add_test (tests, waits_expire_on_time);
+  tcase_add_test (tests, entries_wait_for_the_rate_of_the_server);
+  tcase_add_test (tests, a_used_up_rate_is_reported_as_busy);
+  tcase_add_test (tests,
+                  a_server_that_has_not_answered_gets_few_entries_at_once);
   tcase_add_loop_test (tests, no_window_has_more_repeats_than_the_budget, 1,
                        21);
 }
