Take a server at its word when it says that it leaves

What callers saw: nothing yet; found by looking for the cause of the exceeded limits elsewhere. A server that leaves says so in all its answers, and went on getting requests until its entry in the store said so too. Cause: only the entry marked a server as leaving; its answers were read for the load alone. Change: the inbound side takes the header as it takes the entry; load reports carry it to all domains, and a daemon that knows it does not choose that start of the server again. Why it works: the daemon beside the server bounds the time, and a restart of that daemon leaves the others with what they know.

--- a/lib/report_filter.c
+++ b/lib/report_filter.c
@@ -48,11 +48,13 @@
                               reported->running + reported->queued,
                               (unsigned)(BUSY_CHANGE_SHARE * load->limit))
         || load->limit != reported->limit;
+  bool matters_to_all = full != filter->full || slowness_changed
+                        || load->leaving != reported->leaving;
 
-  if (full == filter->full && !slowness_changed && !changed)
+  if (!matters_to_all && !changed)
     return CP_REPORT_NONE;
   filter->reported = *load;
-  if (full == filter->full && !slowness_changed)
+  if (!matters_to_all)
     return CP_REPORT_OWN_DOMAIN;
   filter->full = full;
   filter->slowness_percent = load->slowness_percent;
--- a/lib/report_filter.h
+++ b/lib/report_filter.h
@@ -4,7 +4,8 @@
    request, and get every change that is large enough to affect the choice.
    Daemons of other domains send a request only when their own domain cannot
    serve it in time.  They get only what rules a server out or in: a change of
-   the machine's slowness, and that its slots are taken or free again.
+   the machine's slowness, that its slots are taken or free again, and that it
+   is leaving.
 
    Performs no I/O; not thread-safe.  */
 #ifndef CP_REPORT_FILTER_H
--- a/lib/server_pick.c
+++ b/lib/server_pick.c
@@ -180,7 +180,7 @@
               const struct cp_server_request *request)
 {
   if (!server->reachable || server->draining || server->leaving
-      || server->replaced || server->superseded)
+      || server->said_leaving || server->replaced || server->superseded)
     return false;
   for (unsigned i = 0; i < request->n_tried; i++)
     if (request->tried[i] == server)
--- a/lib/server_pool.c
+++ b/lib/server_pool.c
@@ -318,5 +318,6 @@
 {
   server->load = *load;
   server->load_us = now_us;
+  server->said_leaving = server->said_leaving || load->leaving;
   server->sent_since = 0;
 }
--- a/lib/server_pool.h
+++ b/lib/server_pool.h
@@ -53,6 +53,7 @@
   unsigned pace_permille; /* moving mean of service times as a share of the
                              requests' objectives, with the machine's slowness
                              factored out; 0 when not known */
+  bool leaving;           /* the server has said that it is about to end */
 };
 
 struct cp_server_pool;
@@ -68,13 +69,16 @@
   uint64_t warm_until_us;
   bool same_domain;
   bool draining;
-  bool replaced;    /* another instance answered at its address */
-  bool superseded;  /* a server with a later start time has its address */
-  bool leaving;     /* the daemon on its VM is shutting down */
-  bool linked;      /* a link to the daemon on its VM is kept */
-  bool reachable;   /* that link is up */
-  bool link_failed; /* it could not be opened again after it broke */
-  uint64_t rank;    /* rendezvous hash weight, for the choice of links */
+  bool replaced;     /* another instance answered at its address */
+  bool superseded;   /* a server with a later start time has its address */
+  bool leaving;      /* the daemon on its VM is shutting down */
+  bool said_leaving; /* it has itself said that it is about to end; the daemon
+                        on its VM may forget that, this incarnation cannot
+                        take it back */
+  bool linked;       /* a link to the daemon on its VM is kept */
+  bool reachable;    /* that link is up */
+  bool link_failed;  /* it could not be opened again after it broke */
+  uint64_t rank;     /* rendezvous hash weight, for the choice of links */
   uint64_t missing_since_us; /* when its entry disappeared without proof that
                                 the server is gone, or 0 */
   struct cp_server_load load;
--- a/meshd/daemon.c
+++ b/meshd/daemon.c
@@ -43,6 +43,7 @@
 {
   const struct cp_service_rule *rule = NULL;
   const struct cp_server *server;
+  bool leaving;
 
   if (daemon->settings.server.length == 0)
     return;
@@ -55,12 +56,14 @@
                            rule == NULL ? NULL : rule->health_path);
   if (daemon->sigterm_us != 0)
     return;
-  if (server != NULL && !server->draining)
-    mesh_inbound_set_drain_deadline (&daemon->inbound, 0);
-  else if (server != NULL && daemon->inbound.drain_deadline_us == 0)
+  leaving
+      = daemon->inbound.server_leaving || (server != NULL && server->draining);
+  if (leaving && daemon->inbound.drain_deadline_us == 0)
     mesh_inbound_set_drain_deadline (&daemon->inbound,
                                      now_us () + daemon->settings.drain_us
                                          - DRAIN_MARGIN_US);
+  else if (!leaving && server != NULL)
+    mesh_inbound_set_drain_deadline (&daemon->inbound, 0);
 }
 
 static void
@@ -403,7 +406,14 @@
   mesh_peers_broadcast (&daemon->peers, message, own_domain_only);
 }
 
-static const struct mesh_inbound_events inbound_events = { on_reply, on_load };
+static void
+on_server_leaving (void *context)
+{
+  mesh_daemon_update_server (context);
+}
+
+static const struct mesh_inbound_events inbound_events
+    = { on_reply, on_load, on_server_leaving };
 
 /* Returns a random nonzero number that identifies this process.  */
 static uint64_t
--- a/meshd/inbound.c
+++ b/meshd/inbound.c
@@ -78,6 +78,7 @@
     .limit = cp_job_queue_concurrency (&inbound->queue, service_us),
     .slowness_percent = inbound->slowness_percent,
     .pace_permille = (unsigned)(inbound->pace * 1000),
+    .leaving = inbound->server_leaving,
   };
 }
 
--- a/meshd/inbound.h
+++ b/meshd/inbound.h
@@ -31,6 +31,9 @@
      of our own failure domain.  */
   void (*load) (void *context, const struct cp_peer_message *message,
                 bool own_domain_only);
+
+  /* The server has said that it is about to end.  */
+  void (*leaving) (void *context);
 };
 
 struct mesh_inbound_counts
@@ -62,6 +65,7 @@
   struct cds_list_head connections;
   unsigned slowness_percent; /* from the server's last load header */
   uint64_t slowness_read_us; /* when it was received */
+  bool server_leaving;       /* the server has said that it is */
   uint64_t rate_named_us;    /* when the server last named a rate limit */
   double service_us;         /* moving average, corrected for slowness */
   double pace;               /* the same as a share of the objective */
--- a/meshd/log.c
+++ b/meshd/log.c
@@ -41,6 +41,7 @@
   [MESH_LOG_PEER] = "peer",
   [MESH_LOG_LOAD] = "load",
   [MESH_LOG_RATE_LIMIT] = "rate_limit",
+  [MESH_LOG_LEAVING] = "leaving",
   [MESH_LOG_SEND] = "send",
   [MESH_LOG_AGAIN] = "again",
   [MESH_LOG_ANSWER] = "answer",
--- a/meshd/notices.c
+++ b/meshd/notices.c
@@ -77,6 +77,19 @@
   log_rate_limit (inbound);
 }
 
+static void
+receive_leaving (struct mesh_inbound *inbound)
+{
+  if (inbound->server_leaving)
+    return;
+  inbound->server_leaving = true;
+  if (mesh_log_allowed (MESH_LOG_LEAVING))
+    mesh_log (MESH_LOG_LEAVING, "\"server\":\"%s\",\"running\":%u",
+              inbound->instance, inbound->queue.running);
+  inbound->events->leaving (inbound->context);
+  mesh_inbound_report_load (inbound);
+}
+
 void
 mesh_inbound_receive_notices (struct mesh_inbound *inbound,
                               const struct platform_response *headers,
@@ -89,6 +102,8 @@
      limit.  */
   else if (sent_us > inbound->rate_named_us)
     lift_rate_limit (inbound);
+  if (headers->leaving)
+    receive_leaving (inbound);
   inbound->queue.unproved = false;
   mesh_inbound_start_queued (inbound);
 }
@@ -97,4 +112,5 @@
 mesh_inbound_forget_notices (struct mesh_inbound *inbound)
 {
   lift_rate_limit (inbound);
+  inbound->server_leaving = false;
 }
--- a/meshd/server.c
+++ b/meshd/server.c
@@ -216,15 +216,16 @@
   connection_release (connection, closes);
 }
 
-/* Takes in what the server says of itself, unless the answer is from an
-   earlier one at the same address.  */
+/* Takes in what the server says of itself, unless the answer is from another
+   one at the same address: an earlier one, or one that denies its instance. */
 static void
 receive_notices (const struct mesh_connection *connection,
-                 const struct platform_response *headers, uint64_t sent_us)
+                 const struct platform_response *headers, uint64_t sent_us,
+                 unsigned status)
 {
   struct mesh_inbound *inbound = connection->inbound;
 
-  if (connection->server_number == inbound->server_number)
+  if (connection->server_number == inbound->server_number && status != 421)
     mesh_inbound_receive_notices (inbound, headers, sent_us);
 }
 
@@ -234,6 +235,7 @@
   struct mesh_connection *connection = client->context;
   struct mesh_inbound *inbound = connection->inbound;
   struct mesh_job *job = connection->job;
+  unsigned status = answer->parser.status_code;
   struct platform_response headers;
 
   platform_read_response (&headers, &answer->headers);
@@ -241,14 +243,14 @@
     connection->idle_timeout_us = headers.keep_alive_us;
   if (job == NULL)
     {
-      receive_notices (connection, &headers, inbound->last_probe_us);
-      probe_answered (connection, answer->parser.status_code, headers.closes);
+      receive_notices (connection, &headers, inbound->last_probe_us, status);
+      probe_answered (connection, status, headers.closes);
       return true;
     }
   if (headers.request_id != NULL && job->request_id[0] != '\0'
       && strcmp (headers.request_id, job->request_id) != 0)
     return false;
-  receive_notices (connection, &headers, job->started_us);
+  receive_notices (connection, &headers, job->started_us, status);
   connection->job = NULL;
   job->connection = NULL;
   inbound->connect_refusals = 0;
--- a/meshd/wire.c
+++ b/meshd/wire.c
@@ -59,7 +59,8 @@
                                .queued = from->queued,
                                .limit = from->limit,
                                .slowness_percent = from->slowness_percent,
-                               .pace_permille = from->pace_permille };
+                               .pace_permille = from->pace_permille,
+                               .leaving = from->leaving };
 }
 
 void
@@ -70,5 +71,6 @@
                                  .queued = from->queued,
                                  .limit = from->limit,
                                  .slowness_percent = from->slowness_percent,
-                                 .pace_permille = from->pace_permille };
+                                 .pace_permille = from->pace_permille,
+                                 .leaving = from->leaving };
 }
--- a/regress/lib/check_report_filter.c
+++ b/regress/lib/check_report_filter.c
@@ -69,6 +69,18 @@
 }
 END_TEST
 
+/* Guards against daemons of other domains that send to a server which has said
+   that it leaves.  */
+START_TEST (a_server_that_leaves_is_reported_to_all)
+{
+  struct cp_server_load load
+      = { .limit = LIMIT, .slowness_percent = 100, .leaving = true };
+
+  ck_assert_int_eq (cp_report_filter_check (&filter, &load), CP_REPORT_ALL);
+  ck_assert_int_eq (cp_report_filter_check (&filter, &load), CP_REPORT_NONE);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
@@ -77,6 +89,7 @@
   tcase_add_test (tests, busy_slots_are_reported_in_the_own_domain);
   tcase_add_test (tests, slowness_is_reported_to_all);
   tcase_add_test (tests, a_full_server_is_reported_once_until_it_has_room);
+  tcase_add_test (tests, a_server_that_leaves_is_reported_to_all);
   tcase_add_test (tests, changes_that_others_did_not_get_add_up);
 }
 
--- a/regress/meshd/check_mesh_limits.c
+++ b/regress/meshd/check_mesh_limits.c
@@ -20,9 +20,10 @@
 
 static unsigned number;
 
-/* Calls alpha through each VM by turns for US, every few milliseconds.  */
+/* Calls alpha through the VMs from FIRST on by turns for US, every few
+   milliseconds.  */
 static void
-call_for (gint64 us)
+call_from (unsigned first, gint64 us)
 {
   gint64 until = g_get_monotonic_time () + us;
 
@@ -30,13 +31,19 @@
     {
       CP_AUTO_FREE char *id = g_strdup_printf ("l%u", ++number);
 
-      stage_call (&stage, &reply, 1 + number % VMS, "GET", "alpha.test",
-                  "/read/1", id, NULL);
+      stage_call (&stage, &reply, first + number % (VMS + 1 - first), "GET",
+                  "alpha.test", "/read/1", id, NULL);
       ck_assert (reply.status == 200 || reply.status == 503);
       g_usleep (5000);
     }
 }
 
+static void
+call_for (gint64 us)
+{
+  call_from (1, us);
+}
+
 static void
 name_limits (const char *notice)
 {
@@ -101,6 +108,51 @@
 }
 END_TEST
 
+/* The servers of the stage may get requests for this long after they have said
+   that they leave: "drain" of the settings.  */
+#define DRAIN_US (2 * G_USEC_PER_SEC)
+
+/* Guards against requests to a server that says in its answers that it leaves,
+   while its entry in the store does not say so yet.  Case 1: after a restart
+   of the daemon beside it, which has forgotten it; those of VMs 2 and 3 have
+   not.  */
+START_TEST (a_server_that_says_it_leaves_gets_no_requests_after_the_drain_time)
+{
+  unsigned before;
+
+  stage_server_say (&stage, 1, "Server-Leaving: 1\r\n");
+  call_for (DRAIN_US);
+  if (_i == 1)
+    {
+      process_signal (&stage.daemons[1], SIGKILL);
+      stage_start_daemon (&stage, 1);
+      stage_wait_ready (&stage, 1);
+    }
+  before = stage_server_runs (&stage, 1);
+  call_from (_i == 1 ? 2 : 1, DRAIN_US);
+  ck_assert_uint_eq (stage_server_runs (&stage, 1), before);
+  ck_assert_uint_gt (stage_server_runs (&stage, 2), 100);
+}
+END_TEST
+
+/* Guards against a new server that is taken for the one that left.  */
+START_TEST (the_server_that_follows_one_that_left_gets_requests)
+{
+  unsigned before;
+
+  stage_server_say (&stage, 1, "Server-Leaving: 1\r\n");
+  call_for (G_USEC_PER_SEC / 2);
+  stage_server_stop (&stage, 1);
+  stage_server_say (&stage, 1, "");
+  stage_server_restart (&stage, 1);
+  stage_enter (&stage, 1, "ready");
+  call_for (G_USEC_PER_SEC);
+  before = stage_server_runs (&stage, 1);
+  call_for (G_USEC_PER_SEC);
+  ck_assert_uint_gt (stage_server_runs (&stage, 1) - before, 20);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
@@ -109,6 +161,11 @@
   tcase_add_test (tests,
                   a_limit_holds_when_the_daemon_beside_the_server_restarts);
   tcase_add_test (tests, a_limit_ends_when_the_server_names_it_no_more);
+  tcase_add_loop_test (
+      tests,
+      a_server_that_says_it_leaves_gets_no_requests_after_the_drain_time, 0,
+      2);
+  tcase_add_test (tests, the_server_that_follows_one_that_left_gets_requests);
 }
 
 int
--- a/regress/meshd/check_mesh_logs.c
+++ b/regress/meshd/check_mesh_logs.c
@@ -80,6 +80,7 @@
   path = g_strdup_printf ("%s/docs/LOGS.md", top == NULL ? "." : top);
   ck_assert (g_file_get_contents (path, &page, NULL, NULL));
   stage_server_say (&stage, 1, "Server-Limit: 50\r\n");
+  stage_server_say (&stage, 3, "Server-Leaving: 1\r\n");
   call ("GET", "/read/1", "a1");
   call ("GET", "/read/1?cut-once", "a2");
   call ("POST", "/write/1?shed", "a3");
--- a/regress/platform/check_platform.c
+++ b/regress/platform/check_platform.c
@@ -279,13 +279,14 @@
   struct platform_response response;
   GString *head = g_string_new (NULL);
 
-  parse_response ("X-Cornelpick-Server-Load: 3, 1,8,400\r\n"
-                  "X-Cornelpick-Response-Signature: s\r\n"
-                  "Keep-Alive: max=5, timeout=7\r\nConnection: Close\r\n"
-                  "Content-Encoding: gzip\r\nX-Cornelpick-Not-Executed: 1\r\n"
-                  "Server-Limit: 24.8\r\nX-Kept: yes\r\n");
+  parse_response (
+      "X-Cornelpick-Server-Load: 3, 1,8,400\r\n"
+      "X-Cornelpick-Response-Signature: s\r\n"
+      "Keep-Alive: max=5, timeout=7\r\nConnection: Close\r\n"
+      "Content-Encoding: gzip\r\nX-Cornelpick-Not-Executed: 1\r\n"
+      "Server-Limit: 24.8\r\nServer-Leaving: 1\r\nX-Kept: yes\r\n");
   platform_read_response (&response, &message.headers);
-  ck_assert (response.has_rate_limit);
+  ck_assert (response.has_rate_limit && response.leaving);
   ck_assert_double_eq (response.requests_per_s, 24.8);
   ck_assert (response.has_load && response.is_signed && response.closes
              && response.encoded && response.not_run);
--- a/rpc/peer.h
+++ b/rpc/peer.h
@@ -69,6 +69,7 @@
 	u_int limit;
 	u_int slowness_percent;
 	u_int pace_permille;
+	bool_t leaving;
 };
 typedef struct cp_peer_load cp_peer_load;
 
--- a/rpc/peer.x
+++ b/rpc/peer.x
@@ -51,7 +51,7 @@
 	cp_peer_name domain;
 };
 
-/* Load report of an inbound side on its server; see struct cp_server_load. */
+/* Report of an inbound side on its server; see struct cp_server_load. */
 struct cp_peer_load {
 	cp_peer_name instance;
 	unsigned int running;
@@ -59,6 +59,7 @@
 	unsigned int limit;
 	unsigned int slowness_percent;
 	unsigned int pace_permille;
+	bool leaving;
 };
 
 /*
--- a/rpc/peer_xdr.c
+++ b/rpc/peer_xdr.c
@@ -82,7 +82,7 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_cp_peer_name (xdrs, &objp->instance))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->running))
 				 return FALSE;
@@ -94,18 +94,21 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->pace_permille))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->leaving))
+				 return FALSE;
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->running);
 			IXDR_PUT_U_LONG(buf, objp->queued);
 			IXDR_PUT_U_LONG(buf, objp->limit);
 			IXDR_PUT_U_LONG(buf, objp->slowness_percent);
 			IXDR_PUT_U_LONG(buf, objp->pace_permille);
+			IXDR_PUT_BOOL(buf, objp->leaving);
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_cp_peer_name (xdrs, &objp->instance))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->running))
 				 return FALSE;
@@ -117,12 +120,15 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->pace_permille))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->leaving))
+				 return FALSE;
 		} else {
 			objp->running = IXDR_GET_U_LONG(buf);
 			objp->queued = IXDR_GET_U_LONG(buf);
 			objp->limit = IXDR_GET_U_LONG(buf);
 			objp->slowness_percent = IXDR_GET_U_LONG(buf);
 			objp->pace_permille = IXDR_GET_U_LONG(buf);
+			objp->leaving = IXDR_GET_BOOL(buf);
 		}
 	 return TRUE;
 	}
@@ -139,6 +145,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->pace_permille))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->leaving))
+		 return FALSE;
 	return TRUE;
 }
 
