Log the requests that ran when a server ended

Change: the outbound side sends a digest of the content along (lib/request_digest.c); the inbound side notices the end of its server, with a health check on a new connection after each request that is cut off, and writes a line "server_ended" for each request. No decision uses it yet.

--- a/meshd/call.c
+++ b/meshd/call.c
@@ -225,6 +225,7 @@
   uint64_t now = now_us ();
 
   request->stream = attempt->stream;
+  request->digest = call->digest;
   request->request_id = (char *)call->request_id;
   request->instance = attempt->server->instance;
   request->left = call->deadline_us <= now
--- a/meshd/inbound.c
+++ b/meshd/inbound.c
@@ -288,6 +288,7 @@
   job->local = link == NULL;
   job->key.source = link == NULL ? inbound->incarnation : link->incarnation;
   job->key.stream = request->stream;
+  job->digest = request->digest;
   job->request_id = g_strdup (request->request_id);
   job->instance = g_strdup (request->instance);
   job->head = g_strdup (request->head);
@@ -518,6 +519,7 @@
 
   check_jobs (inbound, now);
   mesh_server_tick (inbound, now);
+  mesh_server_check_end (inbound, now);
   mesh_inbound_report_load (inbound);
 }
 
@@ -537,6 +539,7 @@
   CDS_INIT_LIST_HEAD (&inbound->idle);
   CDS_INIT_LIST_HEAD (&inbound->connections);
   inbound->by_stream = g_hash_table_new (key_hash, key_equal);
+  inbound->cut_jobs = g_array_new (FALSE, FALSE, sizeof (struct mesh_cut_job));
   cp_job_queue_init (&inbound->queue);
   inbound->queue.unproved = true;
   cp_report_filter_init (&inbound->report_filter);
@@ -630,4 +633,5 @@
   end_jobs (inbound);
   mesh_server_close_all (inbound);
   g_hash_table_unref (inbound->by_stream);
+  g_array_unref (inbound->cut_jobs);
 }
--- a/meshd/inbound_internal.h
+++ b/meshd/inbound_internal.h
@@ -35,6 +35,7 @@
   bool resent;   /* already retried after a connection that took no byte */
   enum mesh_job_state state;
   struct cp_job_queue_entry entry;
+  uint64_t digest; /* of the request's content */
   char *request_id;
   char *instance;
   char *head;
@@ -48,6 +49,16 @@
   GByteArray *kept_message; /* encoded result, to be sent on a resume */
 };
 
+/* A request whose connection closed while the server ran it.  */
+struct mesh_cut_job
+{
+  uint64_t digest;
+  uint64_t cut_us;
+  uint64_t server_end; /* names the end of this start of the server, the same
+                          whenever it is computed */
+  char request_id[128];
+};
+
 void mesh_job_refuse (struct mesh_job *job, enum mesh_reason reason,
                       bool reached);
 void mesh_job_fail (struct mesh_job *job, enum mesh_reason reason);
@@ -75,6 +86,20 @@
    REASON.  */
 void mesh_server_abort (struct mesh_job *job, enum mesh_reason reason);
 
+/* Probes the server on a new connection at once, since it may have ended.  */
+void mesh_server_probe_end (struct mesh_inbound *inbound);
+
+/* server_end.c: the connection of JOB closed while the server ran it; a new
+   connection was refused; the server answered a health check that was sent at
+   SENT_US.  */
+void mesh_server_record_cut (struct mesh_inbound *inbound,
+                             const struct mesh_job *job);
+void mesh_server_record_refused_connection (struct mesh_inbound *inbound);
+void mesh_server_record_alive (struct mesh_inbound *inbound, uint64_t sent_us);
+
+/* Reports the requests at which the server has ended, if it has.  */
+void mesh_server_check_end (struct mesh_inbound *inbound, uint64_t now_us);
+
 /* Closes expired idle connections, and probes the server if a probe is
    due.  */
 void mesh_server_tick (struct mesh_inbound *inbound, uint64_t now_us);
--- a/meshd/outbound.c
+++ b/meshd/outbound.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "lib/counter.h"
+#include "lib/request_digest.h"
 #include "meshd/log.h"
 #include "meshd/outbound_internal.h"
 #include "platform/headers.h"
@@ -43,6 +44,22 @@
   g_string_free (head, TRUE);
 }
 
+static uint64_t
+digest_request (const struct mesh_outbound *outbound,
+                const struct net_message *request)
+{
+  struct cp_request_content content = {
+    .method = http_method_str ((enum http_method)request->parser.method),
+    .host = net_headers_find (&request->headers, "Host"),
+    .target = request->target->str,
+    .caller = outbound->settings.service,
+    .body = request->body->data,
+    .body_bytes = request->body->len,
+  };
+
+  return cp_request_digest (&content);
+}
+
 static struct mesh_call *
 call_create (struct mesh_outbound *outbound, struct net_exchange *exchange,
              struct cp_route_table_entry *route)
@@ -64,6 +81,7 @@
   call->route = route;
   call->service = cp_route_table_pick_service (route);
   call->request_id = headers.request_id == NULL ? "" : headers.request_id;
+  call->digest = digest_request (outbound, &exchange->request);
   call->began_us = now - MIN (now, reading_us);
   call->deadline_us = call->began_us + remaining_us;
   call->head = g_string_sized_new (512);
--- a/meshd/outbound_internal.h
+++ b/meshd/outbound_internal.h
@@ -50,6 +50,7 @@
   struct cp_route_table_entry *route;
   const char *service;
   const char *request_id; /* owned by the exchange; "" for none */
+  uint64_t digest;        /* of the request's content */
   GString *head;
   uint64_t began_us;
   uint64_t deadline_us;
--- a/meshd/server.c
+++ b/meshd/server.c
@@ -38,6 +38,11 @@
 #define PROBE_RATE_SHARE 0.25
 #define PROBE_RATE_INTERVAL_MAX_US 2e6
 
+/* Minimum time between a probe and one that is to show whether the server has
+   ended.  All requests at a server that ends are cut off within a fraction of
+   it.  */
+#define PROBE_END_INTERVAL_US UINT64_C (10000)
+
 #define PROBE_TIMEOUT_US UINT64_C (1000000)
 
 #define SERVICE_WEIGHT 0.1 /* weight of one answer in the moving averages */
@@ -212,7 +217,10 @@
 
   inbound->probe = NULL;
   if (status == 200)
-    inbound->connect_refusals = 0;
+    {
+      inbound->connect_refusals = 0;
+      mesh_server_record_alive (inbound, inbound->last_probe_us);
+    }
   connection_release (connection, closes);
 }
 
@@ -271,6 +279,7 @@
     {
     case NET_FAILED_CONNECT:
       inbound->connect_refusals++;
+      mesh_server_record_refused_connection (inbound);
       mesh_job_refuse (job, MESH_REASON_NO_SERVER, false);
       break;
     case NET_FAILED_UNSENT:
@@ -283,6 +292,7 @@
       mesh_job_refuse (job, MESH_REASON_NO_SERVER, false);
       break;
     case NET_FAILED_CUT:
+      mesh_server_record_cut (inbound, job);
       mesh_job_fail (job, MESH_REASON_CUT);
       break;
     case NET_FAILED_GARBLED:
@@ -290,6 +300,7 @@
       mesh_job_fail (job, MESH_REASON_GARBLED);
       break;
     default:
+      mesh_server_record_cut (inbound, job);
       mesh_job_fail (job, MESH_REASON_CLOSED);
     }
   mesh_inbound_release_slot (inbound);
@@ -303,7 +314,10 @@
   struct mesh_job *job = connection->job;
 
   if (is_probe (connection) && failure == NET_FAILED_CONNECT)
-    inbound->connect_refusals++;
+    {
+      inbound->connect_refusals++;
+      mesh_server_record_refused_connection (inbound);
+    }
   connection->job = NULL;
   connection_close (connection);
   if (job != NULL)
@@ -443,14 +457,28 @@
               (uint64_t)MIN (allowed_us, PROBE_RATE_INTERVAL_MAX_US));
 }
 
+/* Sends a probe.  FORCE_NEW sends it on a new connection.  */
+static void
+send_probe (struct mesh_inbound *inbound, bool force_new)
+{
+  inbound->last_probe_us = now_us ();
+  inbound->probe = get_connection (inbound, force_new);
+  start_request (inbound->probe);
+}
+
+static bool
+can_be_probed (const struct mesh_inbound *inbound)
+{
+  return inbound->server.length != 0 && inbound->health_path[0] != '\0';
+}
+
 static void
 probe (struct mesh_inbound *inbound, uint64_t now)
 {
-  struct mesh_connection *connection;
   uint64_t pause_us = probe_interval (inbound, now);
 
-  if (inbound->server.length == 0 || inbound->health_path[0] == '\0'
-      || pause_us == 0 || now - inbound->last_probe_us < pause_us)
+  if (!can_be_probed (inbound) || pause_us == 0
+      || now - inbound->last_probe_us < pause_us)
     return;
   if (inbound->probe != NULL)
     {
@@ -458,10 +486,18 @@
         return;
       connection_close (inbound->probe);
     }
-  inbound->last_probe_us = now;
-  connection = get_connection (inbound, false);
-  inbound->probe = connection;
-  start_request (connection);
+  send_probe (inbound, false);
+}
+
+void
+mesh_server_probe_end (struct mesh_inbound *inbound)
+{
+  if (!can_be_probed (inbound)
+      || now_us () - inbound->last_probe_us < PROBE_END_INTERVAL_US)
+    return;
+  if (inbound->probe != NULL)
+    connection_close (inbound->probe);
+  send_probe (inbound, true);
 }
 
 void
--- a/regress/harness/stage.h
+++ b/regress/harness/stage.h
@@ -19,6 +19,7 @@
      ?garble       sends bytes that are no answer
      ?unsigned     leaves the signature out
      ?hang         never answers
+     ?crash        ends the server after 20 ms
      ?flood-head   sends a head without end
      ?flood-body   sends a body without end  */
 #ifndef STAGE_H
@@ -128,6 +129,9 @@
 /* VM's server answers no health check any more.  */
 void stage_server_mute_health (struct stage *stage, unsigned vm);
 
+/* Returns how often VM's server ended at a request that asked for it.  */
+unsigned stage_server_crashes (struct stage *stage, unsigned vm);
+
 /* Stops VM's server from listening, or starts it under a new instance.  */
 void stage_server_stop (struct stage *stage, unsigned vm);
 void stage_server_restart (struct stage *stage, unsigned vm);
--- a/regress/harness/stage_control.c
+++ b/regress/harness/stage_control.c
@@ -96,6 +96,17 @@
   return count;
 }
 
+unsigned
+stage_server_crashes (struct stage *stage, unsigned vm)
+{
+  unsigned count;
+
+  pthread_mutex_lock (&stage->lock);
+  count = stage->servers[vm]->crashes;
+  pthread_mutex_unlock (&stage->lock);
+  return count;
+}
+
 unsigned
 stage_server_left (struct stage *stage, unsigned vm)
 {
--- a/regress/harness/stage_internal.h
+++ b/regress/harness/stage_internal.h
@@ -38,6 +38,7 @@
   unsigned running;
   unsigned runs;
   unsigned left;
+  unsigned crashes;
   unsigned misdirected; /* requests for another instance */
   GString *headers;     /* of the last request, "Name: value\n" */
 };
--- a/regress/harness/stage_server.c
+++ b/regress/harness/stage_server.c
@@ -15,6 +15,9 @@
 #define FLOOD_BYTES (1U << 20)
 #define FLOOD_MS 2
 
+/* Time from the begin of a request that ends the server to its end.  */
+#define CRASH_MS 20
+
 /* One connection to the server.  */
 struct guest
 {
@@ -288,6 +291,21 @@
   return true;
 }
 
+static void server_close (struct stage_server *server);
+
+static void
+on_crash (uv_timer_t *timer)
+{
+  struct guest *guest = timer->data;
+  struct stage_server *server = guest->server;
+
+  pthread_mutex_lock (&server->stage->lock);
+  server->crashes++;
+  server->wanted = false;
+  pthread_mutex_unlock (&server->stage->lock);
+  server_close (server);
+}
+
 static void
 work (struct guest *guest)
 {
@@ -303,6 +321,11 @@
   guest->server->running++;
   if (badly && asks (guest, "hang"))
     return;
+  if (badly && asks (guest, "crash"))
+    {
+      uv_timer_start (&guest->timer, on_crash, CRASH_MS, 0);
+      return;
+    }
   if (badly && asks (guest, "flood"))
     {
       begin_flood (guest);
--- a/regress/meshd/check_mesh_logs.c
+++ b/regress/meshd/check_mesh_logs.c
@@ -72,6 +72,9 @@
 
 START_TEST (every_line_is_as_documented)
 {
+  static const char *const kinds[]
+      = { "\"rate_limit\"", "\"leaving\"", "\"server_ended\"" };
+  bool written[G_N_ELEMENTS (kinds)] = { false };
   const char *top = getenv ("TOP");
   CP_AUTO_FREE char *path = NULL;
   CP_AUTO_FREE char *page = NULL;
@@ -86,6 +89,7 @@
   call ("POST", "/write/1?shed", "a3");
   call ("POST", "/short/1?hang", "a4");
   call ("GET", "/nowhere/1", "a\"5\\");
+  call ("POST", "/write/1?crash", "a6");
   stage_put (&stage, "servers/forged\"\\", "no entry");
   stage_write_settings (&stage, 3, ",\"zone\":7");
   kill (stage.daemons[3].pid, SIGHUP);
@@ -99,10 +103,14 @@
       for (unsigned i = 0; split[i] != NULL && split[i][0] != '\0'; i++)
         {
           check_line (page, split[i]);
+          for (unsigned k = 0; k < G_N_ELEMENTS (kinds); k++)
+            written[k] = written[k] || strstr (split[i], kinds[k]) != NULL;
           lines++;
         }
     }
   ck_assert_uint_gt (lines, 20);
+  for (unsigned k = 0; k < G_N_ELEMENTS (kinds); k++)
+    ck_assert_msg (written[k], "no line of kind %s", kinds[k]);
 }
 END_TEST
 
--- a/rpc/peer.x
+++ b/rpc/peer.x
@@ -63,7 +63,7 @@
 };
 
 /*
- * One attempt.  stream is unique during the life of the sender's process.  left
+ * One attempt.  digest: see lib/request_digest.h.  stream is unique during the life of the sender's process.  left
  * is the time left until the deadline, objective the latency objective.  head
  * holds the request line and the headers, without the empty line and without
  * the headers that the inbound side adds.  A hedge is not queued, since another
@@ -71,6 +71,7 @@
  */
 struct cp_peer_request {
 	unsigned hyper stream;
+	unsigned hyper digest;
 	cp_peer_name request_id;
 	cp_peer_name instance;
 	unsigned int left;
--- a/rpc/peer_xdr.c
+++ b/rpc/peer_xdr.c
@@ -159,6 +159,8 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->stream))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->digest))
+			 return FALSE;
 		 if (!xdr_cp_peer_name (xdrs, &objp->request_id))
 			 return FALSE;
 		 if (!xdr_cp_peer_name (xdrs, &objp->instance))
@@ -191,6 +193,8 @@
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->stream))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->digest))
+			 return FALSE;
 		 if (!xdr_cp_peer_name (xdrs, &objp->request_id))
 			 return FALSE;
 		 if (!xdr_cp_peer_name (xdrs, &objp->instance))
@@ -224,6 +228,8 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->stream))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->digest))
+		 return FALSE;
 	 if (!xdr_cp_peer_name (xdrs, &objp->request_id))
 		 return FALSE;
 	 if (!xdr_cp_peer_name (xdrs, &objp->instance))
