Hold back requests that end the servers that run them

What callers saw: servers of a service ended one after the other, and most of its calls were refused or failed: 15 and 17 servers ended under two requests that came again and again. Cause: each copy of a request was new to the daemon that took it; nothing was remembered of its content, at no daemon. Change: when a server ends, its daemon suspects the requests that ran there, by digest; all daemons share the table (lib/suspects.c, meshd/suspects.c); a server runs one suspect at a time, so that its next end tells which it was; after three ends, one of them as the only suspect, a request is refused unsent for ten minutes; one that a server answers is cleared. Why it works: ends are named by the server that ended, so each counts once at all daemons together, and a daemon that starts gets the table with its first link.

--- a/meshd/attempt.c
+++ b/meshd/attempt.c
@@ -37,7 +37,8 @@
   call->may_have_run = call->may_have_run || may_have_run;
   if (call->n_open > 0)
     return;
-  if (reached && !mesh_call_take_repeat (call))
+  if (reason == MESH_REASON_HELD_BACK
+      || (reached && !mesh_call_take_repeat (call)))
     {
       mesh_call_give_up (call);
       return;
--- a/meshd/call.c
+++ b/meshd/call.c
@@ -180,6 +180,7 @@
   double share = RETRY_AFTER_MIN_SHARE
                  + (RETRY_AFTER_MAX_SHARE - RETRY_AFTER_MIN_SHARE)
                        * cp_random_unit (outbound->random);
+  uint64_t held_back_us;
 
   if (call->failure.status != 0)
     {
@@ -194,8 +195,12 @@
       return;
     }
   outbound->counts.refused++;
-  call_end_with_status (call, 503,
-                        (uint64_t)(share * (double)call->route->objective_us));
+  held_back_us = mesh_suspects_held_back_us (outbound->suspects, call->digest);
+  call_end_with_status (
+      call, 503,
+      held_back_us > 0
+          ? held_back_us
+          : (uint64_t)(share * (double)call->route->objective_us));
 }
 
 /* Ends CALL with 504: the route's timeout or the caller's deadline has
@@ -340,6 +345,8 @@
   uint64_t needs_us
       = (uint64_t)(RETRY_TIME_SHARE * (double)call->route->objective_us);
 
+  if (mesh_suspects_hold_back (outbound->suspects, call->digest))
+    return false;
   if (call->may_have_run && call->route->idempotency != CP_IDEMPOTENT)
     return false;
   if (call->n_sent >= call->route->attempts
@@ -483,6 +490,12 @@
       call_end_with_status (call, 504, 0);
       return;
     }
+  if (mesh_suspects_hold_back (call->outbound->suspects, call->digest))
+    {
+      call->reason = MESH_REASON_HELD_BACK;
+      mesh_call_give_up (call);
+      return;
+    }
   if (route->idempotency == CP_IDEMPOTENT && route->attempts > 1)
     call->next_check_us
         = call->began_us
--- a/meshd/daemon.c
+++ b/meshd/daemon.c
@@ -270,6 +270,7 @@
 
   log_peer (peer, "up", "");
   for_each_server_of (daemon, peer, mark_reachable);
+  mesh_suspects_introduce (&daemon->suspects, peer->link);
   mesh_outbound_peer_up (&daemon->outbound, peer, peer->restarted);
 }
 
@@ -298,7 +299,10 @@
 static void
 on_incoming_up (void *context, struct mesh_link *link)
 {
-  send_load (context, link);
+  struct mesh_daemon *daemon = context;
+
+  send_load (daemon, link);
+  mesh_suspects_introduce (&daemon->suspects, link);
 }
 
 static void
@@ -337,6 +341,10 @@
       mesh_exchange_apply_items (&daemon->exchange,
                                  &message->cp_peer_message_u.items);
       break;
+    case CP_PEER_SUSPECTS:
+      mesh_suspects_receive (&daemon->suspects, link,
+                             &message->cp_peer_message_u.suspects);
+      break;
     case CP_PEER_LEAVING:
       if (link->peer != NULL)
         for_each_server_of (daemon, link->peer, mark_leaving);
@@ -449,8 +457,9 @@
   daemon->links_timer.data = daemon;
   cp_server_pool_init (&daemon->pool, settings->domain,
                        settings->peer_listen.text, &pool_events, daemon);
+  mesh_suspects_init (&daemon->suspects, &daemon->peers);
   mesh_inbound_init (&daemon->inbound, &daemon->loop, &settings->server,
-                     incarnation, &inbound_events, daemon);
+                     incarnation, &daemon->suspects, &inbound_events, daemon);
   code
       = mesh_peers_init (&daemon->peers, &daemon->loop, &settings->peer_listen,
                          incarnation, settings->domain, &peers_events, daemon);
@@ -460,8 +469,8 @@
       &daemon->outbound, &daemon->loop, &settings->call_listen,
       &(struct mesh_outbound_settings){ .repeat_window_us
                                         = settings->repeat_window_us },
-      &daemon->pool, &daemon->peers, &daemon->random.random, &outbound_events,
-      daemon);
+      &daemon->pool, &daemon->peers, &daemon->suspects, &daemon->random.random,
+      &outbound_events, daemon);
   if (code != 0)
     return mesh_listen_error (error, &settings->call_listen, code);
   mesh_daemon_apply_settings (daemon);
@@ -514,6 +523,7 @@
 mesh_daemon_finish (struct mesh_daemon *daemon)
 {
   mesh_exchange_finish (&daemon->exchange);
+  mesh_suspects_finish (&daemon->suspects);
   uv_loop_close (&daemon->loop);
   cp_seeded_random_finish (&daemon->random);
 }
--- a/meshd/daemon.h
+++ b/meshd/daemon.h
@@ -24,6 +24,7 @@
   struct mesh_exchange exchange;
   struct cp_server_pool pool;
   struct mesh_peers peers;
+  struct mesh_suspects suspects;
   struct mesh_inbound inbound;
   struct mesh_outbound outbound;
   struct net_server ready;
--- a/meshd/inbound.c
+++ b/meshd/inbound.c
@@ -321,6 +321,22 @@
          && now - inbound->ended_instance_us < ENDED_INSTANCE_KEEP_US;
 }
 
+/* Returns whether the server runs, or will run, a suspect other than JOB.  */
+static bool
+runs_other_suspect (const struct mesh_inbound *inbound,
+                    const struct mesh_job *job)
+{
+  const struct mesh_job *other;
+
+  cds_list_for_each_entry (other, &inbound->jobs, node)
+  {
+    if (other != job && other->state != MESH_JOB_ENDED
+        && mesh_suspects_contain (inbound->suspects, other->digest))
+      return true;
+  }
+  return false;
+}
+
 void
 mesh_inbound_offer (struct mesh_inbound *inbound, struct mesh_link *link,
                     const struct cp_peer_request *request)
@@ -337,6 +353,11 @@
     mesh_job_refuse (job, MESH_REASON_NO_SERVER, false);
   else if (is_for_ended_instance (inbound, request, now))
     mesh_job_refuse (job, MESH_REASON_OTHER_INSTANCE, false);
+  else if (mesh_suspects_hold_back (inbound->suspects, job->digest))
+    mesh_job_refuse (job, MESH_REASON_HELD_BACK, false);
+  else if (mesh_suspects_contain (inbound->suspects, job->digest)
+           && runs_other_suspect (inbound, job))
+    mesh_job_refuse (job, MESH_REASON_SUSPECT, false);
   else
     switch (cp_job_queue_submit (&inbound->queue, &job->entry, now,
                                  current_service_us (inbound)))
@@ -526,6 +547,7 @@
 void
 mesh_inbound_init (struct mesh_inbound *inbound, uv_loop_t *loop,
                    const struct cp_address *server, uint64_t incarnation,
+                   struct mesh_suspects *suspects,
                    const struct mesh_inbound_events *events, void *context)
 {
   *inbound
@@ -533,6 +555,7 @@
                                .server = *server,
                                .slowness_percent = CP_SLOWNESS_NORMAL_PERCENT,
                                .incarnation = incarnation,
+                               .suspects = suspects,
                                .events = events,
                                .context = context };
   CDS_INIT_LIST_HEAD (&inbound->jobs);
--- a/meshd/inbound.h
+++ b/meshd/inbound.h
@@ -18,6 +18,7 @@
 #include "lib/report_filter.h"
 #include "lib/server_pool.h"
 #include "meshd/peers.h"
+#include "meshd/suspects.h"
 #include "net/client.h"
 
 struct mesh_connection;
@@ -83,6 +84,7 @@
   uv_timer_t tick;
   uv_timer_t queue_timer;
   uint64_t incarnation; /* of this daemon */
+  struct mesh_suspects *suspects;
   const struct mesh_inbound_events *events;
   void *context;
   struct mesh_inbound_counts counts;
@@ -90,6 +92,7 @@
 
 void mesh_inbound_init (struct mesh_inbound *inbound, uv_loop_t *loop,
                         const struct cp_address *server, uint64_t incarnation,
+                        struct mesh_suspects *suspects,
                         const struct mesh_inbound_events *events,
                         void *context);
 void mesh_inbound_stop (struct mesh_inbound *inbound);
--- a/meshd/outbound.c
+++ b/meshd/outbound.c
@@ -157,6 +157,7 @@
                     const struct cp_address *address,
                     const struct mesh_outbound_settings *settings,
                     struct cp_server_pool *pool, struct mesh_peers *peers,
+                    const struct mesh_suspects *suspects,
                     const struct cp_random *random,
                     const struct mesh_outbound_events *events, void *context)
 {
@@ -164,6 +165,7 @@
                                       .settings = *settings,
                                       .pool = pool,
                                       .peers = peers,
+                                      .suspects = suspects,
                                       .random = random,
                                       .events = events,
                                       .context = context };
--- a/meshd/outbound.h
+++ b/meshd/outbound.h
@@ -16,6 +16,7 @@
 #include "lib/route_table.h"
 #include "lib/server_pool.h"
 #include "meshd/peers.h"
+#include "meshd/suspects.h"
 #include "net/server.h"
 
 struct mesh_outbound_events
@@ -57,6 +58,7 @@
   struct cp_route_table *table; /* NULL before the first configuration */
   struct cp_server_pool *pool;
   struct mesh_peers *peers;
+  const struct mesh_suspects *suspects;
   const struct cp_random *random;
   GHashTable *attempts; /* by stream */
   GHashTable *budgets;  /* service to struct cp_repeat */
@@ -72,6 +74,7 @@
                         const struct cp_address *address,
                         const struct mesh_outbound_settings *settings,
                         struct cp_server_pool *pool, struct mesh_peers *peers,
+                        const struct mesh_suspects *suspects,
                         const struct cp_random *random,
                         const struct mesh_outbound_events *events,
                         void *context);
--- a/meshd/peers.c
+++ b/meshd/peers.c
@@ -40,9 +40,9 @@
 #define STALL_US UINT64_C (700000)
 
 const char *const mesh_message_names[MESH_MESSAGE_KINDS]
-    = { "none",    "hello",   "request", "cancel", "answer",
-        "refusal", "failure", "load",    "ping",   "pong",
-        "leaving", "pull",    "items",   "resume", "view" };
+    = { "none",    "hello",  "request", "cancel",  "answer",  "refusal",
+        "failure", "load",   "ping",    "pong",    "leaving", "pull",
+        "items",   "resume", "view",    "suspects" };
 
 static uint64_t
 now_us (void)
@@ -484,6 +484,29 @@
       mesh_link_send (link, message);
 }
 
+void
+mesh_peers_for_each_link (struct mesh_peers *peers,
+                          void (*visit) (void *context,
+                                         struct mesh_link *link),
+                          void *context)
+{
+  struct mesh_link *link;
+  struct mesh_link *next;
+  struct mesh_peer *peer;
+  struct mesh_peer *next_peer;
+
+  cds_list_for_each_entry_safe (peer, next_peer, &peers->outgoing, node)
+  {
+    if (peer->up)
+      visit (context, peer->link);
+  }
+  cds_list_for_each_entry_safe (link, next, &peers->incoming, node)
+  {
+    if (link->incarnation != 0 && !link->same_domain)
+      visit (context, link);
+  }
+}
+
 void
 mesh_peers_announce_leaving (struct mesh_peers *peers)
 {
--- a/meshd/peers.h
+++ b/meshd/peers.h
@@ -22,7 +22,7 @@
 struct mesh_peer;
 
 /* Number of kinds of messages, counting the unused kind 0.  */
-#define MESH_MESSAGE_KINDS (CP_PEER_VIEW + 1)
+#define MESH_MESSAGE_KINDS (CP_PEER_SUSPECTS + 1)
 
 /* Bytes and messages sent, by kind of message and by whether the receiver is
    in our own failure domain.  */
@@ -130,6 +130,14 @@
                            const struct cp_peer_message *message,
                            bool own_domain_only);
 
+/* Calls VISIT for a link to each daemon that is connected: all outgoing links,
+   and the incoming ones of other failure domains, since daemons of a domain
+   have links to each other both ways.  */
+void mesh_peers_for_each_link (struct mesh_peers *peers,
+                               void (*visit) (void *context,
+                                              struct mesh_link *link),
+                               void *context);
+
 /* Announces over all incoming links that this daemon is leaving.  */
 void mesh_peers_announce_leaving (struct mesh_peers *peers);
 
--- a/meshd/server.c
+++ b/meshd/server.c
@@ -206,7 +206,11 @@
   else if (status >= 200 && status < 300 && !headers->is_signed)
     mesh_job_fail (job, MESH_REASON_UNSIGNED);
   else
-    mesh_job_answer (job, answer);
+    {
+      if (status < 500)
+        mesh_suspects_clear (job->inbound->suspects, job->digest);
+      mesh_job_answer (job, answer);
+    }
 }
 
 static void
--- a/meshd/server_end.c
+++ b/meshd/server_end.c
@@ -74,6 +74,33 @@
               inbound->cut_jobs->len);
 }
 
+/* Blames the requests that ran at the end of one start of the server, the
+   first of CUTS, and removes them from CUTS.  */
+static void
+blame_first_end (struct mesh_inbound *inbound, GArray *cuts)
+{
+  g_autoptr (GArray) digests = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  uint64_t server_end
+      = g_array_index (cuts, struct mesh_cut_job, 0).server_end;
+
+  for (guint i = 0; i < cuts->len;)
+    {
+      const struct mesh_cut_job *cut
+          = &g_array_index (cuts, struct mesh_cut_job, i);
+
+      if (cut->server_end != server_end)
+        {
+          i++;
+          continue;
+        }
+      log_end (inbound, cut);
+      g_array_append_val (digests, cut->digest);
+      g_array_remove_index (cuts, i);
+    }
+  mesh_suspects_blame (inbound->suspects, (const uint64_t *)digests->data,
+                       digests->len, server_end);
+}
+
 void
 mesh_server_check_end (struct mesh_inbound *inbound, uint64_t now)
 {
@@ -83,9 +110,8 @@
     return;
   if (now - inbound->connect_refused_us < END_PROOF_US)
     {
-      for (guint i = 0; i < cuts->len; i++)
-        log_end (inbound, &g_array_index (cuts, struct mesh_cut_job, i));
-      g_array_set_size (cuts, 0);
+      while (cuts->len > 0)
+        blame_first_end (inbound, cuts);
       return;
     }
   while (cuts->len > 0
--- a/meshd/wire.c
+++ b/meshd/wire.c
@@ -8,7 +8,7 @@
   "none",        "full",           "waited",    "leaving",         "no-server",
   "server-full", "other-instance", "cancelled", "unknown-attempt", "cut",
   "garbled",     "unsigned",       "closed",    "timeout",         "link-lost",
-  "restarted",   "hedged"
+  "restarted",   "hedged",         "suspect",   "held-back"
 };
 
 GByteArray *
--- a/meshd/wire.h
+++ b/meshd/wire.h
@@ -27,7 +27,10 @@
   MESH_REASON_TIMEOUT,
   MESH_REASON_LINK_LOST, /* the link to the peer broke */
   MESH_REASON_RESTARTED, /* the peer is another process now */
-  MESH_REASON_HEDGED, /* no failure: a second attempt was sent in parallel */
+  MESH_REASON_HEDGED,  /* no failure: a second attempt was sent in parallel */
+  MESH_REASON_SUSPECT, /* another request that may have ended servers runs
+                          there */
+  MESH_REASON_HELD_BACK, /* such requests have ended servers */
   MESH_REASON_COUNT
 };
 
--- a/regress/meshd/check_mesh_logs.c
+++ b/regress/meshd/check_mesh_logs.c
@@ -73,7 +73,7 @@
 START_TEST (every_line_is_as_documented)
 {
   static const char *const kinds[]
-      = { "\"rate_limit\"", "\"leaving\"", "\"server_ended\"" };
+      = { "\"rate_limit\"", "\"leaving\"", "\"server_ended\"", "\"suspect\"" };
   bool written[G_N_ELEMENTS (kinds)] = { false };
   const char *top = getenv ("TOP");
   CP_AUTO_FREE char *path = NULL;
@@ -90,9 +90,12 @@
   call ("POST", "/short/1?hang", "a4");
   call ("GET", "/nowhere/1", "a\"5\\");
   call ("POST", "/write/1?crash", "a6");
+  stage_call (&stage, &reply, 2, "GET", "beta.test", "/read/1", "a7", NULL);
   stage_put (&stage, "servers/forged\"\\", "no entry");
   stage_write_settings (&stage, 3, ",\"zone\":7");
   kill (stage.daemons[3].pid, SIGHUP);
+  /* The daemon beside the ended server writes its lines first.  */
+  g_usleep (500000);
   process_signal (&stage.daemons[1], SIGKILL);
   g_usleep (800000);
   for (unsigned vm = 1; vm <= VMS; vm++)
--- a/rpc/peer.h
+++ b/rpc/peer.h
@@ -20,6 +20,8 @@
 #define CP_PEER_BODY_MAX 67108864
 #define CP_PEER_VALUE_MAX 1048576
 #define CP_PEER_ITEMS_MAX 4096
+#define CP_PEER_SUSPECTS_MAX 1024
+#define CP_PEER_ENDS_MAX 3
 
 typedef char *cp_peer_name;
 
@@ -45,6 +47,7 @@
 	CP_PEER_ITEMS = 12,
 	CP_PEER_RESUME = 13,
 	CP_PEER_VIEW = 14,
+	CP_PEER_SUSPECTS = 15,
 };
 typedef enum cp_peer_kind cp_peer_kind;
 
@@ -142,6 +145,23 @@
 };
 typedef struct cp_peer_items cp_peer_items;
 
+struct cp_peer_suspect {
+	u_quad_t digest;
+	u_int epoch;
+	struct {
+		u_int ends_len;
+		u_quad_t *ends_val;
+	} ends;
+	bool_t alone;
+	u_int age;
+};
+typedef struct cp_peer_suspect cp_peer_suspect;
+
+typedef struct {
+	u_int cp_peer_suspects_len;
+	cp_peer_suspect *cp_peer_suspects_val;
+} cp_peer_suspects;
+
 struct cp_peer_message {
 	cp_peer_kind kind;
 	union {
@@ -156,6 +176,7 @@
 		cp_peer_view view;
 		u_quad_t revision;
 		cp_peer_items items;
+		cp_peer_suspects suspects;
 	} cp_peer_message_u;
 };
 typedef struct cp_peer_message cp_peer_message;
@@ -177,6 +198,8 @@
 extern  bool_t xdr_cp_peer_ping (XDR *, cp_peer_ping*);
 extern  bool_t xdr_cp_peer_item (XDR *, cp_peer_item*);
 extern  bool_t xdr_cp_peer_items (XDR *, cp_peer_items*);
+extern  bool_t xdr_cp_peer_suspect (XDR *, cp_peer_suspect*);
+extern  bool_t xdr_cp_peer_suspects (XDR *, cp_peer_suspects*);
 extern  bool_t xdr_cp_peer_message (XDR *, cp_peer_message*);
 
 #else /* K&R C */
@@ -194,6 +217,8 @@
 extern bool_t xdr_cp_peer_ping ();
 extern bool_t xdr_cp_peer_item ();
 extern bool_t xdr_cp_peer_items ();
+extern bool_t xdr_cp_peer_suspect ();
+extern bool_t xdr_cp_peer_suspects ();
 extern bool_t xdr_cp_peer_message ();
 
 #endif /* K&R C */
--- a/rpc/peer.x
+++ b/rpc/peer.x
@@ -12,6 +12,8 @@
 const CP_PEER_BODY_MAX = 67108864;
 const CP_PEER_VALUE_MAX = 1048576;
 const CP_PEER_ITEMS_MAX = 4096;
+const CP_PEER_SUSPECTS_MAX = 1024;
+const CP_PEER_ENDS_MAX = 3;
 
 typedef string cp_peer_name<CP_PEER_NAME_MAX>;
 typedef string cp_peer_head<CP_PEER_HEAD_MAX>;
@@ -31,7 +33,8 @@
 	CP_PEER_PULL = 11,
 	CP_PEER_ITEMS = 12,
 	CP_PEER_RESUME = 13,
-	CP_PEER_VIEW = 14
+	CP_PEER_VIEW = 14,
+	CP_PEER_SUSPECTS = 15
 };
 
 /*
@@ -144,6 +147,16 @@
 	cp_peer_item items<CP_PEER_ITEMS_MAX>;
 };
 
+/* A request that may end servers; see lib/suspects.h.  age: of the record. */
+struct cp_peer_suspect {
+	unsigned hyper digest;
+	unsigned int epoch;
+	unsigned hyper ends<CP_PEER_ENDS_MAX>;
+	bool alone;
+	unsigned int age;
+};
+typedef cp_peer_suspect cp_peer_suspects<CP_PEER_SUSPECTS_MAX>;
+
 union cp_peer_message switch (cp_peer_kind kind) {
 case CP_PEER_HELLO:
 	cp_peer_hello hello;
@@ -169,6 +182,8 @@
 	unsigned hyper revision;
 case CP_PEER_ITEMS:
 	cp_peer_items items;
+case CP_PEER_SUSPECTS:
+	cp_peer_suspects suspects;
 case CP_PEER_LEAVING:
 	void;
 };
--- a/rpc/peer_xdr.c
+++ b/rpc/peer_xdr.c
@@ -348,6 +348,36 @@
 	return TRUE;
 }
 
+bool_t
+xdr_cp_peer_suspect (XDR *xdrs, cp_peer_suspect *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->digest))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->ends.ends_val, (u_int *) &objp->ends.ends_len, CP_PEER_ENDS_MAX,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->alone))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cp_peer_suspects (XDR *xdrs, cp_peer_suspects *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->cp_peer_suspects_val, (u_int *) &objp->cp_peer_suspects_len, CP_PEER_SUSPECTS_MAX,
+		sizeof (cp_peer_suspect), (xdrproc_t) xdr_cp_peer_suspect))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_cp_peer_message (XDR *xdrs, cp_peer_message *objp)
 {
@@ -402,6 +432,10 @@
 		 if (!xdr_cp_peer_items (xdrs, &objp->cp_peer_message_u.items))
 			 return FALSE;
 		break;
+	case CP_PEER_SUSPECTS:
+		 if (!xdr_cp_peer_suspects (xdrs, &objp->cp_peer_message_u.suspects))
+			 return FALSE;
+		break;
 	case CP_PEER_LEAVING:
 		break;
 	default:
