--- a/lib/suspects.c
+++ b/lib/suspects.c
@@ -21,6 +21,12 @@
   g_hash_table_unref (suspects->by_digest);
 }
 
+bool
+cp_suspects_are_empty (const struct cp_suspects *suspects)
+{
+  return g_hash_table_size (suspects->by_digest) == 0;
+}
+
 static bool
 is_expired (const struct cp_suspect *record, uint64_t now_us)
 {
--- a/lib/suspects.h
+++ b/lib/suspects.h
@@ -44,6 +44,8 @@
 void cp_suspects_init (struct cp_suspects *suspects);
 void cp_suspects_finish (struct cp_suspects *suspects);
 
+bool cp_suspects_are_empty (const struct cp_suspects *suspects);
+
 /* Returns the record of DIGEST, or NULL.  It is valid until the next change of
    SUSPECTS.  */
 const struct cp_suspect *cp_suspects_find (const struct cp_suspects *suspects,
--- a/meshd/suspects.c
+++ b/meshd/suspects.c
@@ -26,13 +26,15 @@
 bool
 mesh_suspects_contain (const struct mesh_suspects *suspects, uint64_t digest)
 {
-  return cp_suspects_contain (&suspects->table, digest, now_us ());
+  return !cp_suspects_are_empty (&suspects->table)
+         && cp_suspects_contain (&suspects->table, digest, now_us ());
 }
 
 bool
 mesh_suspects_hold_back (const struct mesh_suspects *suspects, uint64_t digest)
 {
-  return cp_suspects_hold_back (&suspects->table, digest, now_us ());
+  return !cp_suspects_are_empty (&suspects->table)
+         && cp_suspects_hold_back (&suspects->table, digest, now_us ());
 }
 
 uint64_t
@@ -147,7 +149,8 @@
 {
   g_autoptr (GArray) changed = NULL;
 
-  if (!cp_suspects_clear (&suspects->table, digest, now_us ()))
+  if (cp_suspects_are_empty (&suspects->table)
+      || !cp_suspects_clear (&suspects->table, digest, now_us ()))
     return;
   changed = g_array_new (FALSE, FALSE, sizeof digest);
   g_array_append_val (changed, digest);
