--- a/regress/harness/stage.c
+++ b/regress/harness/stage.c
@@ -80,16 +80,26 @@
                    "no thread for the stage");
 }
 
+char *
+stage_server_key (struct stage *stage, unsigned vm)
+{
+  char *key;
+
+  pthread_mutex_lock (&stage->lock);
+  key = g_strdup_printf ("servers/%s",
+                         stage_server_instance (stage->servers[vm]));
+  pthread_mutex_unlock (&stage->lock);
+  return key;
+}
+
 void
 stage_enter (struct stage *stage, unsigned vm, const char *state)
 {
-  CP_AUTO_FREE char *key = NULL;
+  CP_AUTO_FREE char *key = stage_server_key (stage, vm);
   CP_AUTO_FREE char *value = NULL;
   char address[56];
 
   pthread_mutex_lock (&stage->lock);
-  key = g_strdup_printf ("servers/%s",
-                         stage_server_instance (stage->servers[vm]));
   value = g_strdup_printf (
       "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
       "\"version\":\"v1\",\"capacity\":13,\"state\":\"%s\","
--- a/regress/harness/stage.h
+++ b/regress/harness/stage.h
@@ -90,6 +90,14 @@
 /* Drops the history and cuts the watches.  */
 void stage_drop_history (struct stage *stage);
 
+/* Copies the content of the store; the store comes back from the copy, with
+   the revision of then, in the next era.  Its watches are cut.  */
+void stage_store_copy (struct stage *stage);
+void stage_store_return (struct stage *stage);
+
+/* Sets the header that names the era; "" for none.  */
+void stage_store_say_era (struct stage *stage, const char *era);
+
 /* Writes the settings of VM again, with MEMBERS (JSON members, each with a
    comma before it) added.  */
 void stage_write_settings (struct stage *stage, unsigned vm,
@@ -103,6 +111,9 @@
 /* Puts the entry of VM's server with STATE.  */
 void stage_enter (struct stage *stage, unsigned vm, const char *state);
 
+/* Returns the key of VM's server in the store, to be freed.  */
+char *stage_server_key (struct stage *stage, unsigned vm);
+
 /* Returns how often a server began to work on the request ID.  */
 unsigned stage_runs (struct stage *stage, const char *request_id);
 
--- a/regress/harness/stage_store.c
+++ b/regress/harness/stage_store.c
@@ -40,6 +40,9 @@
   GPtrArray *items;
   uint64_t revision;
   uint64_t oldest; /* changes after this one are remembered */
+  char era[32];    /* header value in all answers; "" for no header */
+  GPtrArray *copy; /* items as of COPY_REVISION, or NULL */
+  uint64_t copy_revision;
   bool muted;
   bool cut;
   struct cds_list_head watches;
@@ -59,6 +62,34 @@
   return NULL;
 }
 
+static void
+item_free (void *data)
+{
+  struct item *item = data;
+
+  g_free (item->key);
+  g_free (item->value);
+  g_free (item);
+}
+
+static GPtrArray *
+copy_items (const GPtrArray *items)
+{
+  GPtrArray *copy = g_ptr_array_new_with_free_func (item_free);
+
+  for (unsigned i = 0; i < items->len; i++)
+    {
+      const struct item *from = items->pdata[i];
+      struct item *to = g_new0 (struct item, 1);
+
+      *to = (struct item){ .key = g_strdup (from->key),
+                           .value = g_strdup (from->value),
+                           .revision = from->revision };
+      g_ptr_array_add (copy, to);
+    }
+  return copy;
+}
+
 static json_t *
 item_json (const struct item *item)
 {
@@ -73,13 +104,29 @@
                     (json_int_t)item->revision, "lease", 0);
 }
 
+/* Answers with STATUS, the era of the store and TEXT, which may be NULL.  */
+static void
+respond (const struct stage_store *store, struct net_exchange *exchange,
+         unsigned status, const char *text)
+{
+  CP_AUTO_FREE char *head = NULL;
+
+  if (store->era[0] == '\0')
+    head = g_strdup ("Content-Type: application/json\r\n");
+  else
+    head = g_strdup_printf (
+        "Content-Type: application/json\r\nStore-Era: %s\r\n", store->era);
+  net_exchange_respond (exchange, status, head, text,
+                        text == NULL ? 0 : strlen (text));
+}
+
 static void
-answer (struct net_exchange *exchange, json_t *value)
+answer (const struct stage_store *store, struct net_exchange *exchange,
+        json_t *value)
 {
   CP_AUTO_FREE char *text = json_dumps (value, JSON_COMPACT);
 
-  net_exchange_respond (exchange, 200, "Content-Type: application/json\r\n",
-                        text, strlen (text));
+  respond (store, exchange, 200, text);
   json_decref (value);
 }
 
@@ -122,8 +169,9 @@
           && g_str_has_prefix (item->key, prefix == NULL ? "" : prefix))
         json_array_append_new (items, item_json (item));
     }
-  answer (exchange, json_pack ("{s:o, s:b, s:I}", "items", items, "hasMore", 0,
-                               "at", (json_int_t)store->revision));
+  answer (store, exchange,
+          json_pack ("{s:o, s:b, s:I}", "items", items, "hasMore", 0, "at",
+                     (json_int_t)store->revision));
 }
 
 /* Answers a watch if there is anything to say.  Returns whether it did.  */
@@ -135,9 +183,10 @@
 
   if (store->muted && !now)
     return false;
-  if (after < store->oldest && store->revision > store->oldest)
+  if (after > store->revision
+      || (after < store->oldest && store->revision > store->oldest))
     {
-      net_exchange_respond (exchange, 410, NULL, NULL, 0);
+      respond (store, exchange, 410, NULL);
       return true;
     }
   events = json_array ();
@@ -153,8 +202,9 @@
       json_decref (events);
       return false;
     }
-  answer (exchange, json_pack ("{s:o, s:I}", "events", events, "at",
-                               (json_int_t)MAX (after, store->revision)));
+  answer (store, exchange,
+          json_pack ("{s:o, s:I}", "events", events, "at",
+                     (json_int_t)MAX (after, store->revision)));
   return true;
 }
 
@@ -189,7 +239,7 @@
 
   pthread_mutex_lock (&door->store->stage->lock);
   if (door->mode == STAGE_STORE_BUSY)
-    net_exchange_respond (exchange, 503, NULL, NULL, 0);
+    respond (door->store, exchange, 503, NULL);
   else if (door->mode == STAGE_STORE_SILENT)
     exchange->owner = NULL;
   else if (door->mode == STAGE_STORE_FLOOD)
@@ -236,7 +286,7 @@
     bool silent = waiting->door->mode == STAGE_STORE_SILENT;
 
     if (store->cut)
-      net_exchange_respond (waiting->exchange, 500, NULL, NULL, 0);
+      respond (store, waiting->exchange, 500, NULL);
     else if (silent
              || !answer_watch (store, waiting->exchange, waiting->after,
                                waiting->until_ms <= now))
@@ -269,8 +319,9 @@
   struct stage_store *store = g_new0 (struct stage_store, 1);
 
   store->stage = stage;
-  store->items = g_ptr_array_new ();
+  store->items = g_ptr_array_new_with_free_func (item_free);
   store->revision = 1;
+  g_strlcpy (store->era, "1", sizeof store->era);
   CDS_INIT_LIST_HEAD (&store->watches);
   for (unsigned vm = 1; vm <= stage->n_vms; vm++)
     {
@@ -304,18 +355,50 @@
 void
 stage_store_free (struct stage_store *store)
 {
-  for (unsigned i = 0; i < store->items->len; i++)
-    {
-      struct item *item = store->items->pdata[i];
-
-      g_free (item->key);
-      g_free (item->value);
-      g_free (item);
-    }
   g_ptr_array_unref (store->items);
+  if (store->copy != NULL)
+    g_ptr_array_unref (store->copy);
   g_free (store);
 }
 
+void
+stage_store_copy (struct stage *stage)
+{
+  struct stage_store *store = stage->store;
+
+  pthread_mutex_lock (&stage->lock);
+  if (store->copy != NULL)
+    g_ptr_array_unref (store->copy);
+  store->copy = copy_items (store->items);
+  store->copy_revision = store->revision;
+  pthread_mutex_unlock (&stage->lock);
+}
+
+void
+stage_store_return (struct stage *stage)
+{
+  struct stage_store *store = stage->store;
+
+  pthread_mutex_lock (&stage->lock);
+  g_ptr_array_unref (store->items);
+  store->items = copy_items (store->copy);
+  store->revision = store->copy_revision;
+  store->oldest = MIN (store->oldest, store->revision);
+  g_snprintf (store->era, sizeof store->era, "%" G_GUINT64_FORMAT,
+              g_ascii_strtoull (store->era, NULL, 10) + 1);
+  store->cut = true;
+  pthread_mutex_unlock (&stage->lock);
+  uv_async_send (&stage->wake);
+}
+
+void
+stage_store_say_era (struct stage *stage, const char *era)
+{
+  pthread_mutex_lock (&stage->lock);
+  g_strlcpy (stage->store->era, era, sizeof stage->store->era);
+  pthread_mutex_unlock (&stage->lock);
+}
+
 static void
 change (struct stage *stage, const char *key, const char *value)
 {
