Order the states of the store by era, then by revision

Change: one type and one comparison (lib/store_position.h) in all of them, on the wire, in the log and the metrics; the first answer of a later era starts a listing; what the copy has in an older state than known does not come back, what it lacks is used for 1.8 s more (docs/design/store-eras.md); answers of an earlier or no valid era are failed calls.

--- a/meshd/daemon.c
+++ b/meshd/daemon.c
@@ -149,7 +149,8 @@
         .released = on_server_released };
 
 static void
-on_table (void *context, struct cp_route_table *table, uint64_t revision)
+on_table (void *context, struct cp_route_table *table,
+          struct cp_store_position position)
 {
   struct mesh_daemon *daemon = context;
 
@@ -158,14 +159,15 @@
   mesh_daemon_handle_event (daemon, MESH_EVENT_CONFIGURED);
   if (mesh_log_allowed (MESH_LOG_TABLE))
     mesh_log (MESH_LOG_TABLE,
-              "\"config\":%" G_GUINT64_FORMAT
+              "\"config\":%" G_GUINT64_FORMAT ",\"era\":%" G_GUINT64_FORMAT
               ",\"revision\":%" G_GUINT64_FORMAT ",\"routes\":%u",
-              table->version, revision, table->n_routes);
+              table->version, position.era, position.revision,
+              table->n_routes);
 }
 
 static void
 on_server (void *context, const struct cp_server_entry *entry,
-           uint64_t revision)
+           struct cp_store_position position)
 {
   struct mesh_daemon *daemon = context;
   char id[128];
@@ -175,16 +177,16 @@
   if (mesh_log_allowed (MESH_LOG_SERVER))
     mesh_log (MESH_LOG_SERVER,
               "\"server\":\"%s\",\"state\":\"%s\",\"address\":\"%s\","
-              "\"born_ms\":%" G_GUINT64_FORMAT
+              "\"born_ms\":%" G_GUINT64_FORMAT ",\"era\":%" G_GUINT64_FORMAT
               ",\"revision\":%" G_GUINT64_FORMAT,
               mesh_log_sanitize (entry->instance, id, sizeof id),
               entry->draining ? "draining" : "ready", entry->address.text,
-              entry->born_ms, revision);
+              entry->born_ms, position.era, position.revision);
 }
 
 static void
 on_server_removed (void *context, const char *instance, bool unconfirmed,
-                   uint64_t revision)
+                   struct cp_store_position position)
 {
   struct mesh_daemon *daemon = context;
   char id[128];
@@ -192,11 +194,12 @@
   cp_server_pool_remove (&daemon->pool, instance, unconfirmed, now_us ());
   mesh_daemon_update_server (daemon);
   if (mesh_log_allowed (MESH_LOG_SERVER))
-    mesh_log (
-        MESH_LOG_SERVER,
-        "\"server\":\"%s\",\"state\":\"%s\",\"revision\":%" G_GUINT64_FORMAT,
-        mesh_log_sanitize (instance, id, sizeof id),
-        unconfirmed ? "lapsed" : "gone", revision);
+    mesh_log (MESH_LOG_SERVER,
+              "\"server\":\"%s\",\"state\":\"%s\",\"era\":%" G_GUINT64_FORMAT
+              ",\"revision\":%" G_GUINT64_FORMAT,
+              mesh_log_sanitize (instance, id, sizeof id),
+              unconfirmed ? "lapsed" : "gone", position.era,
+              position.revision);
 }
 
 static void
@@ -335,7 +338,7 @@
       break;
     case CP_PEER_PULL:
       mesh_exchange_answer_pull (&daemon->exchange, link,
-                                 message->cp_peer_message_u.revision);
+                                 &message->cp_peer_message_u.position);
       break;
     case CP_PEER_ITEMS:
       mesh_exchange_apply_items (&daemon->exchange,
--- a/meshd/exchange.c
+++ b/meshd/exchange.c
@@ -44,6 +44,15 @@
   return cp_clock_now_us (&cp_clock_boot);
 }
 
+/* Returns whether the peer of LINK has a newer state than POSITION, by what it
+   last reported.  */
+static bool
+is_ahead (const struct mesh_link *link, struct cp_store_position position)
+{
+  return cp_store_position_after (
+      mesh_position_from_wire (&link->view.position), position);
+}
+
 static void
 send_view (const struct mesh_exchange *exchange, struct mesh_link *link)
 {
@@ -62,10 +71,10 @@
          && strcmp (link->domain, exchange->peers->domain) == 0;
 }
 
-/* Sends the newest revision to daemons of the failure domain that are not
-   known to have it.  Draws them by reservoir sampling.  */
+/* Sends the newest state to daemons of the failure domain that are not known
+   to have it.  Draws them by reservoir sampling.  */
 static void
-announce_revision (struct mesh_exchange *exchange)
+announce_position (struct mesh_exchange *exchange)
 {
   struct mesh_link *recipients[ANNOUNCE_MAX];
   struct mesh_link *link;
@@ -77,7 +86,9 @@
     unsigned place = seen;
 
     if (!is_same_domain (exchange, link) || link->net.failed
-        || link->view.revision >= exchange->registry.revision)
+        || !cp_store_position_after (
+            exchange->registry.position,
+            mesh_position_from_wire (&link->view.position)))
       continue;
     seen++;
     if (n < ANNOUNCE_MAX)
@@ -104,16 +115,21 @@
       send_view (exchange, link);
 }
 
-/* Records that every change up to REVISION is known, and announces it if it is
+/* Records that every change up to POSITION is known, and announces it if it is
    new.  */
 static void
-set_revision (struct mesh_exchange *exchange, uint64_t revision)
+set_position (struct mesh_exchange *exchange,
+              struct cp_store_position position)
 {
-  platform_registry_advance (&exchange->registry, revision);
-  if (exchange->peers->view.revision == exchange->registry.revision)
+  struct cp_store_position announced
+      = mesh_position_from_wire (&exchange->peers->view.position);
+
+  platform_registry_advance (&exchange->registry, position);
+  if (!cp_store_position_after (exchange->registry.position, announced))
     return;
-  exchange->peers->view.revision = exchange->registry.revision;
-  announce_revision (exchange);
+  exchange->peers->view.position
+      = mesh_position_to_wire (exchange->registry.position);
+  announce_position (exchange);
 }
 
 /* Returns whether a removal that is learned now may be due to a failure of the
@@ -137,19 +153,48 @@
                            is_store_disturbed (exchange));
 }
 
+/* Logs that the state in force is of another era of the store than before,
+   KNOWN.  */
+static void
+log_era (const struct mesh_exchange *exchange, struct cp_store_position known,
+         struct cp_store_position position)
+{
+  if (mesh_log_allowed (MESH_LOG_ERA))
+    mesh_log (MESH_LOG_ERA,
+              "\"from\":%" G_GUINT64_FORMAT ",\"to\":%" G_GUINT64_FORMAT
+              ",\"was_revision\":%" G_GUINT64_FORMAT
+              ",\"revision\":%" G_GUINT64_FORMAT ",\"kept\":%u,\"dropped\":%u",
+              known.era, position.era, known.revision, position.revision,
+              exchange->registry.n_kept, exchange->registry.n_dropped);
+}
+
+/* Ends a complete listing as of POSITION, from the store or a peer.  */
+static void
+end_listing (struct mesh_exchange *exchange, struct cp_store_position position,
+             bool unsure)
+{
+  struct platform_registry *registry = &exchange->registry;
+  struct cp_store_position known = registry->position;
+
+  platform_registry_end_listing (registry, position, unsure);
+  if (known.revision != 0 && position.era > known.era)
+    log_era (exchange, known, position);
+  registry->n_kept = 0;
+  registry->n_dropped = 0;
+}
+
 static void
-on_reread (void *context, uint64_t revision)
+on_listing_ended (void *context, struct cp_store_position position)
 {
   struct mesh_exchange *exchange = context;
 
-  platform_registry_end_listing (&exchange->registry, revision,
-                                 is_store_disturbed (exchange));
+  end_listing (exchange, position, is_store_disturbed (exchange));
 }
 
 static void
-on_reached (void *context, uint64_t revision)
+on_advanced (void *context, struct cp_store_position position)
 {
-  set_revision (context, revision);
+  set_position (context, position);
 }
 
 static void
@@ -158,11 +203,12 @@
   struct mesh_exchange *exchange = context;
 
   if (mesh_log_allowed (MESH_LOG_STORE))
-    mesh_log (
-        MESH_LOG_STORE,
-        "\"answers\":%s,\"reason\":\"%s\",\"revision\":%" G_GUINT64_FORMAT,
-        reachable ? "true" : "false", reason == NULL ? "" : reason,
-        exchange->registry.revision);
+    mesh_log (MESH_LOG_STORE,
+              "\"answers\":%s,\"reason\":\"%s\",\"era\":%" G_GUINT64_FORMAT
+              ",\"revision\":%" G_GUINT64_FORMAT,
+              reachable ? "true" : "false", reason == NULL ? "" : reason,
+              exchange->registry.position.era,
+              exchange->registry.position.revision);
   if (exchange->peers->view.store_answers == reachable)
     return;
   exchange->peers->view.store_answers = reachable;
@@ -170,7 +216,7 @@
 }
 
 static const struct platform_store_events store_events
-    = { on_item, on_reread, on_reached, on_store_state };
+    = { on_item, on_listing_ended, on_advanced, on_store_state };
 
 /* The failure domains seen, and the peers in our own domain that may
    watch.  */
@@ -244,9 +290,11 @@
   platform_store_set_active (&exchange->store, elected);
   if (mesh_log_allowed (MESH_LOG_WATCH))
     mesh_log (MESH_LOG_WATCH,
-              "\"watches\":%s,\"peers\":%u,\"revision\":%" G_GUINT64_FORMAT,
+              "\"watches\":%s,\"peers\":%u,\"era\":%" G_GUINT64_FORMAT
+              ",\"revision\":%" G_GUINT64_FORMAT,
               elected ? "true" : "false", exchange->peers->n_up,
-              exchange->registry.revision);
+              exchange->registry.position.era,
+              exchange->registry.position.revision);
 }
 
 void
@@ -254,14 +302,14 @@
                             struct mesh_link *link)
 {
   struct cp_peer_message message = { .kind = CP_PEER_PULL };
-  uint64_t known = exchange->registry.revision;
+  struct cp_store_position known = exchange->registry.position;
   uint64_t now = now_us ();
 
-  if (link->view.revision <= known)
+  if (!is_ahead (link, known))
     return;
-  if (exchange->behind_revision <= known)
+  if (!cp_store_position_after (exchange->behind, known))
     {
-      exchange->behind_revision = link->view.revision;
+      exchange->behind = mesh_position_from_wire (&link->view.position);
       exchange->behind_since_us = now;
     }
   if (exchange->store.reachable && exchange->store.call == PLATFORM_STORE_WATCH
@@ -270,11 +318,11 @@
   if (now - exchange->last_pull_us < PULL_INTERVAL_US)
     return;
   exchange->last_pull_us = now;
-  message.cp_peer_message_u.revision = known;
+  message.cp_peer_message_u.position = mesh_position_to_wire (known);
   mesh_link_send (link, &message);
 }
 
-/* Pulls from a peer that has a newer revision, if there is one.  Its view may
+/* Pulls from a peer that has a newer state, if there is one.  Its view may
    have arrived too early for a pull.  */
 static void
 catch_up (struct mesh_exchange *exchange)
@@ -283,7 +331,7 @@
 
   cds_list_for_each_entry (link, &exchange->peers->incoming, node)
   {
-    if (link->view.revision <= exchange->registry.revision || link->net.failed)
+    if (link->net.failed || !is_ahead (link, exchange->registry.position))
       continue;
     mesh_exchange_receive_view (exchange, link);
     return;
@@ -307,13 +355,14 @@
   unsigned count;
 };
 
+/* Sends what has been collected; POSITION has revision 0 if more follows.  */
 static void
-send_items (struct item_batch *batch, uint64_t revision)
+send_items (struct item_batch *batch, struct cp_store_position position)
 {
   struct cp_peer_message message = { .kind = CP_PEER_ITEMS };
   struct cp_peer_items *items = &message.cp_peer_message_u.items;
 
-  items->revision = revision;
+  items->position = mesh_position_to_wire (position);
   items->whole = batch->whole;
   items->unsure = batch->unconfirmed;
   items->items.items_len = batch->count;
@@ -332,10 +381,11 @@
   gsize length = 0;
 
   if (batch->count == ITEMS_MAX)
-    send_items (batch, 0);
+    send_items (batch, (struct cp_store_position){ 0, 0 });
   item = &batch->items[batch->count++];
   *item = (struct cp_peer_item){ .key = record->key,
-                                 .revision = record->revision,
+                                 .position
+                                 = mesh_position_to_wire (record->position),
                                  .removed = record->value == NULL,
                                  .unsure = record->unsure };
   if (value != NULL)
@@ -347,18 +397,21 @@
 
 void
 mesh_exchange_answer_pull (struct mesh_exchange *exchange,
-                           struct mesh_link *link, uint64_t revision)
+                           struct mesh_link *link,
+                           const struct cp_peer_position *position)
 {
   struct item_batch *batch = g_new0 (struct item_batch, 1);
+  struct cp_store_position since = mesh_position_from_wire (position);
 
   batch->link = link;
-  batch->whole = revision < exchange->registry.removals_from;
+  batch->whole
+      = cp_store_position_after (exchange->registry.removals_from, since);
   batch->unconfirmed = is_store_disturbed (exchange);
   if (batch->whole)
-    revision = 0;
-  platform_registry_foreach_since (&exchange->registry, revision, add_to_batch,
+    since = (struct cp_store_position){ 0, 0 };
+  platform_registry_foreach_since (&exchange->registry, since, add_to_batch,
                                    batch);
-  send_items (batch, exchange->registry.revision);
+  send_items (batch, exchange->registry.position);
   g_free (batch);
 }
 
@@ -366,12 +419,13 @@
 apply_value (struct mesh_exchange *exchange, const struct cp_peer_item *from,
              const char *value, size_t length, bool listed)
 {
-  struct platform_item item = { .key = from->key,
-                                .value = value,
-                                .length = length,
-                                .revision = from->revision,
-                                .removed = from->removed,
-                                .listed = listed };
+  struct platform_item item
+      = { .key = from->key,
+          .value = value,
+          .length = length,
+          .position = mesh_position_from_wire (&from->position),
+          .removed = from->removed,
+          .listed = listed };
 
   platform_registry_apply (&exchange->registry, &item, from->unsure);
 }
@@ -417,24 +471,25 @@
 mesh_exchange_apply_items (struct mesh_exchange *exchange,
                            const struct cp_peer_items *items)
 {
+  struct cp_store_position position
+      = mesh_position_from_wire (&items->position);
   bool all_readable = true;
 
   for (u_int i = 0; i < items->items.items_len; i++)
     all_readable
         &= apply_item (exchange, &items->items.items_val[i], items->whole);
-  /* An item that cannot be read leaves our revision unchanged, so that it is
+  /* An item that cannot be read leaves our position unchanged, so that it is
      pulled again.  */
-  if (items->revision == 0 || !all_readable)
+  if (position.revision == 0 || !all_readable)
     return;
   if (items->whole)
     {
-      platform_registry_end_listing (&exchange->registry, items->revision,
-                                     items->unsure
-                                         || is_store_disturbed (exchange));
-      platform_store_adopt_snapshot (&exchange->store, items->revision);
+      end_listing (exchange, position,
+                   items->unsure || is_store_disturbed (exchange));
+      platform_store_adopt_snapshot (&exchange->store, position);
     }
-  set_revision (exchange, items->revision);
-  platform_store_advance (&exchange->store, items->revision);
+  set_position (exchange, position);
+  platform_store_advance (&exchange->store, position);
 }
 
 void
--- a/meshd/exchange.h
+++ b/meshd/exchange.h
@@ -2,7 +2,7 @@
    pass changes on.
 
    In each failure domain the daemons with the highest weights watch the store;
-   the others learn from peers.  A daemon that learns of a newer revision sends
+   the others learn from peers.  A daemon that learns of a newer state sends
    it to some daemons of its failure domain, which then pull the changes; pings
    inform the rest.  A watcher whose store does not answer reports that, and
    the daemons with the next highest weights watch as well.  The election needs
@@ -24,9 +24,9 @@
   char own_address[CP_ADDRESS_TEXT_BYTES]; /* own peer address, for the
                                               election */
   bool watching;
-  uint64_t last_pull_us;    /* when changes were last pulled */
-  uint64_t behind_revision; /* newer revision that a peer has, */
-  uint64_t behind_since_us; /* and when that was first seen */
+  uint64_t last_pull_us;           /* when changes were last pulled */
+  struct cp_store_position behind; /* newer state that a peer has, */
+  uint64_t behind_since_us;        /* and when that was first seen */
 };
 
 /* EVENTS are the registry's, called with CONTEXT.  */
@@ -42,17 +42,18 @@
 void mesh_exchange_finish (struct mesh_exchange *exchange);
 
 /* Repeats the election, and pulls changes from a peer that has a newer
-   revision.  */
+   state.  */
 void mesh_exchange_tick (struct mesh_exchange *exchange);
 
 /* Handles a new view of the store from the peer of LINK: pulls changes if the
-   peer has a newer revision.  */
+   peer has a newer state.  */
 void mesh_exchange_receive_view (struct mesh_exchange *exchange,
                                  struct mesh_link *link);
 
-/* Sends the peer of LINK the changes after REVISION.  */
+/* Sends the peer of LINK the changes after POSITION.  */
 void mesh_exchange_answer_pull (struct mesh_exchange *exchange,
-                                struct mesh_link *link, uint64_t revision);
+                                struct mesh_link *link,
+                                const struct cp_peer_position *position);
 
 /* Applies changes that were pulled from a peer.  */
 void mesh_exchange_apply_items (struct mesh_exchange *exchange,
--- a/meshd/log.c
+++ b/meshd/log.c
@@ -35,6 +35,7 @@
   [MESH_LOG_STATE] = "state",
   [MESH_LOG_STORE] = "store",
   [MESH_LOG_WATCH] = "watch",
+  [MESH_LOG_ERA] = "era",
   [MESH_LOG_TABLE] = "table",
   [MESH_LOG_SERVER] = "server",
   [MESH_LOG_UNREADABLE] = "unreadable",
--- a/meshd/metrics.c
+++ b/meshd/metrics.c
@@ -139,7 +139,9 @@
   write_counter (text, "store_calls_total", daemon->exchange.store.n_calls);
   write_gauge (text, "store_answers", daemon->exchange.store.reachable);
   write_gauge (text, "store_watching", daemon->exchange.watching);
-  write_gauge (text, "store_revision", daemon->exchange.registry.revision);
+  write_gauge (text, "store_era", daemon->exchange.registry.position.era);
+  write_gauge (text, "store_revision",
+               daemon->exchange.registry.position.revision);
   write_gauge (text, "config_version",
                daemon->exchange.registry.table == NULL
                    ? 0
--- a/meshd/wire.c
+++ b/meshd/wire.c
@@ -50,6 +50,18 @@
   xdr_free ((xdrproc_t)xdr_cp_peer_message, (char *)message);
 }
 
+struct cp_peer_position
+mesh_position_to_wire (struct cp_store_position position)
+{
+  return (struct cp_peer_position){ position.era, position.revision };
+}
+
+struct cp_store_position
+mesh_position_from_wire (const struct cp_peer_position *position)
+{
+  return (struct cp_store_position){ position->era, position->revision };
+}
+
 void
 mesh_load_to_wire (struct cp_peer_load *to, const struct cp_server_load *from,
                    char *instance)
--- a/meshd/wire.h
+++ b/meshd/wire.h
@@ -6,6 +6,7 @@
 #include <stdbool.h>
 
 #include "lib/server_pool.h"
+#include "lib/store_position.h"
 #include "rpc/peer.h"
 
 /* Why an attempt was refused, failed or was repeated.  */
@@ -45,6 +46,12 @@
                           size_t length);
 void mesh_message_free (struct cp_peer_message *message);
 
+/* Convert a state of the store to and from its form in messages.  */
+struct cp_peer_position
+mesh_position_to_wire (struct cp_store_position position);
+struct cp_store_position
+mesh_position_from_wire (const struct cp_peer_position *position);
+
 /* Convert load reports to and from their form in messages.  INSTANCE is
    referenced, not copied.  */
 void mesh_load_to_wire (struct cp_peer_load *to,
--- a/regress/meshd/check_mesh_items.c
+++ b/regress/meshd/check_mesh_items.c
@@ -25,30 +25,31 @@
 static char unreadable[64];     /* key reported as unreadable */
 
 static void
-on_table (void *context, struct cp_route_table *table, uint64_t revision)
+on_table (void *context, struct cp_route_table *table,
+          struct cp_store_position position)
 {
   (void)context;
   (void)table;
-  (void)revision;
+  (void)position;
 }
 
 static void
 on_server (void *context, const struct cp_server_entry *entry,
-           uint64_t revision)
+           struct cp_store_position position)
 {
   (void)context;
   (void)entry;
-  (void)revision;
+  (void)position;
 }
 
 static void
 on_removed (void *context, const char *instance, bool unconfirmed,
-            uint64_t revision)
+            struct cp_store_position position)
 {
   (void)context;
   (void)instance;
   (void)unconfirmed;
-  (void)revision;
+  (void)position;
 }
 
 static void
@@ -120,7 +121,7 @@
 {
   if (message->kind == CP_PEER_PULL && context == &first)
     mesh_exchange_answer_pull (&sender, link,
-                               message->cp_peer_message_u.revision);
+                               &message->cp_peer_message_u.position);
   else if (message->kind == CP_PEER_ITEMS && context == &second)
     receive_items ((struct cp_peer_items *)&message->cp_peer_message_u.items);
 }
@@ -172,7 +173,8 @@
 static void
 setup (void)
 {
-  struct platform_item item = { .key = "op/other", .revision = REVISION };
+  struct platform_item item
+      = { .key = "op/other", .position.revision = REVISION };
   struct cp_address to = address_of (1);
 
   long_value = long_text ();
@@ -182,7 +184,8 @@
   start (&first, &sender, 1);
   start (&second, &receiver, 2);
   platform_registry_apply (&sender.registry, &item, false);
-  platform_registry_advance (&sender.registry, REVISION);
+  platform_registry_advance (
+      &sender.registry, (struct cp_store_position){ .revision = REVISION });
   peer = mesh_peer_acquire (&second, &to);
   uv_timer_init (&loop, &limit);
   uv_timer_start (&limit, on_time, RUN_MS, 0);
@@ -211,7 +214,7 @@
   ck_assert_uint_eq (g_bytes_get_size (record->value), strlen (long_value));
   ck_assert_mem_eq (g_bytes_get_data (record->value, NULL), long_value,
                     strlen (long_value));
-  ck_assert_uint_eq (receiver.registry.revision, REVISION);
+  ck_assert_uint_eq (receiver.registry.position.revision, REVISION);
 }
 END_TEST
 
@@ -225,7 +228,7 @@
   ck_assert_str_eq (unreadable, "op/other");
   ck_assert_ptr_null (
       g_hash_table_lookup (receiver.registry.records, "op/other"));
-  ck_assert_uint_eq (receiver.registry.revision, 0);
+  ck_assert_uint_eq (receiver.registry.position.revision, 0);
 }
 END_TEST
 
--- a/regress/meshd/check_mesh_logs.c
+++ b/regress/meshd/check_mesh_logs.c
@@ -70,10 +70,18 @@
   return text;
 }
 
+static bool
+all_watch (void *context)
+{
+  (void)context;
+  return stage_watches (&stage) == VMS;
+}
+
 START_TEST (every_line_is_as_documented)
 {
   static const char *const kinds[]
-      = { "\"rate_limit\"", "\"leaving\"", "\"server_ended\"", "\"suspect\"" };
+      = { "\"rate_limit\"", "\"leaving\"", "\"server_ended\"",
+          "\"suspect\"",    "\"era\":2",   "\"kind\":\"era\"" };
   bool written[G_N_ELEMENTS (kinds)] = { false };
   const char *top = getenv ("TOP");
   CP_AUTO_FREE char *path = NULL;
@@ -82,6 +90,8 @@
 
   path = g_strdup_printf ("%s/docs/LOGS.md", top == NULL ? "." : top);
   ck_assert (g_file_get_contents (path, &page, NULL, NULL));
+  stage_store_copy (&stage);
+  stage_put (&stage, "other/key", "value");
   stage_server_say (&stage, 1, "Server-Limit: 50\r\n");
   stage_server_say (&stage, 3, "Server-Leaving: 1\r\n");
   call ("GET", "/read/1", "a1");
@@ -94,6 +104,8 @@
   stage_put (&stage, "servers/forged\"\\", "no entry");
   stage_write_settings (&stage, 3, ",\"zone\":7");
   kill (stage.daemons[3].pid, SIGHUP);
+  wait_until (all_watch, NULL);
+  stage_store_return (&stage);
   /* The daemon beside the ended server writes its lines first.  */
   g_usleep (500000);
   process_signal (&stage.daemons[1], SIGKILL);
--- a/regress/platform/check_platform.c
+++ b/regress/platform/check_platform.c
@@ -151,35 +151,37 @@
 static unsigned n_unreadable;
 static unsigned n_servers;
 static unsigned n_removed;
+static unsigned n_unsure; /* of those removed */
 
 static void
-on_table (void *context, struct cp_route_table *table, uint64_t revision)
+on_table (void *context, struct cp_route_table *table,
+          struct cp_store_position position)
 {
   (void)context;
   (void)table;
-  (void)revision;
+  (void)position;
   n_tables++;
 }
 
 static void
 on_server (void *context, const struct cp_server_entry *entry,
-           uint64_t revision)
+           struct cp_store_position position)
 {
   (void)context;
   (void)entry;
-  (void)revision;
+  (void)position;
   n_servers++;
 }
 
 static void
 on_removed (void *context, const char *instance, bool unsure,
-            uint64_t revision)
+            struct cp_store_position position)
 {
   (void)context;
   (void)instance;
-  (void)unsure;
-  (void)revision;
+  (void)position;
   n_removed++;
+  n_unsure += unsure;
 }
 
 static void
@@ -194,6 +196,8 @@
 static const struct platform_registry_events registry_events
     = { on_table, on_server, on_removed, on_unreadable };
 
+static uint64_t era; /* of the items that are applied */
+
 static void
 apply (struct platform_registry *registry, const char *key, const char *value,
        uint64_t revision, bool listed)
@@ -201,13 +205,20 @@
   struct platform_item item = { .key = key,
                                 .value = value,
                                 .length = value == NULL ? 0 : strlen (value),
-                                .revision = revision,
+                                .position = { era, revision },
                                 .removed = value == NULL,
                                 .listed = listed };
 
   platform_registry_apply (registry, &item, false);
 }
 
+static void
+end_listing (struct platform_registry *registry, uint64_t revision)
+{
+  platform_registry_end_listing (
+      registry, (struct cp_store_position){ era, revision }, false);
+}
+
 START_TEST (newest_revision_of_each_key_wins)
 {
   struct platform_registry registry;
@@ -238,6 +249,86 @@
 }
 END_TEST
 
+/* Guards against items that are left out after the store has given out their
+   revisions again.  */
+START_TEST (a_later_era_is_newer_whatever_its_revisions)
+{
+  struct platform_registry registry;
+  char *entry = g_strdup_printf (ENTRY, "13", "ready", "");
+
+  platform_registry_init (&registry, &registry_events, NULL);
+  era = 1;
+  apply (&registry, "servers/a", entry, 1000, false);
+  era = 2;
+  apply (&registry, "servers/a", NULL, 951, false);
+  ck_assert_uint_eq (n_removed, 1);
+  era = 1;
+  apply (&registry, "servers/a", entry, 2000, false);
+  ck_assert_uint_eq (n_servers, 1);
+  era = 0;
+  platform_registry_finish (&registry);
+  g_free (entry);
+}
+END_TEST
+
+/* Guards against a configuration, a state of a server, or a server that has
+   left, that come back with the copy that the store came back from.  */
+START_TEST (what_is_older_in_a_copy_does_not_come_back)
+{
+  struct platform_registry registry;
+  char *seven = g_strdup_printf (DOCUMENT, "");
+  char *entry = g_strdup_printf (ENTRY, "13", "ready", "");
+
+  platform_registry_init (&registry, &registry_events, NULL);
+  era = 1;
+  apply (&registry, "op/config", seven, 40, false);
+  apply (&registry, "servers/left", entry, 41, false);
+  apply (&registry, "servers/left", NULL, 42, false);
+  era = 2;
+  apply (&registry, "op/config",
+         "{\"version\":6,\"listeners\":[],\"clusters\":[]}", 30, true);
+  apply (&registry, "servers/left", entry, 31, true);
+  end_listing (&registry, 35);
+  ck_assert_uint_eq (n_tables, 1);
+  ck_assert_uint_eq (n_unreadable, 0);
+  ck_assert_uint_eq (n_servers, 1);
+  ck_assert_uint_eq (registry.n_kept, 2);
+  /* What is written again after the return is new.  */
+  apply (&registry, "servers/left", entry, 36, false);
+  ck_assert_uint_eq (n_servers, 2);
+  era = 0;
+  platform_registry_finish (&registry);
+  g_free (entry);
+  g_free (seven);
+}
+END_TEST
+
+/* Guards against a live server, or the configuration, that is dropped since
+   the copy lacks it.  */
+START_TEST (what_a_copy_lacks_may_be_written_again)
+{
+  struct platform_registry registry;
+  char *seven = g_strdup_printf (DOCUMENT, "");
+  char *entry = g_strdup_printf (ENTRY, "13", "ready", "");
+
+  platform_registry_init (&registry, &registry_events, NULL);
+  era = 1;
+  apply (&registry, "op/config", seven, 40, false);
+  apply (&registry, "servers/a", entry, 41, false);
+  era = 2;
+  end_listing (&registry, 35);
+  ck_assert_uint_eq (n_removed, 1);
+  ck_assert_uint_eq (n_unsure, 1);
+  ck_assert_uint_eq (registry.table->version, 7);
+  apply (&registry, "servers/a", entry, 36, true);
+  ck_assert_uint_eq (n_servers, 2);
+  era = 0;
+  platform_registry_finish (&registry);
+  g_free (entry);
+  g_free (seven);
+}
+END_TEST
+
 START_TEST (unlisted_keys_are_removed_unless_newer)
 {
   struct platform_registry registry;
@@ -246,13 +337,13 @@
   platform_registry_init (&registry, &registry_events, NULL);
   apply (&registry, "servers/a", entry, 5, true);
   apply (&registry, "servers/b", entry, 6, true);
-  platform_registry_end_listing (&registry, 6, false);
+  end_listing (&registry, 6);
   ck_assert_uint_eq (n_removed, 0);
   apply (&registry, "servers/c", entry, 9, false);
   apply (&registry, "servers/b", entry, 6, true);
-  platform_registry_end_listing (&registry, 8, false);
+  end_listing (&registry, 8);
   ck_assert_uint_eq (n_removed, 1);
-  platform_registry_end_listing (&registry, 8, false);
+  end_listing (&registry, 8);
   ck_assert_uint_eq (n_removed, 2);
   platform_registry_finish (&registry);
   g_free (entry);
@@ -371,6 +462,9 @@
   tcase_add_test (tests, invalid_documents_are_rejected);
   tcase_add_test (tests, entries_are_decoded_or_rejected);
   tcase_add_test (tests, newest_revision_of_each_key_wins);
+  tcase_add_test (tests, a_later_era_is_newer_whatever_its_revisions);
+  tcase_add_test (tests, what_is_older_in_a_copy_does_not_come_back);
+  tcase_add_test (tests, what_a_copy_lacks_may_be_written_again);
   tcase_add_test (tests, unlisted_keys_are_removed_unless_newer);
   tcase_add_test (tests, response_headers_are_decoded);
   tcase_add_test (tests, a_rate_limit_that_is_no_decimal_number_is_ignored);
--- a/rpc/peer.h
+++ b/rpc/peer.h
@@ -51,8 +51,14 @@
 };
 typedef enum cp_peer_kind cp_peer_kind;
 
-struct cp_peer_view {
+struct cp_peer_position {
+	u_quad_t era;
 	u_quad_t revision;
+};
+typedef struct cp_peer_position cp_peer_position;
+
+struct cp_peer_view {
+	cp_peer_position position;
 	bool_t store_answers;
 };
 typedef struct cp_peer_view cp_peer_view;
@@ -128,14 +134,14 @@
 		char *value_val;
 	} value;
 	u_int uncompressed_length;
-	u_quad_t revision;
+	cp_peer_position position;
 	bool_t removed;
 	bool_t unsure;
 };
 typedef struct cp_peer_item cp_peer_item;
 
 struct cp_peer_items {
-	u_quad_t revision;
+	cp_peer_position position;
 	bool_t whole;
 	bool_t unsure;
 	struct {
@@ -174,7 +180,7 @@
 		cp_peer_load load;
 		cp_peer_ping ping;
 		cp_peer_view view;
-		u_quad_t revision;
+		cp_peer_position position;
 		cp_peer_items items;
 		cp_peer_suspects suspects;
 	} cp_peer_message_u;
@@ -188,6 +194,7 @@
 extern  bool_t xdr_cp_peer_head (XDR *, cp_peer_head*);
 extern  bool_t xdr_cp_peer_body (XDR *, cp_peer_body*);
 extern  bool_t xdr_cp_peer_kind (XDR *, cp_peer_kind*);
+extern  bool_t xdr_cp_peer_position (XDR *, cp_peer_position*);
 extern  bool_t xdr_cp_peer_view (XDR *, cp_peer_view*);
 extern  bool_t xdr_cp_peer_hello (XDR *, cp_peer_hello*);
 extern  bool_t xdr_cp_peer_load (XDR *, cp_peer_load*);
@@ -207,6 +214,7 @@
 extern bool_t xdr_cp_peer_head ();
 extern bool_t xdr_cp_peer_body ();
 extern bool_t xdr_cp_peer_kind ();
+extern bool_t xdr_cp_peer_position ();
 extern bool_t xdr_cp_peer_view ();
 extern bool_t xdr_cp_peer_hello ();
 extern bool_t xdr_cp_peer_load ();
--- a/rpc/peer.x
+++ b/rpc/peer.x
@@ -37,12 +37,18 @@
 	CP_PEER_SUSPECTS = 15
 };
 
+/* A state of the store; see lib/store_position.h. */
+struct cp_peer_position {
+	unsigned hyper era;
+	unsigned hyper revision;
+};
+
 /*
- * A daemon's view of the store: the newest revision that it knows, and whether
+ * A daemon's view of the store: the newest state that it knows, and whether
  * the store answered its last call.
  */
 struct cp_peer_view {
-	unsigned hyper revision;
+	cp_peer_position position;
 	bool store_answers;
 };
 
@@ -128,20 +134,20 @@
 	string key<CP_PEER_KEY_MAX>;
 	opaque value<CP_PEER_VALUE_MAX>;
 	unsigned int uncompressed_length;
-	unsigned hyper revision;
+	cp_peer_position position;
 	bool removed;
 	bool unsure;
 };
 
 /*
- * Answer to CP_PEER_PULL: the items that changed after the requested revision,
- * up to revision, which is 0 when more messages follow.  whole: these are all
- * items of the store, since the sender does not know what was removed after
- * the requested revision.  unsure, with whole: the store is disturbed, which
+ * Answer to CP_PEER_PULL: the items that changed after the requested state, up
+ * to position, whose revision is 0 when more messages follow.  whole: these are
+ * all items of the store, since the sender does not know what was removed after
+ * the requested state.  unsure, with whole: the store is disturbed, which
  * may be why items are missing.
  */
 struct cp_peer_items {
-	unsigned hyper revision;
+	cp_peer_position position;
 	bool whole;
 	bool unsure;
 	cp_peer_item items<CP_PEER_ITEMS_MAX>;
@@ -179,7 +185,7 @@
 case CP_PEER_VIEW:
 	cp_peer_view view;
 case CP_PEER_PULL:
-	unsigned hyper revision;
+	cp_peer_position position;
 case CP_PEER_ITEMS:
 	cp_peer_items items;
 case CP_PEER_SUSPECTS:
--- a/rpc/peer_xdr.c
+++ b/rpc/peer_xdr.c
@@ -46,12 +46,24 @@
 }
 
 bool_t
-xdr_cp_peer_view (XDR *xdrs, cp_peer_view *objp)
+xdr_cp_peer_position (XDR *xdrs, cp_peer_position *objp)
 {
 	register int32_t *buf;
 
+	 if (!xdr_u_quad_t (xdrs, &objp->era))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cp_peer_view (XDR *xdrs, cp_peer_view *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_cp_peer_position (xdrs, &objp->position))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->store_answers))
 		 return FALSE;
 	return TRUE;
@@ -322,7 +334,7 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->uncompressed_length))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+	 if (!xdr_cp_peer_position (xdrs, &objp->position))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->removed))
 		 return FALSE;
@@ -336,7 +348,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+	 if (!xdr_cp_peer_position (xdrs, &objp->position))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->whole))
 		 return FALSE;
@@ -425,7 +437,7 @@
 			 return FALSE;
 		break;
 	case CP_PEER_PULL:
-		 if (!xdr_u_quad_t (xdrs, &objp->cp_peer_message_u.revision))
+		 if (!xdr_cp_peer_position (xdrs, &objp->cp_peer_message_u.position))
 			 return FALSE;
 		break;
 	case CP_PEER_ITEMS:
