Split the begin and end of jobs from their admission

Change: how a job is created and the one message with which it ends move to meshd/job.c; names of three functions that are shared now. No line of code changed otherwise.

--- a/meshd/inbound.c
+++ b/meshd/inbound.c
@@ -3,8 +3,6 @@
 
 #include "meshd/inbound.h"
 #include "meshd/inbound_internal.h"
-#include "meshd/log.h"
-#include "platform/headers.h"
 
 /* Slots of a server that has not reported how many it has; the servers of both
    users have more.  */
@@ -14,11 +12,6 @@
 #define QUEUE_TICK_MS 10
 #define TICK_MS 25
 
-/* Maximum wait for a slot, as a share of the objective.  A refused call goes
-   to another server.  A run takes about half of the objective, so a longer
-   wait here would leave no time there.  */
-#define QUEUE_WAIT_MAX_SHARE 0.2
-
 /* How long the result of a job, or a queued job whose link broke, is kept for
    its sender.  Senders reconnect within the time to detect silence and to
    connect.  They take "unknown attempt" as proof only until half a second less
@@ -82,8 +75,9 @@
   };
 }
 
-static void
-fill_load (struct mesh_inbound *inbound, struct cp_peer_load *load)
+void
+mesh_inbound_fill_load (struct mesh_inbound *inbound,
+                        struct cp_peer_load *load)
 {
   struct cp_server_load own;
 
@@ -91,134 +85,6 @@
   mesh_load_to_wire (load, &own, inbound->instance);
 }
 
-static void
-job_free (struct mesh_job *job)
-{
-  cds_list_del (&job->node);
-  g_hash_table_remove (job->inbound->by_stream, &job->key);
-  if (job->kept_message != NULL)
-    g_byte_array_unref (job->kept_message);
-  g_byte_array_unref (job->body);
-  g_free (job->request_id);
-  g_free (job->instance);
-  g_free (job->head);
-  g_free (job);
-}
-
-/* Returns whether the result of JOB must be kept.  MESSAGE may be lost with
-   its link, and the sender must not be told then that the job is unknown.
-   Results of idempotent jobs are not kept, to save memory: the call can be
-   repeated.  */
-static bool
-must_keep_result (const struct mesh_job *job,
-                  const struct cp_peer_message *message)
-{
-  return !job->local && !job->idempotent && message->kind != CP_PEER_REFUSAL;
-}
-
-/* Ends JOB with MESSAGE, its result, and sends it unless nobody waits for
-   it.  */
-static void
-job_end (struct mesh_job *job, const struct cp_peer_message *message)
-{
-  struct mesh_inbound *inbound = job->inbound;
-  struct mesh_link *link = job->link;
-  bool local = job->local;
-
-  job->state = MESH_JOB_ENDED;
-  job->ended_us = now_us ();
-  if (job->no_reply)
-    {
-      job_free (job);
-      return;
-    }
-  if (must_keep_result (job, message))
-    job->kept_message = mesh_message_encode (message);
-  else
-    job_free (job);
-  if (local)
-    inbound->events->reply (inbound->context, message);
-  else if (link != NULL)
-    mesh_link_send (link, message);
-}
-
-static void
-log_end (const struct mesh_job *job, const char *outcome, const char *reason,
-         unsigned status)
-{
-  const struct mesh_inbound *inbound = job->inbound;
-  enum mesh_log_kind kind
-      = status >= 200 && status < 400 ? MESH_LOG_JOB_END : MESH_LOG_JOB_FAILED;
-  char id[128];
-
-  if (!mesh_log_allowed (kind))
-    return;
-  mesh_log (kind,
-            "\"request\":\"%s\",\"stream\":%" G_GUINT64_FORMAT
-            ",\"outcome\":\"%s\",\"reason\":\"%s\",\"status\":%u,"
-            "\"waited_us\":%" G_GUINT64_FORMAT ",\"ran_us\":%" G_GUINT64_FORMAT
-            ",\"running\":%u,\"queued\":%u,\"limit\":%u,\"slowness\":%u",
-            mesh_log_sanitize (job->request_id, id, sizeof id),
-            job->key.stream, outcome, reason, status,
-            job->started_us == 0 ? now_us () - job->entry.arrived_us
-                                 : job->started_us - job->entry.arrived_us,
-            job->started_us == 0 ? 0 : now_us () - job->started_us,
-            inbound->queue.running, inbound->queue.queued,
-            inbound->queue.limit, inbound->slowness_percent);
-}
-
-void
-mesh_job_refuse (struct mesh_job *job, enum mesh_reason reason, bool reached)
-{
-  struct mesh_inbound *inbound = job->inbound;
-  struct cp_peer_message message = { .kind = CP_PEER_REFUSAL };
-  struct cp_peer_refusal *refusal = &message.cp_peer_message_u.refusal;
-
-  refusal->stream = job->key.stream;
-  refusal->reason = reason;
-  refusal->reached = reached;
-  fill_load (inbound, &refusal->load);
-  inbound->counts.refused[reason]++;
-  log_end (job, "refused", mesh_reason_names[reason], 0);
-  job_end (job, &message);
-}
-
-void
-mesh_job_fail (struct mesh_job *job, enum mesh_reason reason)
-{
-  struct mesh_inbound *inbound = job->inbound;
-  struct cp_peer_message message = { .kind = CP_PEER_FAILURE };
-  struct cp_peer_failure *failure = &message.cp_peer_message_u.failure;
-
-  failure->stream = job->key.stream;
-  failure->reason = reason;
-  fill_load (inbound, &failure->load);
-  inbound->counts.failed[reason]++;
-  log_end (job, "failed", mesh_reason_names[reason], 0);
-  job_end (job, &message);
-}
-
-void
-mesh_job_answer (struct mesh_job *job, const struct net_message *answer)
-{
-  struct mesh_inbound *inbound = job->inbound;
-  struct cp_peer_message message = { .kind = CP_PEER_ANSWER };
-  struct cp_peer_answer *to = &message.cp_peer_message_u.answer;
-  GString *head = g_string_sized_new (256);
-
-  platform_write_response (head, &answer->headers);
-  to->stream = job->key.stream;
-  to->status = answer->parser.status_code;
-  to->head = head->str;
-  to->body.cp_peer_body_len = answer->body->len;
-  to->body.cp_peer_body_val = (char *)answer->body->data;
-  fill_load (inbound, &to->load);
-  inbound->counts.answered++;
-  log_end (job, "answered", "", to->status);
-  job_end (job, &message);
-  g_string_free (head, TRUE);
-}
-
 /* Starts JOB, which holds a slot.  */
 static void
 job_start (struct mesh_job *job)
@@ -275,42 +141,6 @@
     uv_timer_stop (timer);
 }
 
-static struct mesh_job *
-job_create (struct mesh_inbound *inbound, struct mesh_link *link,
-            const struct cp_peer_request *request)
-{
-  struct mesh_job *job = g_new0 (struct mesh_job, 1);
-  uint64_t now = now_us ();
-  uint64_t objective_us = request->objective * CP_US_PER_MS;
-
-  job->inbound = inbound;
-  job->link = link;
-  job->local = link == NULL;
-  job->key.source = link == NULL ? inbound->incarnation : link->incarnation;
-  job->key.stream = request->stream;
-  job->digest = request->digest;
-  job->request_id = g_strdup (request->request_id);
-  job->instance = g_strdup (request->instance);
-  job->head = g_strdup (request->head);
-  job->body = g_byte_array_new ();
-  g_byte_array_append (job->body,
-                       (const guint8 *)request->body.cp_peer_body_val,
-                       request->body.cp_peer_body_len);
-  job->idempotent = request->idempotent;
-  job->objective_us = objective_us;
-  job->deadline_us = now + request->left * CP_US_PER_MS;
-  job->entry.arrived_us = now;
-  job->entry.priority = request->priority;
-  job->entry.wait_until_us
-      = request->hedge
-            ? now
-            : MIN (job->deadline_us,
-                   now + (uint64_t)(QUEUE_WAIT_MAX_SHARE * objective_us));
-  cds_list_add_tail (&job->node, &inbound->jobs);
-  g_hash_table_insert (inbound->by_stream, &job->key, job);
-  return job;
-}
-
 /* Returns whether REQUEST is for an instance that is known to have ended.  */
 static bool
 is_for_ended_instance (const struct mesh_inbound *inbound,
@@ -341,7 +171,7 @@
 mesh_inbound_offer (struct mesh_inbound *inbound, struct mesh_link *link,
                     const struct cp_peer_request *request)
 {
-  struct mesh_job *job = job_create (inbound, link, request);
+  struct mesh_job *job = mesh_job_create (inbound, link, request);
   uint64_t now = now_us ();
 
   inbound->last_job_us = now;
@@ -398,10 +228,10 @@
   if (job->state == MESH_JOB_QUEUED)
     {
       cp_job_queue_remove (&inbound->queue, &job->entry);
-      job_free (job);
+      mesh_job_free (job);
     }
   else if (job->state == MESH_JOB_ENDED)
-    job_free (job);
+    mesh_job_free (job);
   else if (job->idempotent)
     mesh_server_abort (job, MESH_REASON_CANCELLED);
 }
@@ -435,7 +265,8 @@
     {
       message.cp_peer_message_u.refusal.stream = stream;
       message.cp_peer_message_u.refusal.reason = MESH_REASON_UNKNOWN_ATTEMPT;
-      fill_load (inbound, &message.cp_peer_message_u.refusal.load);
+      mesh_inbound_fill_load (inbound,
+                              &message.cp_peer_message_u.refusal.load);
       mesh_link_send (link, &message);
       return;
     }
@@ -527,7 +358,7 @@
   scope = cp_report_filter_check (&inbound->report_filter, &load);
   if (scope == CP_REPORT_NONE)
     return;
-  fill_load (inbound, &message.cp_peer_message_u.load);
+  mesh_inbound_fill_load (inbound, &message.cp_peer_message_u.load);
   inbound->events->load (inbound->context, &message,
                          scope == CP_REPORT_OWN_DOMAIN);
 }
--- a/meshd/inbound_internal.h
+++ b/meshd/inbound_internal.h
@@ -1,5 +1,6 @@
-/* Shared by the files of the inbound side: jobs (inbound.c) and the
-   connections to the server (server.c).  */
+/* Shared by the files of the inbound side: admission (inbound.c), begin and
+   end of jobs (job.c), connections to the server (server.c), what it says of
+   itself (notices.c), and its end (server_end.c).  */
 #ifndef MESHD_INBOUND_INTERNAL_H
 #define MESHD_INBOUND_INTERNAL_H
 
@@ -59,6 +60,15 @@
   char request_id[128];
 };
 
+/* Creates a job for REQUEST, in the list of INBOUND.  LINK is NULL if it comes
+   from our own outbound side.  */
+struct mesh_job *mesh_job_create (struct mesh_inbound *inbound,
+                                  struct mesh_link *link,
+                                  const struct cp_peer_request *request);
+void mesh_job_free (struct mesh_job *job);
+
+/* End JOB: refused, which proves that it has not run; failed, which proves
+   nothing; or answered.  */
 void mesh_job_refuse (struct mesh_job *job, enum mesh_reason reason,
                       bool reached);
 void mesh_job_fail (struct mesh_job *job, enum mesh_reason reason);
@@ -66,6 +76,9 @@
 void mesh_inbound_start_queued (struct mesh_inbound *inbound);
 void mesh_inbound_release_slot (struct mesh_inbound *inbound);
 
+void mesh_inbound_fill_load (struct mesh_inbound *inbound,
+                             struct cp_peer_load *load);
+
 /* Reports the load to the peers if it has changed enough to affect their
    choice of a server.  */
 void mesh_inbound_report_load (struct mesh_inbound *inbound);
