--- a/meshd/daemon.c
+++ b/meshd/daemon.c
@@ -194,12 +194,14 @@
   cp_server_pool_remove (&daemon->pool, instance, unconfirmed, now_us ());
   mesh_daemon_update_server (daemon);
   if (mesh_log_allowed (MESH_LOG_SERVER))
-    mesh_log (MESH_LOG_SERVER,
-              "\"server\":\"%s\",\"state\":\"%s\",\"era\":%" G_GUINT64_FORMAT
-              ",\"revision\":%" G_GUINT64_FORMAT,
-              mesh_log_sanitize (instance, id, sizeof id),
-              unconfirmed ? "lapsed" : "gone", position.era,
-              position.revision);
+    mesh_log (
+        MESH_LOG_SERVER,
+        "\"server\":\"%s\",\"state\":\"%s\",\"kept_us\":%" G_GUINT64_FORMAT
+        ",\"era\":%" G_GUINT64_FORMAT ",\"revision\":%" G_GUINT64_FORMAT,
+        mesh_log_sanitize (instance, id, sizeof id),
+        unconfirmed ? "lapsed" : "gone",
+        unconfirmed ? MESH_LAPSED_ENTRY_KEEP_US : 0, position.era,
+        position.revision);
 }
 
 static void
--- a/meshd/exchange.c
+++ b/meshd/exchange.c
@@ -198,15 +198,18 @@
 }
 
 static void
-on_store_state (void *context, bool reachable, const char *reason)
+on_store_state (void *context, bool reachable, const char *reason,
+                enum platform_store_call call, uint64_t duration_us)
 {
   struct mesh_exchange *exchange = context;
 
   if (mesh_log_allowed (MESH_LOG_STORE))
     mesh_log (MESH_LOG_STORE,
-              "\"answers\":%s,\"reason\":\"%s\",\"era\":%" G_GUINT64_FORMAT
+              "\"answers\":%s,\"reason\":\"%s\",\"call\":\"%s\","
+              "\"took_us\":%" G_GUINT64_FORMAT ",\"era\":%" G_GUINT64_FORMAT
               ",\"revision\":%" G_GUINT64_FORMAT,
               reachable ? "true" : "false", reason == NULL ? "" : reason,
+              platform_store_call_names[call], duration_us,
               exchange->registry.position.era,
               exchange->registry.position.revision);
   if (exchange->peers->view.store_answers == reachable)
--- a/meshd/life.c
+++ b/meshd/life.c
@@ -8,12 +8,6 @@
 
 #define TICK_MS 200
 
-/* How long a server is kept after its entry disappeared while the store was
-   disturbed.  Entries of running servers are back within two seconds of the
-   store's return.  A request must not reach a server later than the drain
-   time, also two seconds, after its entry was removed.  */
-#define LAPSED_ENTRY_KEEP_US UINT64_C (1800000)
-
 /* Time from SIGTERM to telling the peers, and to closing the listener.
    Clients stop sending after two failed readiness checks, one second apart;
    until then their calls are served as before.  */
@@ -169,7 +163,7 @@
   struct mesh_daemon *daemon = timer->data;
   uint64_t now = now_us ();
 
-  cp_server_pool_expire (&daemon->pool, now - LAPSED_ENTRY_KEEP_US);
+  cp_server_pool_expire (&daemon->pool, now - MESH_LAPSED_ENTRY_KEEP_US);
   mesh_daemon_expire_evacuations (daemon, now);
   cp_server_pool_update_links (&daemon->pool);
   /* There is a daemon beside each server.  */
--- a/meshd/metrics.c
+++ b/meshd/metrics.c
@@ -182,6 +182,10 @@
   write_traffic (&daemon->peers.traffic, text);
   write_counter (text, "store_calls_total", daemon->exchange.store.n_calls);
   write_gauge (text, "store_answers", daemon->exchange.store.reachable);
+  write_gauge (text, "store_answer_age_ms",
+               (cp_clock_now_us (&cp_clock_boot)
+                - daemon->exchange.store.last_answer_us)
+                   / CP_US_PER_MS);
   write_gauge (text, "store_watching", daemon->exchange.watching);
   write_gauge (text, "store_era", daemon->exchange.registry.position.era);
   write_gauge (text, "store_revision",
