--- a/lib/watchers.c
+++ b/lib/watchers.c
@@ -11,6 +11,16 @@
 #define BACKOFF_DOUBLINGS_MAX 10
 #define WATCHERS_PER_DOMAIN_MIN 2
 
+/* Time between two watches that end, of all watchers together.  With the time
+   in which an end that is overdue is noticed it must be shorter than the two
+   seconds within which a configuration must be in force.  */
+#define WATCH_INTERVAL_MS 1000
+
+/* How long the first watch after a change waits.  If the store has come back
+   from an older copy in the meantime and has the same revision again, a watch
+   gets no answer, and only its end shows that.  */
+#define WATCH_FIRST_MS 500
+
 /* A delay is at most this many mean intervals; so few delays reach the maximum
    that they do not synchronize there.  */
 #define DELAY_MAX_INTERVALS 10.0
@@ -72,9 +82,9 @@
   return XXH3_64bits_withSeed (vm, strlen (vm), seed);
 }
 
-bool
-cp_watchers_elected (const char *domain, const char *vm,
-                     const char *const *vms, unsigned n, unsigned wanted)
+unsigned
+cp_watchers_rank (const char *domain, const char *vm, const char *const *vms,
+                  unsigned n)
 {
   uint64_t own = cp_watchers_weight (domain, vm);
   unsigned n_above = 0;
@@ -82,7 +92,27 @@
   for (unsigned i = 0; i < n; i++)
     if (strcmp (vms[i], vm) != 0 && cp_watchers_weight (domain, vms[i]) > own)
       n_above++;
-  return n_above < wanted;
+  return n_above;
+}
+
+bool
+cp_watchers_elected (const char *domain, const char *vm,
+                     const char *const *vms, unsigned n, unsigned wanted)
+{
+  return cp_watchers_rank (domain, vm, vms, n) < wanted;
+}
+
+uint64_t
+cp_watch_wait_ms (const struct cp_watch_turn *turn, unsigned n_quiet)
+{
+  unsigned watchers = MAX (turn->watchers, 1U);
+  uint64_t wait_ms = (uint64_t)watchers * WATCH_INTERVAL_MS;
+
+  if (n_quiet == 0)
+    return WATCH_FIRST_MS;
+  if (n_quiet == 1)
+    wait_ms = (uint64_t)(turn->place % watchers + 1) * WATCH_INTERVAL_MS;
+  return wait_ms;
 }
 
 /* Draws an exponentially distributed time with mean MEAN_US, capped at
--- a/lib/watchers.h
+++ b/lib/watchers.h
@@ -62,12 +62,35 @@
    Networking 6(1), 1998.  */
 uint64_t cp_watchers_weight (const char *domain, const char *vm);
 
-/* Returns whether VM has one of the WANTED highest weights among the N VMs,
-   which are those in DOMAIN that count as alive.  VM itself need not be in the
-   list.  */
+/* Returns how many of the N VMs, which are those in DOMAIN that count as
+   alive, have a higher weight than VM.  VM itself need not be in the list.  */
+unsigned cp_watchers_rank (const char *domain, const char *vm,
+                           const char *const *vms, unsigned n);
+
+/* Returns whether VM has one of the WANTED highest weights among the N VMs. */
 bool cp_watchers_elected (const char *domain, const char *vm,
                           const char *const *vms, unsigned n, unsigned wanted);
 
+/* The place of a watcher among all WATCHERS, counted from 0.  Watchers that
+   see different peers may have the same place.  */
+struct cp_watch_turn
+{
+  unsigned place;
+  unsigned watchers;
+};
+
+/* Returns how many milliseconds a long-polling watch waits.  N_QUIET is the
+   number of watches that have ended without a change since the last change,
+   which ended those of all watchers at the same moment.
+
+   The first watch is short.  The second ones end one after the other, an
+   interval apart, and the later ones last as many intervals as there are
+   watchers, so that a watch ends in each interval.  A watch that the store has
+   forgotten is found out at its end only: within an interval one of the
+   watchers notices that the store was away, whatever the number of watchers.
+   An idle store answers one watch in each interval.  */
+uint64_t cp_watch_wait_ms (const struct cp_watch_turn *turn, unsigned n_quiet);
+
 /* Returns the delay from a read, the start or a wake-up to the next read.  It
    is exponentially distributed with mean INTERVAL_US, so that the reads of
    many daemons form a Poisson process whatever happened before: they do not
--- a/meshd/exchange.c
+++ b/meshd/exchange.c
@@ -24,6 +24,11 @@
    steps.  */
 #define ANNOUNCE_MAX 4
 
+/* Daemons of each other failure domain that a watcher tells of a state that it
+   has from the store: their own watchers may wait for answers to calls that
+   the store has forgotten.  */
+#define ANNOUNCE_OTHER_DOMAIN_MAX 1
+
 /* A removal that is learned this soon after a failed store call may be due to
    the failure.  */
 #define STORE_DISTURBED_US UINT64_C (3000000)
@@ -71,35 +76,72 @@
          && strcmp (link->domain, exchange->peers->domain) == 0;
 }
 
-/* Sends the newest state to daemons of the failure domain that are not known
-   to have it.  Draws them by reservoir sampling.  */
+/* The daemons of one failure domain that are told of a newer state.  */
+struct recipients
+{
+  const char *domain;
+  struct mesh_link *links[ANNOUNCE_MAX];
+  unsigned most; /* at most ANNOUNCE_MAX */
+  unsigned seen; /* daemons that could be told */
+};
+
+/* Finds the recipients in DOMAIN, or adds it to the N_DOMAINS.  Returns NULL
+   when there are too many.  */
+static struct recipients *
+find_recipients (struct recipients domains[DOMAINS_MAX], unsigned *n_domains,
+                 const char *domain)
+{
+  for (unsigned i = 0; i < *n_domains; i++)
+    if (strcmp (domains[i].domain, domain) == 0)
+      return &domains[i];
+  if (*n_domains == DOMAINS_MAX)
+    return NULL;
+  domains[*n_domains]
+      = (struct recipients){ .domain = domain,
+                             .most = ANNOUNCE_OTHER_DOMAIN_MAX };
+  return &domains[(*n_domains)++];
+}
+
+/* Adds LINK to RECIPIENTS, by reservoir sampling.  */
+static void
+add_recipient (const struct mesh_exchange *exchange,
+               struct recipients *recipients, struct mesh_link *link)
+{
+  unsigned place = recipients->seen++;
+
+  if (place >= recipients->most)
+    place = (unsigned)cp_random_below (exchange->random, recipients->seen);
+  if (place < recipients->most)
+    recipients->links[place] = link;
+}
+
+/* Tells daemons that are not known to have the newest state of it: some of the
+   failure domain, and if it came FROM_STORE some of the others.  */
 static void
-announce_position (struct mesh_exchange *exchange)
+announce_position (struct mesh_exchange *exchange, bool from_store)
 {
-  struct mesh_link *recipients[ANNOUNCE_MAX];
+  struct recipients domains[DOMAINS_MAX]
+      = { { .domain = exchange->peers->domain, .most = ANNOUNCE_MAX } };
+  unsigned n_domains = 1;
   struct mesh_link *link;
-  unsigned n = 0;
-  unsigned seen = 0;
 
   cds_list_for_each_entry (link, &exchange->peers->incoming, node)
   {
-    unsigned place = seen;
+    struct recipients *recipients;
 
-    if (!is_same_domain (exchange, link) || link->net.failed
+    if (link->net.failed || link->domain == NULL
+        || (!from_store && !is_same_domain (exchange, link))
         || !cp_store_position_after (
             exchange->registry.position,
             mesh_position_from_wire (&link->view.position)))
       continue;
-    seen++;
-    if (n < ANNOUNCE_MAX)
-      n++;
-    else
-      place = (unsigned)cp_random_below (exchange->random, seen);
-    if (place < ANNOUNCE_MAX)
-      recipients[place] = link;
+    recipients = find_recipients (domains, &n_domains, link->domain);
+    if (recipients != NULL)
+      add_recipient (exchange, recipients, link);
   }
-  for (unsigned i = 0; i < n; i++)
-    send_view (exchange, recipients[i]);
+  for (unsigned d = 0; d < n_domains; d++)
+    for (unsigned i = 0; i < MIN (domains[d].seen, domains[d].most); i++)
+      send_view (exchange, domains[d].links[i]);
 }
 
 /* Sends our view, which says whether the store answers, to all daemons of the
@@ -119,7 +161,7 @@
    new.  */
 static void
 set_position (struct mesh_exchange *exchange,
-              struct cp_store_position position)
+              struct cp_store_position position, bool from_store)
 {
   struct cp_store_position announced
       = mesh_position_from_wire (&exchange->peers->view.position);
@@ -129,7 +171,7 @@
     return;
   exchange->peers->view.position
       = mesh_position_to_wire (exchange->registry.position);
-  announce_position (exchange);
+  announce_position (exchange, from_store);
 }
 
 /* Returns whether a removal that is learned now may be due to a failure of the
@@ -194,7 +236,7 @@
 static void
 on_advanced (void *context, struct cp_store_position position)
 {
-  set_position (context, position);
+  set_position (context, position, true);
 }
 
 static void
@@ -263,20 +305,40 @@
   }
 }
 
+/* Returns how many of the domains seen come before DOMAIN by name.  */
+static unsigned
+count_domains_before (const struct candidates *candidates, const char *domain)
+{
+  unsigned n = 0;
+
+  for (unsigned i = 0; i < candidates->n_domains; i++)
+    n += strcmp (candidates->domains[i], domain) < 0;
+  return n;
+}
+
+/* Returns whether this daemon is to watch the store, and its TURN if so.  */
 static bool
-is_elected (const struct mesh_exchange *exchange)
+is_elected (const struct mesh_exchange *exchange, struct cp_watch_turn *turn)
 {
   const struct mesh_peers *peers = exchange->peers;
   CP_AUTO_FREE const char **all = g_new (const char *, peers->n_up + 1);
   CP_AUTO_FREE const char **store_up = g_new (const char *, peers->n_up + 1);
   struct candidates candidates = { .all_peers = all, .store_up = store_up };
   unsigned wanted;
+  unsigned rank;
 
   find_candidates (exchange, &candidates);
   wanted = (WATCHERS_TOTAL + candidates.n_domains - 1) / candidates.n_domains;
   wanted = MAX (wanted, WATCHERS_PER_DOMAIN_MIN);
-  return cp_watchers_elected (peers->domain, exchange->own_address, store_up,
-                              candidates.n_store_up, wanted)
+  rank = cp_watchers_rank (peers->domain, exchange->own_address, store_up,
+                           candidates.n_store_up);
+  /* Domains take turns, so that the watchers of one that is cut off are not
+     next to each other.  */
+  turn->watchers
+      = MIN (wanted, candidates.n_all_peers + 1) * candidates.n_domains;
+  turn->place = rank * candidates.n_domains
+                + count_domains_before (&candidates, peers->domain);
+  return rank < wanted
          && cp_watchers_elected (peers->domain, exchange->own_address, all,
                                  candidates.n_all_peers,
                                  MAX (wanted, WATCHERS_STORE_DOWN_MAX));
@@ -285,8 +347,10 @@
 static void
 update_watching (struct mesh_exchange *exchange)
 {
-  bool elected = is_elected (exchange);
+  struct cp_watch_turn turn;
+  bool elected = is_elected (exchange, &turn);
 
+  platform_store_set_turn (&exchange->store, &turn);
   if (elected == exchange->watching)
     return;
   exchange->watching = elected;
@@ -491,7 +555,7 @@
                    items->unsure || is_store_disturbed (exchange));
       platform_store_adopt_snapshot (&exchange->store, position);
     }
-  set_position (exchange, position);
+  set_position (exchange, position, false);
   platform_store_advance (&exchange->store, position);
 }
 
