--- a/lib/server_pool.c
+++ b/lib/server_pool.c
@@ -247,7 +247,7 @@
   server->capacity = entry->capacity;
   server->draining = entry->draining;
   server->replaced = false;
-  server->missing_since_us = 0;
+  server->kept_until_us = 0;
   set_warm_up (server, entry, now_us, is_new);
   mark_superseded (pool, server->address.text);
   if (is_new)
@@ -256,16 +256,16 @@
 
 void
 cp_server_pool_remove (struct cp_server_pool *pool, const char *instance,
-                       bool unconfirmed, uint64_t now_us)
+                       uint64_t keep_until_us)
 {
   struct cp_server *server = cp_server_pool_find (pool, instance);
 
   if (server == NULL)
     return;
-  if (!unconfirmed)
+  if (keep_until_us == 0)
     remove_server (pool, server);
-  else if (server->missing_since_us == 0)
-    server->missing_since_us = now_us;
+  else if (server->kept_until_us == 0)
+    server->kept_until_us = keep_until_us;
 }
 
 void
@@ -278,12 +278,13 @@
     mark_superseded (pool, server->address.text);
 }
 
-void
-cp_server_pool_expire (struct cp_server_pool *pool, uint64_t before_us)
+bool
+cp_server_pool_expire (struct cp_server_pool *pool, uint64_t now_us)
 {
   GHashTableIter iter;
   void *value;
   bool found = true;
+  bool removed = false;
 
   while (found)
     {
@@ -293,12 +294,14 @@
         {
           struct cp_server *server = value;
 
-          found = server->missing_since_us != 0
-                  && server->missing_since_us < before_us;
+          found
+              = server->kept_until_us != 0 && server->kept_until_us <= now_us;
           if (found)
             remove_server (pool, server);
         }
+      removed = removed || found;
     }
+  return removed;
 }
 
 struct cp_server *
--- a/lib/server_pool.h
+++ b/lib/server_pool.h
@@ -88,8 +88,8 @@
   bool reachable;    /* that link is up */
   bool link_failed;  /* it could not be opened again after it broke */
   uint64_t rank;     /* rendezvous hash weight, for the choice of links */
-  uint64_t missing_since_us; /* when its entry disappeared without proof that
-                                the server is gone, or 0 */
+  uint64_t kept_until_us; /* its entry disappeared without proof that the
+                             server is gone, and it is removed then; or 0 */
   struct cp_server_load load;
   uint64_t load_us;    /* when LOAD was received, 0 for never */
   unsigned sent_since; /* own attempts sent since LOAD was received */
@@ -166,19 +166,19 @@
                             const struct cp_server_entry *entry,
                             uint64_t now_us);
 
-/* Handles the disappearance of the entry of INSTANCE.  When UNCONFIRMED, the
-   loss may be an outage of the listing, and the server is kept until
-   cp_server_pool_expire.  */
+/* Handles the disappearance of the entry of INSTANCE.  The server is removed
+   at KEEP_UNTIL_US, by cp_server_pool_expire; at once if that is 0.  */
 void cp_server_pool_remove (struct cp_server_pool *pool, const char *instance,
-                            bool unconfirmed, uint64_t now_us);
+                            uint64_t keep_until_us);
 
 /* Marks SERVER as replaced: another instance answered at its address.  */
 void cp_server_pool_mark_replaced (struct cp_server_pool *pool,
                                    struct cp_server *server);
 
-/* Removes the servers whose entry disappeared before BEFORE_US and has not
-   come back.  */
-void cp_server_pool_expire (struct cp_server_pool *pool, uint64_t before_us);
+/* Removes the servers whose entry disappeared, has not come back, and that
+   were to be kept until NOW_US at the latest.  Returns whether there were any.
+ */
+bool cp_server_pool_expire (struct cp_server_pool *pool, uint64_t now_us);
 
 struct cp_server *cp_server_pool_find (const struct cp_server_pool *pool,
                                        const char *instance);
--- a/meshd/daemon.c
+++ b/meshd/daemon.c
@@ -185,13 +185,16 @@
 }
 
 static void
-on_server_removed (void *context, const char *instance, bool unconfirmed,
-                   struct cp_store_position position)
+on_server_removed (void *context, const char *instance,
+                   uint64_t unsure_until_us, struct cp_store_position position)
 {
   struct mesh_daemon *daemon = context;
+  uint64_t now = now_us ();
+  bool lapsed = unsure_until_us > now;
   char id[128];
 
-  cp_server_pool_remove (&daemon->pool, instance, unconfirmed, now_us ());
+  cp_server_pool_remove (&daemon->pool, instance,
+                         lapsed ? unsure_until_us : 0);
   mesh_daemon_update_server (daemon);
   if (mesh_log_allowed (MESH_LOG_SERVER))
     mesh_log (
@@ -199,9 +202,8 @@
         "\"server\":\"%s\",\"state\":\"%s\",\"kept_us\":%" G_GUINT64_FORMAT
         ",\"era\":%" G_GUINT64_FORMAT ",\"revision\":%" G_GUINT64_FORMAT,
         mesh_log_sanitize (instance, id, sizeof id),
-        unconfirmed ? "lapsed" : "gone",
-        unconfirmed ? MESH_LAPSED_ENTRY_KEEP_US : 0, position.era,
-        position.revision);
+        lapsed ? "lapsed" : "gone", lapsed ? unsure_until_us - now : 0,
+        position.era, position.revision);
 }
 
 static void
--- a/meshd/daemon_internal.h
+++ b/meshd/daemon_internal.h
@@ -7,12 +7,6 @@
 
 #include "meshd/daemon.h"
 
-/* How long a server is kept after its entry disappeared while the store was
-   disturbed.  Entries of running servers are back within two seconds of the
-   store's return.  A request must not reach a server later than the drain
-   time, also two seconds, after its entry was removed.  */
-#define MESH_LAPSED_ENTRY_KEEP_US UINT64_C (1800000)
-
 /* The states and events of charts/daemon.json.  */
 enum mesh_state
 {
--- a/meshd/exchange.c
+++ b/meshd/exchange.c
@@ -29,9 +29,11 @@
    the store has forgotten.  */
 #define ANNOUNCE_OTHER_DOMAIN_MAX 1
 
-/* A removal that is learned this soon after a failed store call may be due to
-   the failure.  */
-#define STORE_DISTURBED_US UINT64_C (3000000)
+/* How long after the return of the store, or its loss of an entry, a server
+   whose entry disappeared is kept.  Entries of running servers are back within
+   two seconds of the return.  A request must not reach a server later than the
+   drain time, also two seconds, after its entry was removed.  */
+#define LAPSED_ENTRY_KEEP_US UINT64_C (1800000)
 
 /* How long a watcher with a pending watch may lag behind a peer before it
    pulls the changes.  A store call takes some milliseconds.  */
@@ -174,16 +176,45 @@
   announce_position (exchange, from_store);
 }
 
-/* Returns whether a removal that is learned now may be due to a failure of the
-   store.  */
-static bool
-is_store_disturbed (const struct mesh_exchange *exchange)
+/* Returns until when a server may write its entry again whose removal is
+   learned now from the store; 0 if the removal cannot be due to a failure of
+   the store.  A call that fails late says nothing of the present: what counts
+   is when the store answered again.  */
+static uint64_t
+unsure_until_us (const struct mesh_exchange *exchange)
 {
   const struct platform_store *store = &exchange->store;
+  uint64_t now = now_us ();
+
+  if (!store->reachable)
+    return now + LAPSED_ENTRY_KEEP_US;
+  if (store->returned_us == 0
+      || store->returned_us + LAPSED_ENTRY_KEEP_US <= now)
+    return 0;
+  return store->returned_us + LAPSED_ENTRY_KEEP_US;
+}
+
+/* Converts to the form in messages.  */
+static u_int
+unsure_to_wire (uint64_t until_us)
+{
+  uint64_t now = now_us ();
+
+  if (until_us == 0)
+    return 0;
+  if (until_us <= now)
+    return 1;
+  return (u_int)MAX ((until_us - now) / CP_US_PER_MS, 1U);
+}
+
+/* Converts from the form in messages.  A peer cannot make this daemon keep a
+   server for longer than it would by itself.  */
+static uint64_t
+unsure_from_wire (u_int unsure_ms)
+{
+  uint64_t left_us = unsure_ms * CP_US_PER_MS;
 
-  return !store->reachable
-         || (store->last_failure_us != 0
-             && now_us () - store->last_failure_us < STORE_DISTURBED_US);
+  return unsure_ms == 0 ? 0 : now_us () + MIN (left_us, LAPSED_ENTRY_KEEP_US);
 }
 
 static void
@@ -192,7 +223,7 @@
   struct mesh_exchange *exchange = context;
 
   platform_registry_apply (&exchange->registry, item,
-                           is_store_disturbed (exchange));
+                           unsure_until_us (exchange));
 }
 
 /* Logs that the state in force is of another era of the store than before,
@@ -210,15 +241,17 @@
               exchange->registry.n_kept, exchange->registry.n_dropped);
 }
 
-/* Ends a complete listing as of POSITION, from the store or a peer.  */
+/* Ends a complete listing as of POSITION, from the store or a peer.
+   KEPT_UNTIL_US is the UNSURE_UNTIL_US of platform_registry_end_listing.  */
 static void
 end_listing (struct mesh_exchange *exchange, struct cp_store_position position,
-             bool unsure)
+             uint64_t kept_until_us)
 {
   struct platform_registry *registry = &exchange->registry;
   struct cp_store_position known = registry->position;
 
-  platform_registry_end_listing (registry, position, unsure);
+  platform_registry_end_listing (registry, position, kept_until_us,
+                                 now_us () + LAPSED_ENTRY_KEEP_US);
   if (known.revision != 0 && position.era > known.era)
     log_era (exchange, known, position);
   registry->n_kept = 0;
@@ -230,7 +263,7 @@
 {
   struct mesh_exchange *exchange = context;
 
-  end_listing (exchange, position, is_store_disturbed (exchange));
+  end_listing (exchange, position, unsure_until_us (exchange));
 }
 
 static void
@@ -417,7 +450,7 @@
 {
   struct mesh_link *link;
   bool whole;
-  bool unconfirmed;
+  uint64_t unsure_until_us; /* of items that are missing */
   struct cp_peer_item items[ITEMS_MAX];
   unsigned count;
 };
@@ -431,7 +464,7 @@
 
   items->position = mesh_position_to_wire (position);
   items->whole = batch->whole;
-  items->unsure = batch->unconfirmed;
+  items->unsure_ms = unsure_to_wire (batch->unsure_until_us);
   items->items.items_len = batch->count;
   items->items.items_val = batch->items;
   mesh_link_send (batch->link, &message);
@@ -454,7 +487,8 @@
                                  .position
                                  = mesh_position_to_wire (record->position),
                                  .removed = record->value == NULL,
-                                 .unsure = record->unsure };
+                                 .unsure_ms
+                                 = unsure_to_wire (record->unsure_until_us) };
   if (value != NULL)
     item->value.value_val = (char *)g_bytes_get_data (value, &length);
   item->value.value_len = (u_int)length;
@@ -473,7 +507,7 @@
   batch->link = link;
   batch->whole
       = cp_store_position_after (exchange->registry.removals_from, since);
-  batch->unconfirmed = is_store_disturbed (exchange);
+  batch->unsure_until_us = unsure_until_us (exchange);
   if (batch->whole)
     since = (struct cp_store_position){ 0, 0 };
   platform_registry_foreach_since (&exchange->registry, since, add_to_batch,
@@ -494,7 +528,8 @@
           .removed = from->removed,
           .listed = listed };
 
-  platform_registry_apply (&exchange->registry, &item, from->unsure);
+  platform_registry_apply (&exchange->registry, &item,
+                           unsure_from_wire (from->unsure_ms));
 }
 
 /* Applies FROM.  Returns false if its value cannot be read.  */
@@ -551,8 +586,7 @@
     return;
   if (items->whole)
     {
-      end_listing (exchange, position,
-                   items->unsure || is_store_disturbed (exchange));
+      end_listing (exchange, position, unsure_from_wire (items->unsure_ms));
       platform_store_adopt_snapshot (&exchange->store, position);
     }
   set_position (exchange, position, false);
--- a/meshd/life.c
+++ b/meshd/life.c
@@ -163,7 +163,8 @@
   struct mesh_daemon *daemon = timer->data;
   uint64_t now = now_us ();
 
-  cp_server_pool_expire (&daemon->pool, now - MESH_LAPSED_ENTRY_KEEP_US);
+  if (cp_server_pool_expire (&daemon->pool, now))
+    mesh_daemon_update_server (daemon);
   mesh_daemon_expire_evacuations (daemon, now);
   cp_server_pool_update_links (&daemon->pool);
   /* There is a daemon beside each server.  */
--- a/regress/lib/check_server_pool.c
+++ b/regress/lib/check_server_pool.c
@@ -262,16 +262,18 @@
 {
   add_server ("a", "near", 1, false);
   add_server ("b", "near", 1, false);
-  cp_server_pool_remove (&pool, "a", true, NOW_US);
-  cp_server_pool_expire (&pool, NOW_US);
+  cp_server_pool_remove (&pool, "a", NOW_US + 1);
+  ck_assert (!cp_server_pool_expire (&pool, NOW_US));
   ck_assert_ptr_nonnull (cp_server_pool_find (&pool, "a"));
   add_server ("a", "near", 1, false);
-  cp_server_pool_expire (&pool, NOW_US + 1);
+  ck_assert (!cp_server_pool_expire (&pool, NOW_US + 1));
   ck_assert_ptr_nonnull (cp_server_pool_find (&pool, "a"));
-  cp_server_pool_remove (&pool, "a", true, NOW_US);
-  cp_server_pool_expire (&pool, NOW_US + 1);
+  cp_server_pool_remove (&pool, "a", NOW_US + 1);
+  /* What is learned again does not extend the time.  */
+  cp_server_pool_remove (&pool, "a", NOW_US + 2);
+  ck_assert (cp_server_pool_expire (&pool, NOW_US + 1));
   ck_assert_ptr_null (cp_server_pool_find (&pool, "a"));
-  cp_server_pool_remove (&pool, "b", false, NOW_US);
+  cp_server_pool_remove (&pool, "b", 0);
   ck_assert_uint_eq (cp_server_pool_count (&pool), 0);
 }
 END_TEST
@@ -297,7 +299,7 @@
   ck_assert_str_eq (pick (NULL, 0)->instance, "a-old");
   add_server ("a-new", "zone-a", 2000, false);
   ck_assert_str_eq (pick (NULL, 0)->instance, "a-new");
-  cp_server_pool_remove (&pool, "a-new", false, NOW_US);
+  cp_server_pool_remove (&pool, "a-new", 0);
   ck_assert_str_eq (pick (NULL, 0)->instance, "a-old");
 }
 END_TEST
--- a/regress/meshd/check_mesh_items.c
+++ b/regress/meshd/check_mesh_items.c
@@ -43,12 +43,12 @@
 }
 
 static void
-on_removed (void *context, const char *instance, bool unconfirmed,
+on_removed (void *context, const char *instance, uint64_t unsure_until_us,
             struct cp_store_position position)
 {
   (void)context;
   (void)instance;
-  (void)unconfirmed;
+  (void)unsure_until_us;
   (void)position;
 }
 
@@ -194,7 +194,7 @@
   uv_loop_init (&loop);
   start (&first, &sender, 1);
   start (&second, &receiver, 2);
-  platform_registry_apply (&sender.registry, &item, false);
+  platform_registry_apply (&sender.registry, &item, 0);
   platform_registry_advance (
       &sender.registry, (struct cp_store_position){ .revision = REVISION });
   peer = mesh_peer_acquire (&second, &to);
--- a/regress/platform/check_decode.c
+++ b/regress/platform/check_decode.c
@@ -391,7 +391,7 @@
                                 .length = strlen (document),
                                 .position = { 0, revision } };
 
-  platform_registry_apply (registry, &item, false);
+  platform_registry_apply (registry, &item, 0);
   g_free (rule);
   g_free (document);
 }
--- a/regress/platform/check_platform.c
+++ b/regress/platform/check_platform.c
@@ -154,14 +154,14 @@
 }
 
 static void
-on_removed (void *context, const char *instance, bool unsure,
+on_removed (void *context, const char *instance, uint64_t unsure_until_us,
             struct cp_store_position position)
 {
   (void)context;
   (void)instance;
   (void)position;
   n_removed++;
-  n_unsure += unsure;
+  n_unsure += unsure_until_us != 0;
 }
 
 static void
@@ -200,14 +200,14 @@
                                 .removed = value == NULL,
                                 .listed = listed };
 
-  platform_registry_apply (registry, &item, false);
+  platform_registry_apply (registry, &item, 0);
 }
 
 static void
 end_listing (struct platform_registry *registry, uint64_t revision)
 {
   platform_registry_end_listing (
-      registry, (struct cp_store_position){ era, revision }, false);
+      registry, (struct cp_store_position){ era, revision }, 0, 1);
 }
 
 START_TEST (newest_revision_of_each_key_wins)
@@ -320,6 +320,32 @@
 }
 END_TEST
 
+/* Guards against a server that has left and is kept since the first daemon to
+   tell of it had just lost the store.  */
+START_TEST (a_sure_removal_replaces_an_unsure_one)
+{
+  struct platform_registry registry;
+  struct platform_item removal
+      = { .key = "servers/a", .position = { .revision = 6 }, .removed = true };
+  char *entry = g_strdup_printf (ENTRY, "13", "ready", "");
+
+  platform_registry_init (&registry, &registry_events, NULL);
+  apply (&registry, "servers/a", entry, 5, false);
+  platform_registry_apply (&registry, &removal, 1000);
+  ck_assert_uint_eq (n_removed, 1);
+  ck_assert_uint_eq (n_unsure, 1);
+  /* The time that was learned first holds.  */
+  platform_registry_apply (&registry, &removal, 2000);
+  ck_assert_uint_eq (n_removed, 1);
+  for (unsigned i = 0; i < 2; i++)
+    platform_registry_apply (&registry, &removal, 0);
+  ck_assert_uint_eq (n_removed, 2);
+  ck_assert_uint_eq (n_unsure, 1);
+  platform_registry_finish (&registry);
+  g_free (entry);
+}
+END_TEST
+
 START_TEST (unlisted_keys_are_removed_unless_newer)
 {
   struct platform_registry registry;
@@ -454,6 +480,7 @@
   tcase_add_test (tests, a_later_era_is_newer_whatever_its_revisions);
   tcase_add_test (tests, what_is_older_in_a_copy_does_not_come_back);
   tcase_add_test (tests, what_a_copy_lacks_may_be_written_again);
+  tcase_add_test (tests, a_sure_removal_replaces_an_unsure_one);
   tcase_add_test (tests, unlisted_keys_are_removed_unless_newer);
   tcase_add_test (tests, response_headers_are_decoded);
   tcase_add_test (tests, a_rate_limit_that_is_no_decimal_number_is_ignored);
--- a/regress/platform/check_platform_evacuation.c
+++ b/regress/platform/check_platform_evacuation.c
@@ -43,12 +43,12 @@
 }
 
 static void
-on_removed (void *context, const char *instance, bool unsure,
+on_removed (void *context, const char *instance, uint64_t unsure_until_us,
             struct cp_store_position position)
 {
   (void)context;
   (void)instance;
-  (void)unsure;
+  (void)unsure_until_us;
   (void)position;
 }
 
@@ -96,14 +96,14 @@
                                 .removed = value == NULL,
                                 .listed = listed };
 
-  platform_registry_apply (registry, &item, false);
+  platform_registry_apply (registry, &item, 0);
 }
 
 static void
 end_listing (struct platform_registry *registry, uint64_t revision)
 {
   platform_registry_end_listing (
-      registry, (struct cp_store_position){ era, revision }, false);
+      registry, (struct cp_store_position){ era, revision }, 0, 1);
 }
 
 /* Guards against an evacuation whose value is not the usual one, and against
--- a/regress/platform/check_platform_warm_up.c
+++ b/regress/platform/check_platform_warm_up.c
@@ -162,12 +162,12 @@
 }
 
 static void
-on_removed (void *context, const char *instance, bool unsure,
+on_removed (void *context, const char *instance, uint64_t unsure_until_us,
             struct cp_store_position position)
 {
   (void)context;
   (void)instance;
-  (void)unsure;
+  (void)unsure_until_us;
   (void)position;
   n_removed++;
 }
@@ -196,7 +196,7 @@
                                 .length = strlen (value),
                                 .position = { 1, ++revision } };
 
-  platform_registry_apply (registry, &item, false);
+  platform_registry_apply (registry, &item, 0);
 }
 
 /* Guards against a server that is removed from the choice because its entry
--- a/rpc/peer.h
+++ b/rpc/peer.h
@@ -141,14 +141,14 @@
 	u_int uncompressed_length;
 	cp_peer_position position;
 	bool_t removed;
-	bool_t unsure;
+	u_int unsure_ms;
 };
 typedef struct cp_peer_item cp_peer_item;
 
 struct cp_peer_items {
 	cp_peer_position position;
 	bool_t whole;
-	bool_t unsure;
+	u_int unsure_ms;
 	struct {
 		u_int items_len;
 		cp_peer_item *items_val;
--- a/rpc/peer.x
+++ b/rpc/peer.x
@@ -142,9 +142,9 @@
 
 /*
  * One key of the store.  uncompressed_length: length of the value before
- * compression (lib/compress.h), 0 when it is not compressed.  unsure: the key
- * was removed while the store was disturbed, so that the removal may be an
- * effect of the disturbance.
+ * compression (lib/compress.h), 0 when it is not compressed.  unsure_ms: the key
+ * was removed while the store was disturbed, and may be written again for this
+ * long; 1 when that time is over, 0 when the removal was sure.
  */
 struct cp_peer_item {
 	string key<CP_PEER_KEY_MAX>;
@@ -152,20 +152,20 @@
 	unsigned int uncompressed_length;
 	cp_peer_position position;
 	bool removed;
-	bool unsure;
+	unsigned int unsure_ms;
 };
 
 /*
  * Answer to CP_PEER_PULL: the items that changed after the requested state, up
  * to position, whose revision is 0 when more messages follow.  whole: these are
  * all items of the store, since the sender does not know what was removed after
- * the requested state.  unsure, with whole: the store is disturbed, which
- * may be why items are missing.
+ * the requested state.  unsure_ms, with whole: the same for items that are
+ * missing.
  */
 struct cp_peer_items {
 	cp_peer_position position;
 	bool whole;
-	bool unsure;
+	unsigned int unsure_ms;
 	cp_peer_item items<CP_PEER_ITEMS_MAX>;
 };
 
--- a/rpc/peer_xdr.c
+++ b/rpc/peer_xdr.c
@@ -362,7 +362,7 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->removed))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->unsure))
+	 if (!xdr_u_int (xdrs, &objp->unsure_ms))
 		 return FALSE;
 	return TRUE;
 }
@@ -376,7 +376,7 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->whole))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->unsure))
+	 if (!xdr_u_int (xdrs, &objp->unsure_ms))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, CP_PEER_ITEMS_MAX,
 		sizeof (cp_peer_item), (xdrproc_t) xdr_cp_peer_item))
