--- a/meshd/daemon.c
+++ b/meshd/daemon.c
@@ -38,12 +38,27 @@
   return address;
 }
 
+/* Returns when the local server gets its last request, by what is known of it
+   now: SERVER, or NULL if its entry was removed or has not been seen.  Returns
+   0 if there is no end.  */
+static uint64_t
+find_drain_deadline (const struct mesh_daemon *daemon,
+                     const struct cp_server *server)
+{
+  bool removed = server == NULL && daemon->inbound.instance[0] != '\0';
+
+  if (removed || daemon->inbound.server_leaving
+      || (server != NULL && server->draining))
+    return now_us () + daemon->settings.drain_us - DRAIN_MARGIN_US;
+  return server == NULL ? 0 : server->kept_until_us;
+}
+
 void
 mesh_daemon_update_server (struct mesh_daemon *daemon)
 {
   const struct cp_service_rule *rule = NULL;
   const struct cp_server *server;
-  bool leaving;
+  uint64_t deadline_us;
 
   if (daemon->settings.server.length == 0)
     return;
@@ -58,14 +73,9 @@
                            rule == NULL ? NULL : rule->health_path);
   if (daemon->sigterm_us != 0)
     return;
-  leaving
-      = daemon->inbound.server_leaving || (server != NULL && server->draining);
-  if (leaving && daemon->inbound.drain_deadline_us == 0)
-    mesh_inbound_set_drain_deadline (&daemon->inbound,
-                                     now_us () + daemon->settings.drain_us
-                                         - DRAIN_MARGIN_US);
-  else if (!leaving && server != NULL)
-    mesh_inbound_set_drain_deadline (&daemon->inbound, 0);
+  deadline_us = find_drain_deadline (daemon, server);
+  if (deadline_us == 0 || daemon->inbound.drain_deadline_us == 0)
+    mesh_inbound_set_drain_deadline (&daemon->inbound, deadline_us);
 }
 
 static void
--- a/regress/meshd/check_mesh_peers.c
+++ b/regress/meshd/check_mesh_peers.c
@@ -11,6 +11,9 @@
 #define VMS 2 /* VM 1 serves alpha */
 #define INCARNATION 4242
 
+/* Time after which no request may reach a server that has left.  */
+#define DRAIN_US 2000000
+
 static struct stage stage;
 static char instance[64];
 
@@ -240,11 +243,48 @@
 }
 END_TEST
 
+static bool
+is_removed (void *context)
+{
+  (void)context;
+  return stage_counter (&stage, 1, "servers") == VMS - 1;
+}
+
+/* Guards against a request that reaches a server whose entry was removed since
+   the daemon that sends it has not learned of that.  */
+START_TEST (a_request_to_a_server_without_an_entry_is_refused)
+{
+  CP_AUTO_FREE char *key = stage_server_key (&stage, 1);
+  struct cp_peer_message message;
+  int fd = open_link ();
+
+  stage_remove (&stage, key);
+  wait_until (is_removed, NULL);
+  g_usleep (DRAIN_US);
+  send_request (fd, 1, "/write/1", false);
+  g_usleep (300000);
+  ck_assert_uint_eq (stage_runs (&stage, "q1"), 0);
+  read_until (fd, CP_PEER_REFUSAL, &message);
+  ck_assert_uint_eq (message.cp_peer_message_u.refusal.reason,
+                     MESH_REASON_LEAVING);
+  ck_assert (!message.cp_peer_message_u.refusal.reached);
+  mesh_message_free (&message);
+  /* The entry of the same server comes back.  */
+  stage_enter (&stage, 1, "ready");
+  g_usleep (DRAIN_US);
+  send_request (fd, 2, "/write/1", false);
+  read_until (fd, CP_PEER_ANSWER, &message);
+  mesh_message_free (&message);
+  close (fd);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
   tcase_add_checked_fixture (tests, setup, teardown);
   tcase_add_test (tests, a_request_to_an_evacuated_domain_is_refused);
+  tcase_add_test (tests, a_request_to_a_server_without_an_entry_is_refused);
   tcase_add_loop_test (tests, an_end_that_was_lost_with_its_link_is_told_again,
                        0, 3);
   tcase_add_test (tests, a_running_attempt_is_answered_over_the_new_link);
