--- a/regress/harness/stage_server.c
+++ b/regress/harness/stage_server.c
@@ -183,6 +183,16 @@
 {
   CP_AUTO_FREE char *text = NULL;
   const char *id = request_id (guest);
+  const char *head = strstr (guest->request.target->str, "head=");
+
+  if (head != NULL)
+    {
+      text = compose (guest, "200 OK", id, SIGNATURE, "whole", 5);
+      text[MIN (strlen (text), g_ascii_strtoull (head + 5, NULL, 10))] = '\0';
+      send_text (guest, text);
+      net_stream_shutdown (&guest->stream);
+      return true;
+    }
 
   if (asks (guest, "cut"))
     text = compose (guest, "200 OK", id, SIGNATURE, "half", 400);
@@ -333,6 +343,18 @@
   server_close (server);
 }
 
+/* Writes a refusal again that belongs to an earlier request, or names none. */
+static void
+refuse_again (struct guest *guest)
+{
+  CP_AUTO_FREE char *text = g_strdup_printf (
+      "HTTP/1.1 503 Service Unavailable\r\n%sX-Cornelpick-Not-Executed: 1\r\n"
+      "Content-Length: 0\r\n\r\n",
+      asks (guest, "nameless") ? "" : "X-Cornelpick-Request-Id: earlier\r\n");
+
+  send_text (guest, text);
+}
+
 static void
 work (struct guest *guest)
 {
@@ -346,6 +368,8 @@
   badly = before == 0 || !asks (guest, "once");
   guest->working = true;
   guest->server->running++;
+  if (asks (guest, "refuse-again"))
+    refuse_again (guest);
   if (badly && asks (guest, "hang"))
     return;
   if (badly && asks (guest, "crash"))
