--- a/meshd/server.c
+++ b/meshd/server.c
@@ -280,6 +280,15 @@
   connection->job = NULL;
   job->connection = NULL;
   inbound->connect_refusals = 0;
+  /* Servers name the request in every answer.  One that names none may belong
+     to an earlier request, so it proves nothing of this one.  */
+  if (headers.request_id == NULL && job->request_id[0] != '\0')
+    {
+      connection_close (connection);
+      mesh_job_fail (job, MESH_REASON_GARBLED);
+      mesh_inbound_release_slot (inbound);
+      return true;
+    }
   if (!headers.not_run)
     update_service_time (inbound, job);
   connection_release (connection, headers.closes);
