Review case 1: a late copy of a refusal makes a purchase run twice

Cause: an answer is known by the request ID alone, which all attempts of a request share, and a server may get a second attempt after its link failed. Added: a script in which a server repeats a refusal late and the link on which the refusal was on its way is reset; relays between the daemons; faults of the stand-in of the servers.

--- a/review/1/case.c
+++ b/review/1/case.c
@@ -1,172 +1,126 @@
-/* Eight of 28 clients send requests behind each other and leave before they
-   are answered; with TROUBLE=0 they wait for all answers.  The other clients
-   call on kept connections.  */
-#include <poll.h>
-#include <pthread.h>
-#include <stdint.h>
+/* One of two servers refuses some requests, and of one refusal in ten it sends
+   a second copy, late, on the same connection.  At that moment the link
+   between the two daemons goes silent and is reset, so that the refusal does
+   not arrive.  With TROUBLE=0 there is none of this.  */
 #include <stdio.h>
-#include <stdlib.h>
-#include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include "review/rig.h"
 
-#define LEAVERS 8
-#define RUN_MS 60000
+#define CALLER_VM 1
+#define FAULTY_VM 3 /* in the failure domain of the caller */
+#define REQUESTS 600
+#define DEADLINE_MS 1000
+#define OBJECTIVE_MS 250
 
-/* What a leaver sends in one burst, and the pause between two requests.  */
-#define DEPTH 6
-#define GAP_MS 8
+/* Of the requests at the faulty server, and of these refusals.  */
+#define SHED_PERCENT 30
+#define COPY_PERCENT 10
 
-/* How long after its last request a leaver closes: within half of the
-   objective.  */
-#define LEAVE_MS_MAX 100
-#define OBJECTIVE_MS 200
-#define DEADLINE_MS 800
+/* How long the link is silent before it is reset.  */
+#define SILENT_MS 5
 
-/* Longer than "contact", so that the machines are in touch.  */
-#define PAUSE_MS 4000
+/* Longer than "contact", and than the time after its start in which a daemon
+   does not use the slack of the retry budget.  */
+#define PAUSE_MS 16000
 
-#define BETWEEN_BURSTS_MS 100
+static unsigned resets;
 
-static pthread_barrier_t burst;
-static bool stopping;
-static bool go_on; /* written by the first, read behind a barrier */
-static unsigned sent;
-static unsigned answered;
-static unsigned left;
-
-static void
-add (unsigned *count, unsigned number)
+static void *
+reset_link (void *context)
 {
-  __atomic_fetch_add (count, number, __ATOMIC_SEQ_CST);
+  (void)context;
+  rig_sleep_ms (SILENT_MS);
+  rig_relay_reset (CALLER_VM, FAULTY_VM);
+  rig_relay_hold (CALLER_VM, FAULTY_VM, false);
+  return NULL;
 }
 
-static unsigned
-count_answers (const char *bytes, size_t length)
+static void
+on_copy (unsigned vm)
 {
-  static const char text[] = "HTTP/1.1 ";
-  const char *end = bytes + length;
-  unsigned count = 0;
-
-  while ((bytes = memmem (bytes, (size_t)(end - bytes), text, sizeof text - 1))
-         != NULL)
-    {
-      bytes += sizeof text - 1;
-      count++;
-    }
-  return count;
+  resets++;
+  rig_relay_hold (CALLER_VM, vm, true);
+  rig_thread (reset_link, NULL);
 }
 
-/* Reads answers until UNTIL_MS, until all have come, or until the connection
-   closes.  Returns how many came.  */
-static unsigned
-read_answers (int fd, uint64_t until_ms)
+/* The requests of a client, and what became of them.  */
+struct outcome
 {
-  char bytes[65536];
-  unsigned count = 0;
-
-  while (count < DEPTH)
-    {
-      uint64_t now_ms = rig_now_ms ();
-      struct pollfd poll_fd = { .fd = fd, .events = POLLIN };
-      ssize_t length;
-
-      if (now_ms >= until_ms
-          || poll (&poll_fd, 1, (int)(until_ms - now_ms)) <= 0)
-        break;
-      length = recv (fd, bytes, sizeof bytes, 0);
-      if (length <= 0)
-        break;
-      count += count_answers (bytes, (size_t)length);
-    }
-  return count;
+  unsigned served;
+  unsigned refused;
+  unsigned failed;
+  unsigned twice;         /* ran more than once */
+  unsigned refused_wrong; /* answered 503 although they ran */
+};
+
+static bool
+is_refusal (unsigned status)
+{
+  return status == 503 || status == 429 || status == 408 || status == 421;
 }
 
-static void
-send_burst (unsigned number, unsigned *last_id, unsigned *seed)
+static int
+call (int fd, unsigned number, struct outcome *outcome)
 {
-  int fd = rig_connect (1);
-  uint64_t until_ms;
+  char id[32];
+  struct rig_request request = { .method = "POST",
+                                 .host = "adoptions.example",
+                                 .target = "/write/a?work=20&bytes=400",
+                                 .id = id,
+                                 .deadline_ms = DEADLINE_MS,
+                                 .body_bytes = 300 };
+  struct rig_answer answer;
+  bool complete;
+  unsigned runs;
 
   if (fd < 0)
-    return;
-  for (unsigned i = 0; i < DEPTH; i++)
-    {
-      char text[400];
-
-      ++*last_id;
-      snprintf (text, sizeof text,
-                "GET /read/p%u?work=150&bytes=400 HTTP/1.1\r\n"
-                "Host: catalogue.example\r\n"
-                "X-Cornelpick-Request-Id: %08x%08x\r\n"
-                "X-Cornelpick-Deadline-Ms: %d\r\n\r\n",
-                *last_id, 0xb0000000U + number, *last_id, DEADLINE_MS);
-      send (fd, text, strlen (text), MSG_NOSIGNAL);
-      rig_sleep_ms (GAP_MS);
-    }
-  add (&sent, DEPTH);
-  until_ms = rig_now_ms ();
-  until_ms += rig_trouble () ? (uint64_t)rand_r (seed) % (LEAVE_MS_MAX + 1)
-                             : 2 * DEADLINE_MS;
-  add (&answered, read_answers (fd, until_ms));
+    fd = rig_connect (CALLER_VM);
+  snprintf (id, sizeof id, "9c41d07b%08u", number);
+  complete = rig_call (fd, &request, &answer);
+  outcome->served += complete && answer.status == 200;
+  outcome->refused += complete && is_refusal (answer.status);
+  outcome->failed += !complete || answer.status >= 500;
+  runs = rig_runs (id);
+  if (runs > 1 || (is_refusal (answer.status) && runs > 0))
+    rig_record ("request %s (POST, non_idempotent) was answered %u and ran %u "
+                "times",
+                id, answer.status, runs);
+  outcome->twice += runs > 1;
+  outcome->refused_wrong += is_refusal (answer.status) && runs > 0;
+  if (complete)
+    return fd;
   close (fd);
-  add (&left, 1);
-}
-
-static void *
-run_leaver (void *context)
-{
-  unsigned number = (unsigned)(uintptr_t)context;
-  unsigned seed = number + 1;
-  unsigned last_id = 0;
-
-  for (;;)
-    {
-      if (number == 0)
-        go_on = !__atomic_load_n (&stopping, __ATOMIC_SEQ_CST);
-      pthread_barrier_wait (&burst);
-      if (!go_on)
-        return NULL;
-      send_burst (number, &last_id, &seed);
-      rig_sleep_ms (BETWEEN_BURSTS_MS);
-      pthread_barrier_wait (&burst);
-    }
+  return -1;
 }
 
 int
 main (void)
 {
-  static const char *const services[] = { "catalogue", "adoptions" };
-  static const struct rig_load loads[]
-      = { { 1, "adoptions.example", "/read/b?work=60&bytes=400", 6, 2000 },
-          { 2, "catalogue.example", "/read/c?work=60&bytes=400", 2, 2000 },
-          { 2, "adoptions.example", "/write/d?work=20&bytes=400", 12, 2000 } };
-  pthread_t threads[LEAVERS];
+  static const char *const services[]
+      = { "catalogue", "adoptions", "adoptions" };
+  static const struct rig_server_faults faults
+      = { SHED_PERCENT, COPY_PERCENT, on_copy };
+  struct outcome outcome = { 0 };
   bool broken;
+  int fd = -1;
 
-  rig_start (2, services);
+  rig_use_relays ();
+  rig_start (3, services);
   rig_configure (DEADLINE_MS, OBJECTIVE_MS);
   rig_start_daemons ();
-  for (unsigned i = 0; i < sizeof loads / sizeof loads[0]; i++)
-    rig_load_start (&loads[i]);
   rig_sleep_ms (PAUSE_MS);
-  pthread_barrier_init (&burst, NULL, LEAVERS);
-  for (unsigned i = 0; i < LEAVERS; i++)
-    pthread_create (&threads[i], NULL, run_leaver, (void *)(uintptr_t)i);
-  rig_sleep_ms (RUN_MS);
-  __atomic_store_n (&stopping, true, __ATOMIC_SEQ_CST);
-  for (unsigned i = 0; i < LEAVERS; i++)
-    pthread_join (threads[i], NULL);
-  rig_load_stop ();
-  rig_sleep_ms (500);
-  rig_record (
-      "the %d leavers on vm 1 sent %u requests of /read/ in %u bursts, "
-      "got %u answers and closed their connections %s",
-      LEAVERS, sent, left, answered,
-      rig_trouble () ? "before the others" : "after the last one");
-  broken = rig_judge_lost (1);
+  if (rig_trouble ())
+    rig_server_set_faults (FAULTY_VM, &faults);
+  for (unsigned i = 0; i < REQUESTS; i++)
+    fd = call (fd, i, &outcome);
+  if (fd >= 0)
+    close (fd);
+  broken = outcome.twice > 0;
+  rig_record ("%d requests: %u served, %u refused, %u failed; %u copies and "
+              "resets; %u ran more than once, %u ran and were refused",
+              REQUESTS, outcome.served, outcome.refused, outcome.failed,
+              resets, outcome.twice, outcome.refused_wrong);
   rig_record (broken ? "the rule was broken" : "the rule held");
   rig_stop ();
   return broken;
--- a/review/rig.c
+++ b/review/rig.c
@@ -38,6 +38,7 @@
 static unsigned n_vms;
 static bool stopping;
 static bool watching;
+static bool with_relays;
 static char network[32];
 static char folder[] = "/tmp/cornelpick-review-XXXXXX";
 static FILE *record_file;
@@ -114,6 +115,30 @@
   return vms[vm].service;
 }
 
+unsigned
+rig_store_host (unsigned viewer)
+{
+  return 200 + viewer;
+}
+
+unsigned
+rig_relay_host (unsigned viewer, unsigned vm)
+{
+  return 10 + 20 * viewer + vm;
+}
+
+void
+rig_use_relays (void)
+{
+  with_relays = true;
+}
+
+bool
+rig_has_relays (void)
+{
+  return with_relays;
+}
+
 bool
 rig_is_stopping (void)
 {
@@ -163,7 +188,7 @@
       rig_address (vm, RIG_PORT_PEERS, peers),
       rig_address (vm, RIG_PORT_READY, ready),
       rig_address (vm, RIG_PORT_SERVER, server),
-      rig_address (RIG_VMS_MAX + 1, RIG_PORT_STORE, store), RIG_MEMORY_MB);
+      rig_address (rig_store_host (vm), RIG_PORT_STORE, store), RIG_MEMORY_MB);
   fclose (file);
 }
 
@@ -173,16 +198,14 @@
   char key[128];
   char value[512];
   char instance[64];
-  char address[64];
 
   snprintf (key, sizeof key, "servers/%s", rig_instance (vm, instance));
   snprintf (value, sizeof value,
-            "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
+            "{\"service\":\"%s\",\"address\":\"@\",\"zone\":\"%s\","
             "\"version\":\"v1\",\"capacity\":13,\"state\":\"ready\","
             "\"warmupLeft\":\"0ms\",\"sequence\":4,\"born\":1700000000000}",
-            vms[vm].service, rig_address (vm, RIG_PORT_SERVER, address),
-            vm % 2 == 0 ? "colombo-b" : "colombo-a");
-  rig_store_put (key, value);
+            vms[vm].service, vm % 2 == 0 ? "colombo-b" : "colombo-a");
+  rig_store_put (key, value, vm);
 }
 
 static char *
@@ -246,7 +269,7 @@
       separator = ",";
     }
   sprintf (to, "],\"clusters\":[%s]}", clusters);
-  rig_store_put ("op/config", value);
+  rig_store_put ("op/config", value, 0);
 }
 
 /* Starts the daemon of VM.  The lock is held.  */
@@ -425,11 +448,14 @@
   n_vms = count;
   rig_record ("%u vms, trouble %s", count, rig_trouble () ? "on" : "off");
   rig_client_init ();
-  rig_store_start ();
   for (unsigned vm = 1; vm <= count; vm++)
     {
       vms[vm].service = services[vm - 1];
+      rig_store_start (vm);
       rig_server_start (vm);
+      for (unsigned other = 1; other <= count && with_relays; other++)
+        if (other != vm)
+          rig_relay_start (vm, other);
       enter_server (vm);
       write_settings (vm);
     }
--- a/review/rig.h
+++ b/review/rig.h
@@ -58,10 +58,37 @@
 uint64_t rig_now_ms (void);
 void rig_sleep_ms (unsigned ms);
 
+/* Starts a detached thread.  */
+void rig_thread (void *(*run) (void *context), void *context);
+
 /* Writes a line to record.txt and standard output.  */
 void rig_record (const char *format, ...)
     __attribute__ ((format (printf, 1, 2)));
 
+/* The links between daemons go through relays; call it before rig_start.  */
+void rig_use_relays (void);
+
+/* Holds back, or lets on, what the daemon of VM sends to that of VIEWER on the
+   links that VIEWER opened.  */
+void rig_relay_hold (unsigned viewer, unsigned vm, bool on);
+
+/* Resets these links; what was held back is lost.  */
+void rig_relay_reset (unsigned viewer, unsigned vm);
+
+/* Faults of a server.  It refuses SHED_PERCENT of the requests: not executed.
+   Of COPY_PERCENT of these refusals it sends a second copy, late: in front of
+   its answer to the next request on that connection.  ON_COPY is called before
+   such a refusal is sent.  */
+struct rig_server_faults
+{
+  unsigned shed_percent;
+  unsigned copy_percent;
+  void (*on_copy) (unsigned vm);
+};
+
+void rig_server_set_faults (unsigned vm,
+                            const struct rig_server_faults *faults);
+
 /* Starts the store and N_VMS servers, whose services are SERVICES.  Exits with
    2 if that is not possible.  */
 void rig_start (unsigned n_vms, const char *const *services);
--- a/review/rig_internal.h
+++ b/review/rig_internal.h
@@ -1,6 +1,6 @@
 /* Shared by the files of the rig: rig.c (processes and settings), rig_store.c
-   (the platform's store), rig_server.c (servers), rig_client.c (clients) and
-   rig_http.c (what these have in common).  */
+   (the platform's store), rig_server.c (servers), rig_client.c (clients),
+   rig_relay.c (links) and rig_http.c (what these have in common).  */
 #ifndef RIG_INTERNAL_H
 #define RIG_INTERNAL_H
 
@@ -30,9 +30,6 @@
 /* Returns SIZE bytes of zeros.  */
 void *rig_allocate (size_t size) __attribute__ ((returns_nonnull));
 
-/* Starts a detached thread.  */
-void rig_thread (void *(*run) (void *context), void *context);
-
 /* Returns a socket that listens at PORT of VM, or -1.  */
 int rig_listen (unsigned vm, unsigned port);
 
@@ -69,8 +66,18 @@
 /* The instance of VM's server.  */
 const char *rig_instance (unsigned vm, char text[64]);
 
-void rig_store_start (void);
-void rig_store_put (const char *key, const char *value);
+/* Starts the store's door for VIEWER.  */
+void rig_store_start (unsigned viewer);
+
+/* Puts VALUE, in which "@" stands for the address of VM's server.  */
+void rig_store_put (const char *key, const char *value, unsigned vm);
+
+/* Host numbers of the store's door for VIEWER, and of the relay through which
+   it reaches the daemon of VM.  */
+unsigned rig_store_host (unsigned viewer);
+unsigned rig_relay_host (unsigned viewer, unsigned vm);
+bool rig_has_relays (void);
+void rig_relay_start (unsigned viewer, unsigned vm);
 void rig_server_start (unsigned vm);
 void rig_client_init (void);
 
--- a/review/rig_server.c
+++ b/review/rig_server.c
@@ -23,11 +23,14 @@
 {
   unsigned vm;
   int fd;
+  char *copied_id; /* of a refusal of which a copy is to be sent, or NULL */
 };
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static struct run *runs[BUCKETS];
 static unsigned running[RIG_VMS_MAX + 1];
+static struct rig_server_faults faults[RIG_VMS_MAX + 1];
+static unsigned seed = 1;
 
 static struct run **
 find_run (const char *id)
@@ -56,6 +59,26 @@
   return count;
 }
 
+void
+rig_server_set_faults (unsigned vm, const struct rig_server_faults *of)
+{
+  pthread_mutex_lock (&lock);
+  faults[vm] = *of;
+  pthread_mutex_unlock (&lock);
+}
+
+/* Returns whether a fault of PERCENT occurs.  */
+static bool
+draw (unsigned percent)
+{
+  bool drawn;
+
+  pthread_mutex_lock (&lock);
+  drawn = (unsigned)rand_r (&seed) % 100 < percent;
+  pthread_mutex_unlock (&lock);
+  return drawn;
+}
+
 /* Begins a run of request ID.  Returns false if all slots are taken.  */
 static bool
 begin_run (unsigned vm, const char *id)
@@ -146,7 +169,47 @@
 }
 
 static bool
-serve_request (const struct guest *guest, struct rig_head *head)
+refuse (const struct guest *guest, const char *id)
+{
+  return answer (guest, "503 Service Unavailable", id,
+                 "X-Cornelpick-Not-Executed: 1\r\n", 0);
+}
+
+/* Refuses request ID although there is room.  */
+static bool
+shed (struct guest *guest, const char *id)
+{
+  const struct rig_server_faults *of = &faults[guest->vm];
+
+  if (draw (of->copy_percent))
+    {
+      free (guest->copied_id);
+      guest->copied_id = strdup (id);
+      of->on_copy (guest->vm);
+      rig_record ("the server on vm %u refuses request %s; a copy will follow",
+                  guest->vm, id);
+    }
+  return refuse (guest, id);
+}
+
+/* Sends the second copy of an earlier refusal, if one is due.  */
+static bool
+send_copy (struct guest *guest)
+{
+  bool sent = true;
+
+  if (guest->copied_id == NULL)
+    return true;
+  rig_record ("the server on vm %u sends the copy of its refusal of %s",
+              guest->vm, guest->copied_id);
+  sent = refuse (guest, guest->copied_id);
+  free (guest->copied_id);
+  guest->copied_id = NULL;
+  return sent;
+}
+
+static bool
+serve_request (struct guest *guest, struct rig_head *head)
 {
   char instance[64];
   char expected[128];
@@ -169,9 +232,15 @@
     kept = false;
   else if (expected[0] != '\0' && strcmp (expected, instance) != 0)
     kept = answer (guest, "421 Misdirected Request", id, "", 0);
+  else if (draw (faults[guest->vm].shed_percent))
+    kept = shed (guest, id);
   else if (!begin_run (guest->vm, id))
-    kept = answer (guest, "503 Service Unavailable", id,
-                   "X-Cornelpick-Not-Executed: 1\r\n", 0);
+    kept = refuse (guest, id);
+  else if (!send_copy (guest))
+    {
+      end_run (guest->vm);
+      kept = false;
+    }
   else
     {
       rig_sleep_ms ((unsigned)rig_parameter (head, "work"));
@@ -195,6 +264,7 @@
     ;
   close (guest->fd);
   free (head);
+  free (guest->copied_id);
   free (guest);
   return NULL;
 }
@@ -216,7 +286,7 @@
       int fd = accept4 (listening->fd, NULL, NULL, SOCK_CLOEXEC);
       struct guest *guest = rig_allocate (sizeof *guest);
 
-      *guest = (struct guest){ listening->vm, fd };
+      *guest = (struct guest){ .vm = listening->vm, .fd = fd };
       if (fd >= 0)
         rig_thread (serve, guest);
       else
--- a/review/rig_store.c
+++ b/review/rig_store.c
@@ -18,6 +18,14 @@
   char key[128];
   char value[VALUE_BYTES];
   uint64_t revision;
+  unsigned vm; /* whose server the entry is of, or 0 */
+};
+
+/* A connection to the door of VIEWER.  */
+struct guest
+{
+  unsigned viewer;
+  int fd;
 };
 
 static struct item items[ITEMS_MAX];
@@ -27,7 +35,7 @@
 static pthread_cond_t changed = PTHREAD_COND_INITIALIZER;
 
 void
-rig_store_put (const char *key, const char *value)
+rig_store_put (const char *key, const char *value, unsigned vm)
 {
   unsigned i = 0;
 
@@ -40,6 +48,7 @@
     n_items++;
   snprintf (items[i].key, sizeof items[i].key, "%s", key);
   snprintf (items[i].value, sizeof items[i].value, "%s", value);
+  items[i].vm = vm;
   items[i].revision = ++revision;
   pthread_cond_broadcast (&changed);
   pthread_mutex_unlock (&lock);
@@ -70,11 +79,32 @@
   return to;
 }
 
+/* Writes the value of ITEM to VALUE, as VIEWER is to see it.  */
+static void
+expand_value (const struct item *item, unsigned viewer,
+              char value[VALUE_BYTES + 64])
+{
+  const char *at = item->vm == 0 ? NULL : strchr (item->value, '@');
+  unsigned host = item->vm;
+  char address[64];
+
+  if (at == NULL)
+    {
+      snprintf (value, VALUE_BYTES + 64, "%s", item->value);
+      return;
+    }
+  if (viewer != item->vm && rig_has_relays ())
+    host = rig_relay_host (viewer, item->vm);
+  snprintf (value, VALUE_BYTES + 64, "%.*s%s%s", (int)(at - item->value),
+            item->value, rig_address (host, RIG_PORT_SERVER, address), at + 1);
+}
+
 /* Writes a JSON list of the items changed after AFTER whose keys begin with
    PREFIX.  Returns its end.  */
 static char *
-append_items (char *to, const char *prefix, uint64_t after)
+append_items (char *to, const char *prefix, uint64_t after, unsigned viewer)
 {
+  static char value[VALUE_BYTES + 64]; /* under the lock */
   const char *separator = "";
 
   to += sprintf (to, "[");
@@ -87,7 +117,8 @@
         continue;
       to += sprintf (to, "%s{\"key\":\"%s\",\"value\":\"", separator,
                      item->key);
-      to = append_base64 (to, item->value);
+      expand_value (item, viewer, value);
+      to = append_base64 (to, value);
       to += sprintf (to, "\",\"rev\":%llu,\"created\":%llu,\"lease\":0}",
                      (unsigned long long)item->revision,
                      (unsigned long long)item->revision);
@@ -116,7 +147,7 @@
 }
 
 static void
-write_answer (const struct rig_head *head, char *body)
+write_answer (const struct rig_head *head, char *body, unsigned viewer)
 {
   uint64_t after = rig_parameter (head, "after");
   const char *at = strstr (head->text, "prefix=");
@@ -133,7 +164,7 @@
   if (watch)
     await_change (after, rig_parameter (head, "waitMs"));
   body += sprintf (body, "{\"%s\":", watch ? "events" : "items");
-  body = append_items (body, prefix, watch ? after : 0);
+  body = append_items (body, prefix, watch ? after : 0, viewer);
   if (!watch)
     body += sprintf (body, ",\"hasMore\":false");
   sprintf (body, ",\"at\":%llu}", (unsigned long long)revision);
@@ -143,7 +174,8 @@
 static void *
 serve (void *context)
 {
-  int fd = (int)(intptr_t)context;
+  struct guest *guest = context;
+  int fd = guest->fd;
   struct rig_head *head = rig_allocate (sizeof *head);
   char *body = rig_allocate (BODY_BYTES);
 
@@ -151,7 +183,7 @@
     {
       char line[128];
 
-      write_answer (head, body);
+      write_answer (head, body, guest->viewer);
       snprintf (line, sizeof line,
                 "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
                 "Content-Length: %zu\r\n\r\n",
@@ -162,6 +194,7 @@
     }
   free (head);
   free (body);
+  free (guest);
   close (fd);
   return NULL;
 }
@@ -169,23 +202,29 @@
 static void *
 accept_all (void *context)
 {
-  int listener = (int)(intptr_t)context;
+  const struct guest *door = context;
 
   while (!rig_is_stopping ())
     {
-      int fd = accept4 (listener, NULL, NULL, SOCK_CLOEXEC);
+      int fd = accept4 (door->fd, NULL, NULL, SOCK_CLOEXEC);
+      struct guest *guest;
 
-      if (fd >= 0)
-        rig_thread (serve, (void *)(intptr_t)fd);
+      if (fd < 0)
+        continue;
+      guest = rig_allocate (sizeof *guest);
+      *guest = (struct guest){ door->viewer, fd };
+      rig_thread (serve, guest);
     }
   return NULL;
 }
 
 void
-rig_store_start (void)
+rig_store_start (unsigned viewer)
 {
-  int listener = rig_listen (RIG_VMS_MAX + 1, RIG_PORT_STORE);
+  static struct guest doors[RIG_VMS_MAX + 1];
 
-  rig_require (listener >= 0, "cannot listen for the store");
-  rig_thread (accept_all, (void *)(intptr_t)listener);
+  doors[viewer] = (struct guest){ viewer, rig_listen (rig_store_host (viewer),
+                                                      RIG_PORT_STORE) };
+  rig_require (doors[viewer].fd >= 0, "cannot listen for the store");
+  rig_thread (accept_all, &doors[viewer]);
 }
