Take abandoned requests off their connection one by one

Cause: abandon_all walked the exchanges of a closed connection with a saved pointer to the next one. The end of one call may end the next of the same connection: its job waits for the slot that the first releases, and is refused. That answered an exchange on the connection that was being closed, and connection_flush wrote it and freed the one that the walk went to next. The same walk is made behind an answer that closes its connection; there the answers were written after "Connection: close" as well.

Change: the write side is closed before the owners are told, nothing is flushed after that, and the list is read from its head until it is empty.

--- a/net/server.c
+++ b/net/server.c
@@ -66,34 +66,45 @@
   free (exchange);
 }
 
-/* Drops all exchanges: their responses can no longer be delivered.  */
+/* Returns whether CONNECTION sends no more responses.  */
+static bool
+is_write_side_closed (const struct net_connection *connection)
+{
+  return connection->stream.closing || connection->shutdown_ms != 0;
+}
+
+/* Drops all exchanges: their responses can no longer be delivered, since the
+   write side has been closed.  The owner of one may answer others while it is
+   told of the end of its own, so each is taken off the list first, and the
+   list is read from its head again.  */
 static void
 abandon_all (struct net_connection *connection)
 {
   struct net_server *server = connection->server;
   struct net_exchange *exchange;
-  struct net_exchange *next;
-
-  cds_list_for_each_entry_safe (exchange, next, &connection->exchanges, node)
-  {
-    cds_list_del (&exchange->node);
-    connection->n_exchanges--;
-    server->request_body_bytes -= exchange->request.body->len;
-    if (exchange->response == NULL)
-      {
-        server->n_exchanges--;
-        if (exchange->owner != NULL)
-          server->events->abandoned (server->context, exchange);
-      }
-    exchange_free (exchange);
-  }
+
+  while (!cds_list_empty (&connection->exchanges))
+    {
+      exchange = cds_list_first_entry (&connection->exchanges,
+                                       struct net_exchange, node);
+      cds_list_del (&exchange->node);
+      connection->n_exchanges--;
+      server->request_body_bytes -= exchange->request.body->len;
+      if (exchange->response == NULL)
+        {
+          server->n_exchanges--;
+          if (exchange->owner != NULL)
+            server->events->abandoned (server->context, exchange);
+        }
+      exchange_free (exchange);
+    }
 }
 
 static void
 connection_close (struct net_connection *connection)
 {
-  abandon_all (connection);
   net_stream_close (&connection->stream);
+  abandon_all (connection);
 }
 
 /* Shuts down the write side; further input is read and discarded.  */
@@ -191,6 +202,8 @@
   bool close = false;
   int error = 0;
 
+  if (is_write_side_closed (connection))
+    return;
   while (!cds_list_empty (&connection->exchanges) && !close)
     {
       struct net_exchange *exchange = cds_list_first_entry (
@@ -223,8 +236,8 @@
     connection_close (connection);
   else if (close)
     {
-      abandon_all (connection);
       connection_shutdown (connection);
+      abandon_all (connection);
     }
   else if (!connection->parsing)
     parse_held_input (connection);
