Tell a daemon's own calls of their results when the loop comes round

Cause: a job of the daemon's own calls that ended told its call at once. The call wrote to its caller, ended, dropped its other jobs, or was offered to another server, all inside the function that still handled the first job, such as on_answered in meshd/server.c, which starts and refuses queued jobs before it lets go of its own. A write that failed did the same: it reported the end of the link or of the connection from inside the write, so that a cancel could end the call that sent it.

Change: the results of local jobs wait in a list until the loop comes round (meshd/replies); an error of a write is reported by the loop (net/stream); a call is taken out before its cancels are sent and its caller is answered; the end or return of a link looks each attempt up by its stream when its turn comes. So neither the inbound side nor a send calls back into the outbound side.

--- a/meshd/attempt.c
+++ b/meshd/attempt.c
@@ -204,20 +204,25 @@
     }
 }
 
-static struct mesh_attempt **
-attempts_through (struct mesh_outbound *outbound, const void *peer,
-                  unsigned *count)
+/* Returns the streams of the attempts through PEER.  The end of one may end
+   the calls of others, so each is looked up when its turn comes.  The caller
+   frees the list.  */
+static GArray *
+streams_through (const struct mesh_outbound *outbound, const void *peer)
 {
-  GPtrArray *attempts = g_ptr_array_new ();
+  GArray *streams = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   GHashTableIter iter;
   void *value;
 
   g_hash_table_iter_init (&iter, outbound->attempts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((struct mesh_attempt *)value)->server->user_data == peer)
-      g_ptr_array_add (attempts, value);
-  *count = attempts->len;
-  return (struct mesh_attempt **)g_ptr_array_free (attempts, FALSE);
+    {
+      const struct mesh_attempt *attempt = value;
+
+      if (attempt->server->user_data == peer)
+        g_array_append_val (streams, attempt->stream);
+    }
+  return streams;
 }
 
 /* Handles the failure of another link to the peer of ATTEMPT.  If no process
@@ -242,40 +247,44 @@
 mesh_outbound_peer_down (struct mesh_outbound *outbound, const void *peer,
                          bool refused)
 {
-  unsigned count;
-  struct mesh_attempt **attempts = attempts_through (outbound, peer, &count);
+  g_autoptr (GArray) streams = streams_through (outbound, peer);
 
-  for (unsigned i = 0; i < count; i++)
-    if (attempts[i]->link_lost)
-      handle_repeated_link_loss (attempts[i], refused);
-    else
-      {
-        attempts[i]->link_lost = true;
-        mesh_call_try_in_parallel (attempts[i]->call);
-      }
-  g_free (attempts);
+  for (guint i = 0; i < streams->len; i++)
+    {
+      struct mesh_attempt *attempt
+          = find_attempt (outbound, g_array_index (streams, uint64_t, i));
+
+      if (attempt == NULL)
+        continue;
+      if (attempt->link_lost)
+        handle_repeated_link_loss (attempt, refused);
+      else
+        {
+          attempt->link_lost = true;
+          mesh_call_try_in_parallel (attempt->call);
+        }
+    }
 }
 
 void
 mesh_outbound_peer_up (struct mesh_outbound *outbound, const void *peer,
                        bool restarted)
 {
-  unsigned count;
-  struct mesh_attempt **attempts = attempts_through (outbound, peer, &count);
+  g_autoptr (GArray) streams = streams_through (outbound, peer);
 
-  for (unsigned i = 0; i < count; i++)
+  for (guint i = 0; i < streams->len; i++)
     {
+      struct mesh_attempt *attempt
+          = find_attempt (outbound, g_array_index (streams, uint64_t, i));
       struct cp_peer_message message = { .kind = CP_PEER_RESUME };
 
-      if (!attempts[i]->link_lost)
+      if (attempt == NULL || !attempt->link_lost)
         continue;
-      attempts[i]->link_lost = false;
-      message.cp_peer_message_u.stream = attempts[i]->stream;
+      attempt->link_lost = false;
+      message.cp_peer_message_u.stream = attempt->stream;
       if (restarted)
-        attempt_failed (attempts[i], MESH_REASON_RESTARTED, true, true);
+        attempt_failed (attempt, MESH_REASON_RESTARTED, true, true);
       else
-        outbound->events->send (outbound->context, attempts[i]->server,
-                                &message);
+        outbound->events->send (outbound->context, attempt->server, &message);
     }
-  g_free (attempts);
 }
--- a/meshd/call.c
+++ b/meshd/call.c
@@ -72,31 +72,33 @@
   g_free (attempt);
 }
 
+/* Ends CALL and cancels its open attempts.  The call is taken out first, so
+   that nothing that the cancels cause can reach it.  It is freed when the
+   event loop comes round; until then its answer may be used.  */
 static void
-call_free (struct mesh_call *call)
+call_end (struct mesh_call *call)
 {
+  struct mesh_outbound *outbound = call->outbound;
+  struct cp_peer_message cancels[MESH_CALL_ATTEMPTS_MAX];
+  struct cp_server *servers[MESH_CALL_ATTEMPTS_MAX];
+  unsigned count = 0;
+
   while (call->n_open > 0)
-    mesh_attempt_free (call->open[0]);
+    {
+      cancels[count].kind = CP_PEER_CANCEL;
+      cancels[count].cp_peer_message_u.stream = call->open[0]->stream;
+      servers[count++] = cp_server_ref (call->open[0]->server);
+      mesh_attempt_free (call->open[0]);
+    }
   mesh_call_give_back_token (call);
+  call->exchange->owner = NULL;
   call->exchange = NULL;
   uv_close ((uv_handle_t *)&call->timer, on_call_closed);
-}
-
-static void
-send_cancel (struct mesh_attempt *attempt)
-{
-  struct mesh_outbound *outbound = attempt->call->outbound;
-  struct cp_peer_message message = { .kind = CP_PEER_CANCEL };
-
-  message.cp_peer_message_u.stream = attempt->stream;
-  outbound->events->send (outbound->context, attempt->server, &message);
-}
-
-static void
-cancel_all (struct mesh_call *call)
-{
-  for (unsigned i = 0; i < call->n_open; i++)
-    send_cancel (call->open[i]);
+  for (unsigned i = 0; i < count; i++)
+    {
+      outbound->events->send (outbound->context, servers[i], &cancels[i]);
+      cp_server_unref (servers[i]);
+    }
 }
 
 /* Ends CALL with an empty response of STATUS from this daemon.  RETRY_US is
@@ -105,15 +107,16 @@
 call_end_with_status (struct mesh_call *call, unsigned status,
                       uint64_t retry_us)
 {
+  struct net_exchange *exchange = call->exchange;
   GString *head = g_string_new (NULL);
 
   call->retry_us = retry_us;
   mesh_call_log_failed (call, status);
   platform_write_local_response (
       head, call->request_id[0] == '\0' ? NULL : call->request_id, retry_us);
-  net_exchange_respond (call->exchange, status, head->str, NULL, 0);
+  call_end (call);
+  net_exchange_respond (exchange, status, head->str, NULL, 0);
   g_string_free (head, TRUE);
-  call_free (call);
 }
 
 void
@@ -135,6 +138,7 @@
 mesh_call_deliver (struct mesh_call *call, const struct cp_peer_answer *answer)
 {
   struct mesh_outbound *outbound = call->outbound;
+  struct net_exchange *exchange = call->exchange;
   uint64_t took_us = now_us () - call->began_us;
 
   outbound->counts.answered++;
@@ -143,11 +147,10 @@
     mesh_call_log_failed (call, answer->status);
   else
     mesh_call_log_answer (call, answer->status, took_us);
-  cancel_all (call);
-  net_exchange_respond (call->exchange, answer->status, answer->head,
+  call_end (call);
+  net_exchange_respond (exchange, answer->status, answer->head,
                         answer->body.cp_peer_body_val,
                         answer->body.cp_peer_body_len);
-  call_free (call);
 }
 
 void
@@ -189,7 +192,6 @@
       cp_lateness_add (&call->route->lateness, call->open[i]->server_was_slow,
                        true);
     }
-  cancel_all (call);
   call->reason = MESH_REASON_TIMEOUT;
   outbound->counts.timed_out++;
   call_end_with_status (call, 504, 0);
@@ -533,6 +535,5 @@
 mesh_call_abandon (struct mesh_call *call)
 {
   mesh_call_log_abandoned (call);
-  cancel_all (call);
-  call_free (call);
+  call_end (call);
 }
--- a/meshd/inbound.c
+++ b/meshd/inbound.c
@@ -493,6 +493,7 @@
   cp_job_queue_set_capacity (&inbound->queue, CAPACITY_DEFAULT);
   uv_timer_init (loop, &inbound->tick);
   uv_timer_init (loop, &inbound->queue_timer);
+  mesh_replies_init (&inbound->replies, loop, events->reply, context);
   inbound->tick.data = inbound;
   inbound->queue_timer.data = inbound;
   uv_timer_start (&inbound->tick, on_tick, TICK_MS, TICK_MS);
@@ -618,6 +619,7 @@
 {
   uv_close ((uv_handle_t *)&inbound->tick, NULL);
   uv_close ((uv_handle_t *)&inbound->queue_timer, NULL);
+  mesh_replies_stop (&inbound->replies);
   /* Draining, so that released slots start no further job.  */
   inbound->drain_deadline_us = 1;
   end_jobs (inbound);
--- a/meshd/inbound.h
+++ b/meshd/inbound.h
@@ -21,6 +21,7 @@
 #include "lib/server_pool.h"
 #include "lib/service_times.h"
 #include "meshd/peers.h"
+#include "meshd/replies.h"
 #include "meshd/suspects.h"
 #include "net/client.h"
 
@@ -28,7 +29,8 @@
 
 struct mesh_inbound_events
 {
-  /* A job of our own outbound side has ended.  */
+  /* A job of our own outbound side has ended.  Called when the event loop
+     comes round, so that the receiver may offer and cancel jobs.  */
   void (*reply) (void *context, const struct cp_peer_message *message);
 
   /* The load has changed enough to be reported to the peers, or only to those
@@ -107,6 +109,7 @@
   uint64_t last_job_us; /* arrival of the last job */
   uv_timer_t tick;
   uv_timer_t queue_timer;
+  struct mesh_replies replies;
   uint64_t incarnation; /* of this daemon */
   struct mesh_suspects *suspects;
   const struct mesh_inbound_events *events;
--- a/meshd/job.c
+++ b/meshd/job.c
@@ -99,7 +99,7 @@
   else
     mesh_job_free (job);
   if (local)
-    inbound->events->reply (inbound->context, message);
+    mesh_replies_add (&inbound->replies, message);
   else if (link != NULL)
     mesh_link_send (link, message);
 }
--- a/net/client.c
+++ b/net/client.c
@@ -90,6 +90,8 @@
 
   if (!client->awaiting_response)
     fail (client, NET_FAILED_IDLE);
+  else if (!stream->wrote)
+    fail (client, NET_FAILED_UNSENT);
   else if (!client->response.started)
     fail (client, error == UV_EOF ? NET_FAILED_ENDED : NET_FAILED_RESET);
   else if (error != UV_EOF
@@ -134,8 +136,7 @@
   client->reusable = false;
   client->response.bodiless = bodiless;
   net_stream_clear_wrote (&client->stream);
-  if (net_stream_write (&client->stream, request) != 0)
-    fail (client, NET_FAILED_UNSENT);
+  net_stream_write (&client->stream, request);
 }
 
 void
--- a/net/link.c
+++ b/net/link.c
@@ -133,7 +133,6 @@
 net_link_send (struct net_link *link, GByteArray *record)
 {
   uint32_t length = htonl (record->len - LENGTH_BYTES);
-  int error;
 
   if (link->failed)
     {
@@ -141,9 +140,7 @@
       return;
     }
   memcpy (record->data, &length, sizeof length);
-  error = net_stream_write (&link->stream, record);
-  if (error != 0)
-    fail (link, uv_strerror (error));
+  net_stream_write (&link->stream, record);
 }
 
 void
--- a/net/link.h
+++ b/net/link.h
@@ -41,7 +41,7 @@
                      const struct net_link_events *events, void *context);
 
 /* Sends RECORD and takes over its reference.  The caller reserves its first
-   four bytes for the length, which is filled in here.  FAILED may be called
+   four bytes for the length, which is filled in here.  FAILED is not called
    before this returns.  */
 void net_link_send (struct net_link *link, GByteArray *record);
 
--- a/net/server.c
+++ b/net/server.c
@@ -200,7 +200,6 @@
   struct net_server *server = connection->server;
   GByteArray *output = NULL;
   bool close = false;
-  int error = 0;
 
   if (is_write_side_closed (connection))
     return;
@@ -231,8 +230,8 @@
   if (output == NULL)
     return;
   connection->idle_since_ms = uv_now (server->loop);
-  error = net_stream_write (&connection->stream, output);
-  if (error != 0 || connection->stream.unwritten > UNWRITTEN_BYTES_MAX)
+  net_stream_write (&connection->stream, output);
+  if (connection->stream.unwritten > UNWRITTEN_BYTES_MAX)
     connection_close (connection);
   else if (close)
     {
--- a/net/stream.c
+++ b/net/stream.c
@@ -169,7 +169,7 @@
     }
 }
 
-int
+void
 net_stream_write (struct net_stream *stream, GByteArray *data)
 {
   uv_buf_t buffer = uv_buf_init ((char *)data->data, data->len);
@@ -179,20 +179,16 @@
   if (stream->closing)
     {
       g_byte_array_unref (data);
-      return UV_ECANCELED;
+      return;
     }
   if (stream->unwritten == 0)
     written = uv_try_write ((uv_stream_t *)&stream->tcp, &buffer, 1);
-  if (written < 0 && written != UV_EAGAIN)
-    {
-      g_byte_array_unref (data);
-      return written;
-    }
-  stream->wrote = true;
+  if (written >= 0 || written == UV_EAGAIN)
+    stream->wrote = true;
   if (written == (int)data->len)
     {
       g_byte_array_unref (data);
-      return 0;
+      return;
     }
   if (written > 0)
     g_byte_array_remove_range (data, 0, (guint)written);
@@ -202,8 +198,15 @@
   pending->request.data = pending;
   stream->unwritten += data->len;
   buffer = uv_buf_init ((char *)data->data, data->len);
-  return uv_write (&pending->request, (uv_stream_t *)&stream->tcp, &buffer, 1,
-                   on_write);
+  /* After an error above this fails as well; libuv reports that later.  */
+  if (uv_write (&pending->request, (uv_stream_t *)&stream->tcp, &buffer, 1,
+                on_write)
+      != 0)
+    {
+      stream->unwritten -= data->len;
+      g_byte_array_unref (data);
+      free (pending);
+    }
 }
 
 void
--- a/net/stream.h
+++ b/net/stream.h
@@ -36,7 +36,7 @@
   size_t unwritten; /* bytes queued for writing */
   bool reading;
   bool closing;
-  bool wrote; /* data was written or queued since net_stream_clear_wrote */
+  bool wrote; /* the system took data since net_stream_clear_wrote, or may */
 };
 
 /* Accepts a connection from LISTENER.  Returns 0 or a libuv error; after an
@@ -54,8 +54,9 @@
 /* Starts or stops reading.  */
 void net_stream_set_reading (struct net_stream *stream, bool on);
 
-/* Writes DATA and takes over its reference.  Returns 0 or a libuv error.  */
-int net_stream_write (struct net_stream *stream, GByteArray *data);
+/* Writes DATA and takes over its reference.  An error is reported to ENDED
+   when the event loop comes round, not before this returns.  */
+void net_stream_write (struct net_stream *stream, GByteArray *data);
 
 /* Clears WROTE.  */
 void net_stream_clear_wrote (struct net_stream *stream);
