Send each attempt of a request on a connection that has carried none of it

Cause: an answer is known by its request ID, which all attempts of a request share. When a refusal is lost with the link between two daemons, the sender learns over the next link that the attempt is unknown, which proves that it has not run, and sends the request to the same server again. There it went out on the same kept connection, and the late copy of the refusal counted as the answer to the new attempt.

Change: the daemon beside the server remembers the IDs that it has sent for ten seconds (lib/recent_ids); a request whose ID is among them, whoever sent it, gets a new connection. So does one without an ID, whose answer nothing identifies. An answer that names a request is not taken for that to a health check, or to a request without an ID. Two health checks on one connection still share everything; a copy of such an answer repeats what the server said some ten milliseconds before.

Tried first, as a thought only: another server for the second attempt. There may be none, and a caller that repeats its ID meets the same.

--- a/meshd/inbound.c
+++ b/meshd/inbound.c
@@ -31,6 +31,10 @@
    is two seconds old.  */
 #define DOWN_REPORT_INTERVAL_US UINT64_C (1000000)
 
+/* How long a request ID counts as sent to the server.  No attempt of a request
+   begins later than this after another: its caller has left by then.  */
+#define SENT_ID_KEEP_US UINT64_C (10000000)
+
 /* How long a job may run past its deadline.  The server itself answers at the
    deadline.  */
 #define DEADLINE_GRACE_US UINT64_C (150000)
@@ -486,6 +490,7 @@
   CDS_INIT_LIST_HEAD (&inbound->connections);
   inbound->by_stream = g_hash_table_new (key_hash, key_equal);
   inbound->cut_jobs = g_array_new (FALSE, FALSE, sizeof (struct mesh_cut_job));
+  cp_recent_ids_init (&inbound->sent_ids, SENT_ID_KEEP_US);
   cp_job_queue_init (&inbound->queue);
   inbound->queue.unproved = true;
   cp_warm_up_await_configuration (&inbound->queue.warm_up);
@@ -624,6 +629,7 @@
   inbound->drain_deadline_us = 1;
   end_jobs (inbound);
   mesh_server_close_all (inbound);
+  cp_recent_ids_finish (&inbound->sent_ids);
   g_hash_table_unref (inbound->by_stream);
   g_array_unref (inbound->cut_jobs);
 }
--- a/meshd/inbound.h
+++ b/meshd/inbound.h
@@ -16,6 +16,7 @@
 
 #include "lib/call_fan_out.h"
 #include "lib/job_queue.h"
+#include "lib/recent_ids.h"
 #include "lib/report_filter.h"
 #include "lib/route_table.h"
 #include "lib/server_pool.h"
@@ -82,6 +83,7 @@
   GHashTable *by_stream;
   struct cds_list_head idle; /* idle connections, most recently used first */
   struct cds_list_head connections;
+  struct cp_recent_ids sent_ids; /* of the requests that the server was sent */
   unsigned slowness_percent; /* from the server's last load header */
   uint64_t slowness_read_us; /* when it was received */
   bool server_leaving;       /* the server has said that it is */
--- a/meshd/server.c
+++ b/meshd/server.c
@@ -253,6 +253,17 @@
     mesh_inbound_receive_notices (inbound, headers, sent_us);
 }
 
+/* Returns whether an answer with HEADERS may be the one to JOB, or to a health
+   check if JOB is NULL.  One that names another request belongs to that.  */
+static bool
+may_be_for (const struct mesh_job *job,
+            const struct platform_response *headers)
+{
+  const char *id = job == NULL ? "" : job->request_id;
+
+  return headers->request_id == NULL || strcmp (headers->request_id, id) == 0;
+}
+
 static bool
 on_answered (struct net_client *client, const struct net_message *answer)
 {
@@ -265,6 +276,8 @@
   platform_read_response (&headers, &answer->headers);
   if (headers.keep_alive_us > 0)
     connection->idle_timeout_us = headers.keep_alive_us;
+  if (!may_be_for (job, &headers))
+    return false;
   if (job == NULL)
     {
       receive_notices (connection, &headers, inbound->last_probe_us, status);
@@ -273,9 +286,6 @@
       probe_answered (connection, status, headers.closes);
       return true;
     }
-  if (headers.request_id != NULL && job->request_id[0] != '\0'
-      && strcmp (headers.request_id, job->request_id) != 0)
-    return false;
   receive_notices (connection, &headers, job->started_us, status);
   connection->job = NULL;
   job->connection = NULL;
@@ -443,10 +453,23 @@
                         &limits, &client_events, connection);
 }
 
+/* Returns whether JOB needs a connection that has carried no request yet.  A
+   server may write an answer twice, the second time much later.  Only the
+   request ID tells whose it is, and all attempts of a request have the same:
+   on a connection that has carried an earlier one, such a copy would count as
+   the answer to the next.  The same holds for requests without an ID.  */
+static bool
+needs_new_connection (struct mesh_inbound *inbound, const struct mesh_job *job)
+{
+  return job->resent || job->request_id[0] == '\0'
+         || cp_recent_ids_add (&inbound->sent_ids, job->request_id, now_us ());
+}
+
 void
 mesh_server_send (struct mesh_inbound *inbound, struct mesh_job *job)
 {
-  struct mesh_connection *connection = get_connection (inbound, job->resent);
+  struct mesh_connection *connection
+      = get_connection (inbound, needs_new_connection (inbound, job));
 
   connection->job = job;
   job->connection = connection;
--- a/regress/harness/stage.h
+++ b/regress/harness/stage.h
@@ -15,6 +15,8 @@
      ?reset        breaks off an answer without length by a reset
      ?unframed     gives no length and ends the connection
      ?extra        sends a second answer behind the first
+     ?late-copy    refuses the first arrival; at the next one on the same
+                   connection it sends that refusal again before its answer
      ?stray        sends an answer to another request before its own
      ?garble       sends bytes that are no answer
      ?unsigned     leaves the signature out
--- a/regress/harness/stage_server.c
+++ b/regress/harness/stage_server.c
@@ -26,8 +26,9 @@
   struct stage_server *server;
   struct net_message request;
   uv_timer_t timer;
-  bool working;    /* at a request that is not answered */
-  unsigned n_open; /* handles that are not closed yet */
+  bool working;     /* at a request that is not answered */
+  bool has_refused; /* a request that asked for ?late-copy */
+  unsigned n_open;  /* handles that are not closed yet */
 };
 
 static bool
@@ -292,6 +293,31 @@
   answer (guest, "200 OK", more, "");
 }
 
+/* Returns whether the request has been refused on any connection.  */
+static bool
+was_refused (const struct guest *guest)
+{
+  return strcmp (guest->server->refused_id, request_id (guest)) == 0;
+}
+
+static void
+refuse (struct guest *guest)
+{
+  answer (guest, "503 Service Unavailable", "X-Cornelpick-Not-Executed: 1\r\n",
+          "");
+}
+
+static void
+refuse_first (struct guest *guest)
+{
+  struct stage_server *server = guest->server;
+
+  g_strlcpy (server->refused_id, request_id (guest),
+             sizeof server->refused_id);
+  guest->has_refused = true;
+  refuse (guest);
+}
+
 static void
 misdirected (struct guest *guest, const char *own)
 {
@@ -320,8 +346,9 @@
   else if (expected != NULL && strcmp (expected, server->instance) != 0)
     misdirected (guest, own);
   else if (asks (guest, "shed"))
-    answer (guest, "503 Service Unavailable",
-            "X-Cornelpick-Not-Executed: 1\r\n", "");
+    refuse (guest);
+  else if (asks (guest, "late-copy") && !was_refused (guest))
+    refuse_first (guest);
   else
     return false;
   net_message_reset (&guest->request);
@@ -370,6 +397,8 @@
   guest->server->running++;
   if (asks (guest, "refuse-again"))
     refuse_again (guest);
+  if (asks (guest, "late-copy") && guest->has_refused)
+    refuse (guest);
   if (badly && asks (guest, "hang"))
     return;
   if (badly && asks (guest, "crash"))
--- a/regress/meshd/check_mesh_faulty_servers.c
+++ b/regress/meshd/check_mesh_faulty_servers.c
@@ -140,6 +140,28 @@
 }
 END_TEST
 
+/* Guards against a second run elsewhere, or a caller that is told that its
+   request has not run, when the late copy of the refusal of an earlier attempt
+   comes before the answer to the next attempt of the same request.  */
+START_TEST (a_late_copy_of_a_refusal_is_not_taken_for_the_next_attempts_answer)
+{
+  CP_AUTO_FREE char *key = stage_server_key (&stage, 2);
+
+  stage_remove (&stage, key);
+  g_usleep (IN_FORCE_US);
+  ck_assert_int_eq (call ("POST", "/write/0", "w0"), 200);
+  for (unsigned i = 0; i < 4; i++)
+    {
+      CP_AUTO_FREE char *id = g_strdup_printf ("c%u", i);
+
+      ck_assert_int_eq (call ("POST", "/write/1?late-copy&slow=100", id), 503);
+      ck_assert_uint_eq (stage_runs (&stage, id), 0);
+      ck_assert_int_eq (call ("POST", "/write/1?late-copy&slow=100", id), 200);
+      ck_assert_uint_eq (stage_runs (&stage, id), 1);
+    }
+}
+END_TEST
+
 /* Guards against an answer that is passed on as whole, with an empty body,
    when the server stopped in the middle of its head.  */
 START_TEST (an_answer_that_ends_in_its_head_is_no_success)
@@ -172,6 +194,9 @@
   tcase_add_loop_test (tests,
                        an_earlier_refusal_does_not_refuse_a_running_request, 0,
                        G_N_ELEMENTS (repeated_refusals));
+  tcase_add_test (
+      tests,
+      a_late_copy_of_a_refusal_is_not_taken_for_the_next_attempts_answer);
   tcase_add_test (tests, an_answer_that_ends_in_its_head_is_no_success);
 }
 
