Write an answer to its end while its client reads it

Cause: net_server_drain takes a connection without open requests for idle, and check_timeouts closed it LINGER_MS after the write side was shut down, although the shutdown itself waits for what is still to be written.

Change: the time counts from when the client has acknowledged everything (SIOCOUTQ).

Result: a_long_answer_is_read_to_its_end failed before in both forms (6.8 of 12.6 MB) and passes.

--- a/net/server.c
+++ b/net/server.c
@@ -8,9 +8,9 @@
    further requests stay in the socket buffer.  */
 #define PIPELINED_REQUESTS_MAX 64
 
-/* How long a connection is still read after its write side was shut down, in
-   ms.  Closing with unread input would send a reset, which may reach the
-   client before it has read the response.  */
+/* How long a connection is still read after its write side was shut down and
+   the client has received everything, in ms.  Closing with unread input would
+   send a reset, which may reach the client before it has read the response. */
 #define LINGER_MS 1000
 
 /* Unsent response bytes beyond which a connection is closed.  */
@@ -28,7 +28,8 @@
   struct cds_list_head exchanges; /* complete requests, oldest first */
   unsigned n_exchanges;
   uint64_t idle_since_ms;
-  uint64_t shutdown_ms;   /* loop time of the write-side shutdown, or 0 */
+  uint64_t shutdown_ms;   /* loop time of the write-side shutdown, or when it
+                             was last seen to be incomplete; or 0 */
   bool ending;            /* no more requests are accepted */
   bool parsing;           /* input is being parsed */
   GByteArray *held_input; /* input read while the pipeline was full */
@@ -433,7 +434,9 @@
 
   if (connection->shutdown_ms != 0)
     {
-      if (now_ms - connection->shutdown_ms > LINGER_MS)
+      if (net_stream_unacknowledged (&connection->stream) > 0)
+        connection->shutdown_ms = now_ms;
+      else if (now_ms - connection->shutdown_ms > LINGER_MS)
         connection_close (connection);
       return;
     }
--- a/net/stream.c
+++ b/net/stream.c
@@ -1,5 +1,7 @@
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
+#include <sys/ioctl.h>
 
 #include "net/stream.h"
 
@@ -209,6 +211,18 @@
     }
 }
 
+size_t
+net_stream_unacknowledged (const struct net_stream *stream)
+{
+  uv_os_fd_t fd;
+  int queued = 0;
+
+  if (uv_fileno ((const uv_handle_t *)&stream->tcp, &fd) != 0
+      || ioctl (fd, SIOCOUTQ, &queued) != 0)
+    return stream->unwritten;
+  return stream->unwritten + (size_t)queued;
+}
+
 void
 net_stream_clear_wrote (struct net_stream *stream)
 {
--- a/net/stream.h
+++ b/net/stream.h
@@ -58,6 +58,9 @@
    when the event loop comes round, not before this returns.  */
 void net_stream_write (struct net_stream *stream, GByteArray *data);
 
+/* Returns how many bytes the other side has not acknowledged.  */
+size_t net_stream_unacknowledged (const struct net_stream *stream);
+
 /* Clears WROTE.  */
 void net_stream_clear_wrote (struct net_stream *stream);
 
--- a/regress/net/check_server.c
+++ b/regress/net/check_server.c
@@ -1,5 +1,6 @@
 /* Tests of the HTTP server: connections that end while requests on them are
    unanswered.  Client and server share a thread and an event loop.  */
+#include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -9,6 +10,15 @@
 
 #define REQUESTS 4
 
+/* The client's receive buffer; much smaller than a long answer.  */
+#define RECEIVE_BYTES 65536
+
+/* A long answer, and the pause after which the client reads more of it: three
+   seconds for all, in which the server would close an idle connection.  */
+#define LONG_ANSWER_BYTES (12U << 20)
+#define READ_BYTES 65536
+#define READ_PAUSE_MS 16
+
 static const char text[] = "GET /%u HTTP/1.1\r\nHost: a.test\r\n\r\n";
 
 struct site
@@ -16,6 +26,7 @@
   uv_loop_t loop;
   struct net_server server;
   int client;
+  uv_timer_t reader;
   struct net_exchange *exchanges[REQUESTS];
   unsigned n_requests;
   unsigned n_abandoned;
@@ -67,6 +78,7 @@
   static const struct net_server_limits limits = { 16384, 16384, 0, 0 };
   struct sockaddr_storage name;
   socklen_t size = sizeof name;
+  int receive_bytes = RECEIVE_BYTES;
   struct cp_address address;
   uv_os_fd_t fd;
 
@@ -80,6 +92,8 @@
   uv_fileno ((uv_handle_t *)&site.server.listener, &fd);
   ck_assert_int_eq (getsockname (fd, (struct sockaddr *)&name, &size), 0);
   site.client = socket (AF_INET, SOCK_STREAM, 0);
+  setsockopt (site.client, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+              sizeof receive_bytes);
   ck_assert_int_eq (connect (site.client, (struct sockaddr *)&name, size), 0);
 }
 
@@ -155,6 +169,41 @@
 }
 END_TEST
 
+static void
+read_some (uv_timer_t *timer)
+{
+  static char buffer[READ_BYTES];
+  size_t *length = timer->data;
+  ssize_t got = recv (site.client, buffer, sizeof buffer, MSG_DONTWAIT);
+
+  if (got > 0)
+    *length += (size_t)got;
+  else if (got == 0 || errno != EAGAIN)
+    uv_close ((uv_handle_t *)timer, NULL);
+}
+
+/* Guards against an answer that is cut while its client reads it, because the
+   connection counts as idle: when the server stops, and behind an answer that
+   closes its connection.  */
+START_TEST (a_long_answer_is_read_to_its_end)
+{
+  g_autofree char *body = g_malloc0 (LONG_ANSWER_BYTES);
+  size_t length = 0;
+
+  uv_timer_init (&site.loop, &site.reader);
+  site.reader.data = &length;
+  uv_timer_start (&site.reader, read_some, READ_PAUSE_MS, READ_PAUSE_MS);
+  send_requests (1);
+  site.exchanges[0]->close = _i == 1;
+  net_exchange_respond (site.exchanges[0], 200, NULL, body, LONG_ANSWER_BYTES);
+  if (_i == 0)
+    net_server_drain (&site.server);
+  while (uv_is_active ((uv_handle_t *)&site.reader))
+    uv_run (&site.loop, UV_RUN_ONCE);
+  ck_assert_uint_gt (length, LONG_ANSWER_BYTES);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
@@ -162,6 +211,7 @@
   tcase_add_test (
       tests, a_request_that_ends_while_others_are_abandoned_is_not_answered);
   tcase_add_test (tests, nothing_is_sent_behind_an_answer_that_closes);
+  tcase_add_loop_test (tests, a_long_answer_is_read_to_its_end, 0, 2);
 }
 
 int
