Keep peers until the calls that use them are freed

A daemon whose calls were open at the end of the grace time of a planned stop crashed at its exit (SIGSEGV or SIGABRT).

Cause: a call is freed when the loop comes round, and releases its servers then; the last release of a server releases its peer, which mesh_peers_stop had freed.

Change: mesh_peers_stop closes the links only. A peer is freed with its last release, what is left at the end by mesh_peers_finish. No peer connects after the stop.

--- a/meshd/daemon.c
+++ b/meshd/daemon.c
@@ -550,6 +550,7 @@
 mesh_daemon_finish (struct mesh_daemon *daemon)
 {
   mesh_exchange_finish (&daemon->exchange);
+  mesh_peers_finish (&daemon->peers);
   mesh_suspects_finish (&daemon->suspects);
   cp_repeat_budgets_finish (&daemon->budgets);
   cp_call_fan_out_finish (&daemon->fan_out);
--- a/meshd/peers.c
+++ b/meshd/peers.c
@@ -414,22 +414,31 @@
   peer->address = *address;
   peer->n_users = 1;
   cds_list_add_tail (&peer->node, &peers->outgoing);
-  peer_connect (peer, now_us ());
+  if (!peers->stopped)
+    peer_connect (peer, now_us ());
   return peer;
 }
 
+/* Closes the link of PEER for good.  */
 static void
-peer_free (struct mesh_peer *peer)
+peer_close (struct mesh_peer *peer)
 {
-  if (peer->link != NULL)
-    {
-      struct mesh_link *link = peer->link;
+  struct mesh_link *link = peer->link;
 
-      link->peer = NULL;
-      net_link_close (&link->net);
-      if (peer->up)
-        peer->peers->n_up--;
-    }
+  if (link == NULL)
+    return;
+  peer->link = NULL;
+  link->peer = NULL;
+  net_link_close (&link->net);
+  if (peer->up)
+    peer->peers->n_up--;
+  peer->up = false;
+}
+
+static void
+peer_free (struct mesh_peer *peer)
+{
+  peer_close (peer);
   cds_list_del (&peer->node);
   free (peer);
 }
@@ -522,7 +531,6 @@
   struct mesh_link *link;
   struct mesh_link *next;
   struct mesh_peer *peer;
-  struct mesh_peer *next_peer;
 
   if (peers->stopped)
     return;
@@ -531,6 +539,28 @@
   uv_close ((uv_handle_t *)&peers->tick, NULL);
   cds_list_for_each_entry_safe (link, next, &peers->incoming, node)
       net_link_close (&link->net);
-  cds_list_for_each_entry_safe (peer, next_peer, &peers->outgoing, node)
+  cds_list_for_each_entry (peer, &peers->outgoing, node) peer_close (peer);
+}
+
+void
+mesh_peers_finish (struct mesh_peers *peers)
+{
+  struct mesh_peer *peer;
+  struct mesh_peer *next;
+
+  cds_list_for_each_entry_safe (peer, next, &peers->outgoing, node)
       peer_free (peer);
 }
+
+bool
+mesh_peers_are_sending (const struct mesh_peers *peers)
+{
+  const struct mesh_link *link;
+
+  cds_list_for_each_entry (link, &peers->incoming, node)
+  {
+    if (!link->net.failed && net_stream_unacknowledged (&link->net.stream) > 0)
+      return true;
+  }
+  return false;
+}
--- a/meshd/peers.h
+++ b/meshd/peers.h
@@ -110,8 +110,18 @@
                      const struct cp_address *address, uint64_t incarnation,
                      const char *domain,
                      const struct mesh_peers_events *events, void *context);
+
+/* Closes all links.  Peers stay until they are released, since calls that are
+   being freed may use them.  */
 void mesh_peers_stop (struct mesh_peers *peers);
 
+/* Frees the peers that were not released.  */
+void mesh_peers_finish (struct mesh_peers *peers);
+
+/* Returns whether the daemons with a link to this one have not received all
+   that was sent to them.  */
+bool mesh_peers_are_sending (const struct mesh_peers *peers);
+
 /* Returns the peer at ADDRESS, connecting to it if it is new.  The caller
    releases it with mesh_peer_release.  */
 struct mesh_peer *mesh_peer_acquire (struct mesh_peers *peers,
