Let in only what ends before a planned stop does

Cause, two ways seen by a test each. A connection was closed behind an answer only if no other request on it was open: where requests follow each other without a pause it was kept, and read, to the end of the grace time. A request that had arrived in part when the listener closed was taken whenever it was complete, however little time was left. In both, nothing related the time that the work needed to the time that was left; the steps also had fixed times, so that with a grace time of 2.6 s or less no connection was ever drained, and the last step came up to 0.2 s late.

Change: one plan of the stop (lib/stop_plan), made from the grace time when the signal comes. When the listener closes, each connection is read no further, but for a request that has arrived in part. Work that is let in from the signal on ends by itself: servers get the time that is left as their deadline, and a request that usually takes longer is refused (503), also when it is to be repeated, and also a job of another daemon. The daemon waits until other daemons have received their answers, or could fetch them over a new link. Results that are ready are delivered before the end; the log says what is cut, if anything.

--- a/meshd/call.c
+++ b/meshd/call.c
@@ -204,13 +204,20 @@
   return (u_int)((until_us - MIN (until_us, now)) / CP_US_PER_MS);
 }
 
-/* Returns the time until which an answer to CALL is of use.  That to a call of
-   a running request is lost once its parent's deadline has passed.  */
+/* Returns the time until which a server may work on CALL.  The answer to a
+   call of a running request is lost once its parent's deadline has passed, and
+   any answer when this daemon has stopped.  */
 static uint64_t
-useful_until (const struct mesh_call *call)
+work_until (const struct mesh_call *call)
 {
-  return call->nested ? MIN (call->deadline_us, call->parent.deadline_us)
-                      : call->deadline_us;
+  const struct cp_stop_plan *stop = call->outbound->stop;
+  uint64_t until_us = call->deadline_us;
+
+  if (call->nested)
+    until_us = MIN (until_us, call->parent.deadline_us);
+  if (stop != NULL)
+    until_us = MIN (until_us, stop->work_until_us);
+  return until_us;
 }
 
 static void
@@ -224,7 +231,7 @@
   request->digest = call->digest;
   request->request_id = (char *)call->request_id;
   request->instance = attempt->server->instance;
-  request->left = MAX (1U, ms_left (useful_until (call), now));
+  request->left = MAX (1U, ms_left (work_until (call), now));
   request->objective_left
       = ms_left (call->began_us + call->route->objective_us, now);
   request->objective = (u_int)(call->route->objective_us / CP_US_PER_MS);
@@ -360,10 +367,31 @@
     }
 }
 
+/* Returns whether CALL may be sent, again or for the first time, while this
+   daemon stops.  */
+static bool
+fits_into_stop (const struct mesh_call *call)
+{
+  const struct cp_stop_plan *stop = call->outbound->stop;
+
+  return stop == NULL
+         || cp_stop_plan_admits (
+             stop, now_us (), call->deadline_us,
+             MAX (call->route->objective_us, mesh_call_expected_work (call)));
+}
+
 void
 mesh_call_try_next (struct mesh_call *call)
 {
-  struct cp_server *server = next_server (call);
+  struct cp_server *server;
+
+  if (!fits_into_stop (call))
+    {
+      call->reason = MESH_REASON_LEAVING;
+      mesh_call_give_up (call);
+      return;
+    }
+  server = next_server (call);
 
   if (server != NULL && !mesh_call_take_token (call))
     {
@@ -398,7 +426,8 @@
 {
   struct cp_server *server;
 
-  if (call->n_open != 1 || !is_slow_or_silent (call->open[0], now_us ()))
+  if (call->n_open != 1 || !is_slow_or_silent (call->open[0], now_us ())
+      || !fits_into_stop (call))
     return;
   server = next_server (call);
   if (server == NULL
@@ -417,7 +446,8 @@
 {
   struct cp_server *server;
 
-  if (call->n_open != 1 || call->route->idempotency != CP_IDEMPOTENT)
+  if (call->n_open != 1 || call->route->idempotency != CP_IDEMPOTENT
+      || !fits_into_stop (call))
     return;
   server = next_server (call);
   if (server == NULL || !mesh_call_take_repeat (call))
@@ -511,6 +541,9 @@
       call_end_with_status (call, 504, 0);
       return;
     }
+  if (call->outbound->stop != NULL)
+    call->deadline_us
+        = MIN (call->deadline_us, call->outbound->stop->answer_until_us);
   if (mesh_suspects_hold_back (call->outbound->suspects, call->digest))
     {
       call->reason = MESH_REASON_HELD_BACK;
--- a/meshd/daemon.h
+++ b/meshd/daemon.h
@@ -20,7 +20,8 @@
   struct cp_chart chart;
   int state;
   uint64_t started_us;
-  uint64_t sigterm_us; /* when SIGTERM was received, or 0 */
+  uint64_t sigterm_us;      /* when SIGTERM was received, or 0 */
+  struct cp_stop_plan stop; /* from SIGTERM on */
   struct mesh_exchange exchange;
   struct cp_server_pool pool;
   struct mesh_peers peers;
@@ -38,6 +39,7 @@
   uint64_t settings_checked_us; /* last check for a new file */
   struct timespec settings_mtime;
   uv_timer_t tick;
+  uv_timer_t shutdown_tick;
   uv_timer_t links_timer;
   uv_signal_t signals[3];
   struct cp_seeded_random random;
--- a/meshd/inbound.c
+++ b/meshd/inbound.c
@@ -212,6 +212,17 @@
   return false;
 }
 
+/* Returns whether JOB ends before this daemon does.  */
+static bool
+fits_into_stop (const struct mesh_job *job, uint64_t now)
+{
+  const struct cp_stop_plan *stop = job->inbound->stop;
+
+  return stop == NULL
+         || cp_stop_plan_admits (stop, now, job->deadline_us,
+                                 MAX (job->objective_us, job->entry.work_us));
+}
+
 /* Returns whether the retry budgets cover the calls of JOB at present.  */
 static bool
 calls_are_covered (struct mesh_job *job)
@@ -236,7 +247,9 @@
     mesh_job_refuse (job, MESH_REASON_NO_SERVER, false);
   else if (inbound->evacuated)
     mesh_job_refuse (job, MESH_REASON_EVACUATED, false);
-  else if (inbound->drain_deadline_us != 0 && now > inbound->drain_deadline_us)
+  else if ((inbound->drain_deadline_us != 0
+            && now > inbound->drain_deadline_us)
+           || !fits_into_stop (job, now))
     mesh_job_refuse (job, MESH_REASON_LEAVING, false);
   else if (inbound->connect_refusals >= MESH_CONNECT_REFUSALS_MAX)
     mesh_job_refuse (job, MESH_REASON_NO_SERVER, false);
@@ -386,7 +399,7 @@
   unsigned count = 0;
 
   cds_list_for_each_entry (job, &inbound->jobs, node) count
-      += job->state != MESH_JOB_ENDED;
+      += job->state != MESH_JOB_ENDED || job->lost_us != 0;
   return count;
 }
 
@@ -568,6 +581,13 @@
   inbound->drain_deadline_us = drain_deadline_us;
 }
 
+void
+mesh_inbound_plan_stop (struct mesh_inbound *inbound,
+                        const struct cp_stop_plan *plan)
+{
+  inbound->stop = plan;
+}
+
 static struct mesh_job *
 find_queued_job (struct mesh_inbound *inbound)
 {
--- a/meshd/inbound.h
+++ b/meshd/inbound.h
@@ -21,6 +21,7 @@
 #include "lib/route_table.h"
 #include "lib/server_pool.h"
 #include "lib/service_times.h"
+#include "lib/stop_plan.h"
 #include "meshd/peers.h"
 #include "meshd/replies.h"
 #include "meshd/suspects.h"
@@ -84,12 +85,12 @@
   struct cds_list_head idle; /* idle connections, most recently used first */
   struct cds_list_head connections;
   struct cp_recent_ids sent_ids; /* of the requests that the server was sent */
-  unsigned slowness_percent; /* from the server's last load header */
-  uint64_t slowness_read_us; /* when it was received */
-  bool server_leaving;       /* the server has said that it is */
-  uint64_t rate_named_us;    /* when the server last named a rate limit */
-  double service_us;         /* moving average, corrected for slowness */
-  double pace;               /* the same as a share of the objective */
+  unsigned slowness_percent;     /* from the server's last load header */
+  uint64_t slowness_read_us;     /* when it was received */
+  bool server_leaving;           /* the server has said that it is */
+  uint64_t rate_named_us;        /* when the server last named a rate limit */
+  double service_us;             /* moving average, corrected for slowness */
+  double pace;                   /* the same as a share of the objective */
   struct cp_service_times service_times; /* of each kind of request */
   unsigned connect_refusals;             /* consecutive refused connections */
   bool reached; /* a connection to the server succeeded, and none was refused
@@ -106,7 +107,8 @@
   uint64_t answer_memory; /* for the answers that are being received */
   struct net_body_budget answer_budget;
   uint64_t drain_deadline_us; /* no job is started later; 0 if not draining */
-  bool evacuated;             /* our failure domain is: no job is started */
+  const struct cp_stop_plan *stop; /* while the daemon stops, or NULL */
+  bool evacuated; /* our failure domain is: no job is started */
   struct cp_report_filter report_filter;
   uint64_t last_job_us; /* arrival of the last job */
   uv_timer_t tick;
@@ -150,6 +152,11 @@
 void mesh_inbound_set_drain_deadline (struct mesh_inbound *inbound,
                                       uint64_t drain_deadline_us);
 
+/* Keeps to PLAN, which stays the caller's, from now on: jobs that are offered
+   end in time, or are refused.  */
+void mesh_inbound_plan_stop (struct mesh_inbound *inbound,
+                             const struct cp_stop_plan *plan);
+
 /* Evacuates our failure domain, or brings it back.  While it is evacuated, no
    job is started.  Returns how many queued jobs were refused.  */
 unsigned mesh_inbound_set_evacuated (struct mesh_inbound *inbound,
@@ -180,6 +187,8 @@
    refuses connections.  */
 bool mesh_inbound_is_down (const struct mesh_inbound *inbound);
 
+/* Returns how many jobs have not ended, or have a result that their sender may
+   still fetch over a new link.  */
 unsigned mesh_inbound_count_jobs (const struct mesh_inbound *inbound);
 void mesh_inbound_get_load (const struct mesh_inbound *inbound,
                             struct cp_server_load *load);
--- a/meshd/life.c
+++ b/meshd/life.c
@@ -8,14 +8,12 @@
 
 #define TICK_MS 200
 
-/* Time from SIGTERM to telling the peers, and to closing the listener.
-   Clients stop sending after two failed readiness checks, one second apart;
-   until then their calls are served as before.  */
-#define ANNOUNCE_DELAY_US UINT64_C (1800000)
-#define CLOSE_DELAY_US UINT64_C (2300000)
+/* Interval of the steps of a shutdown.  */
+#define SHUTDOWN_TICK_MS 50
 
-/* Part of the grace time that is reserved for the exit of the process.  */
-#define GRACE_MARGIN_US UINT64_C (400000)
+/* How long after the peers were told jobs of theirs are still started, which
+   they sent before.  */
+#define ANNOUNCEMENT_US UINT64_C (200000)
 
 static const char *const state_names[MESH_STATE_COUNT]
     = { "starting", "warming", "serving", "draining", "gone" };
@@ -93,6 +91,8 @@
 static const struct net_server_events metrics_events
     = { on_metrics_request, ignore_abandoned, log_refused };
 
+static void on_shutdown_tick (uv_timer_t *timer);
+
 /* Starts the shutdown.  */
 static void
 begin_shutdown (struct mesh_daemon *daemon)
@@ -100,7 +100,13 @@
   if (daemon->sigterm_us != 0)
     return;
   daemon->sigterm_us = now_us ();
+  cp_stop_plan_init (&daemon->stop, daemon->sigterm_us,
+                     daemon->settings.grace_us);
+  mesh_outbound_plan_stop (&daemon->outbound, &daemon->stop);
+  mesh_inbound_plan_stop (&daemon->inbound, &daemon->stop);
   mesh_daemon_handle_event (daemon, MESH_EVENT_DRAIN);
+  uv_timer_start (&daemon->shutdown_tick, on_shutdown_tick, SHUTDOWN_TICK_MS,
+                  SHUTDOWN_TICK_MS);
 }
 
 static void
@@ -119,10 +125,12 @@
 {
   mesh_daemon_handle_event (daemon, MESH_EVENT_STOP);
   uv_close ((uv_handle_t *)&daemon->tick, NULL);
+  uv_close ((uv_handle_t *)&daemon->shutdown_tick, NULL);
   uv_close ((uv_handle_t *)&daemon->links_timer, NULL);
   for (unsigned i = 0; i < G_N_ELEMENTS (daemon->signals); i++)
     uv_close ((uv_handle_t *)&daemon->signals[i], NULL);
   mesh_exchange_stop (&daemon->exchange);
+  mesh_replies_deliver (&daemon->inbound.replies);
   mesh_outbound_stop (&daemon->outbound);
   mesh_inbound_stop (&daemon->inbound);
   net_server_finish (&daemon->ready);
@@ -133,28 +141,52 @@
   uv_stop (&daemon->loop);
 }
 
-/* Performs the shutdown steps that are due by the time since SIGTERM.  Stops
-   when no connection or job is left, or when the grace time is nearly
-   over.  */
+/* Returns whether nobody waits for anything from this daemon.  */
+static bool
+is_idle (const struct mesh_daemon *daemon)
+{
+  return daemon->outbound.server.n_connections == 0
+         && mesh_inbound_count_jobs (&daemon->inbound) == 0
+         && !mesh_peers_are_sending (&daemon->peers);
+}
+
+/* Logs what is cut off by the end of the grace time, if anything is.  */
+static void
+log_shutdown (const struct mesh_daemon *daemon, uint64_t now)
+{
+  if (mesh_log_allowed (MESH_LOG_SHUTDOWN))
+    mesh_log (MESH_LOG_SHUTDOWN,
+              "\"since_us\":%" G_GUINT64_FORMAT ",\"connections\":%u,"
+              "\"calls\":%u,\"jobs\":%u,\"sending\":%s",
+              now - daemon->sigterm_us, daemon->outbound.server.n_connections,
+              daemon->outbound.server.n_exchanges,
+              mesh_inbound_count_jobs (&daemon->inbound),
+              mesh_peers_are_sending (&daemon->peers) ? "true" : "false");
+}
+
+/* Performs the steps of the shutdown that are due.  */
 static void
-continue_shutdown (struct mesh_daemon *daemon, uint64_t now)
+on_shutdown_tick (uv_timer_t *timer)
 {
-  uint64_t since_us = now - daemon->sigterm_us;
-  bool idle = daemon->outbound.server.n_connections == 0
-              && mesh_inbound_count_jobs (&daemon->inbound) == 0;
+  struct mesh_daemon *daemon = timer->data;
+  const struct cp_stop_plan *plan = &daemon->stop;
+  uint64_t now = now_us ();
 
-  if (since_us >= ANNOUNCE_DELAY_US && !daemon->leave_announced)
+  if (now >= plan->announce_us && !daemon->leave_announced)
     {
       daemon->leave_announced = true;
       mesh_peers_announce_leaving (&daemon->peers);
       mesh_inbound_set_drain_deadline (&daemon->inbound,
-                                       now + TICK_MS * CP_US_PER_MS);
+                                       now + ANNOUNCEMENT_US);
     }
-  if (since_us >= CLOSE_DELAY_US && !daemon->outbound.server.draining)
+  if (now >= plan->close_us && !daemon->outbound.server.draining)
     net_server_drain (&daemon->outbound.server);
-  if ((daemon->outbound.server.draining && idle)
-      || since_us + GRACE_MARGIN_US >= daemon->settings.grace_us)
-    stop_components (daemon);
+  if ((daemon->outbound.server.draining && is_idle (daemon))
+      || now >= plan->end_us)
+    {
+      log_shutdown (daemon, now);
+      stop_components (daemon);
+    }
 }
 
 static void
@@ -172,9 +204,7 @@
       &daemon->budgets,
       MAX (cp_server_pool_count (&daemon->pool), daemon->peers.n_up + 1), now);
   mesh_exchange_tick (&daemon->exchange);
-  if (daemon->sigterm_us != 0)
-    continue_shutdown (daemon, now);
-  else
+  if (daemon->sigterm_us == 0)
     mesh_daemon_check_settings (daemon, now);
 }
 
@@ -208,6 +238,8 @@
 void
 mesh_daemon_start_timers (struct mesh_daemon *daemon)
 {
+  uv_timer_init (&daemon->loop, &daemon->shutdown_tick);
+  daemon->shutdown_tick.data = daemon;
   uv_timer_init (&daemon->loop, &daemon->tick);
   daemon->tick.data = daemon;
   uv_timer_start (&daemon->tick, on_tick, TICK_MS, TICK_MS);
--- a/meshd/outbound.c
+++ b/meshd/outbound.c
@@ -207,6 +207,13 @@
     server_limits->idle_ms = limits->idle_us / CP_US_PER_MS;
 }
 
+void
+mesh_outbound_plan_stop (struct mesh_outbound *outbound,
+                         const struct cp_stop_plan *plan)
+{
+  outbound->stop = plan;
+}
+
 void
 mesh_outbound_stop (struct mesh_outbound *outbound)
 {
--- a/meshd/outbound.h
+++ b/meshd/outbound.h
@@ -15,6 +15,7 @@
 #include "lib/repeat_budget.h"
 #include "lib/route_table.h"
 #include "lib/server_pool.h"
+#include "lib/stop_plan.h"
 #include "meshd/peers.h"
 #include "meshd/suspects.h"
 #include "net/server.h"
@@ -72,6 +73,7 @@
   GHashTable *rooms;    /* service to struct cp_service_room */
   struct cp_repeat_budgets *budgets;
   uint64_t last_stream;
+  const struct cp_stop_plan *stop; /* while the daemon stops, or NULL */
   const struct mesh_outbound_events *events;
   void *context;
   struct mesh_outbound_counts counts;
@@ -89,6 +91,11 @@
                         void *context);
 void mesh_outbound_stop (struct mesh_outbound *outbound);
 
+/* Keeps to PLAN, which stays the caller's, from now on: calls that begin end
+   in time, or are refused.  */
+void mesh_outbound_plan_stop (struct mesh_outbound *outbound,
+                              const struct cp_stop_plan *plan);
+
 void mesh_outbound_set_table (struct mesh_outbound *outbound,
                               struct cp_route_table *table);
 
--- a/meshd/replies.c
+++ b/meshd/replies.c
@@ -33,10 +33,9 @@
   return reply;
 }
 
-static void
-on_idle (uv_idle_t *idle)
+void
+mesh_replies_deliver (struct mesh_replies *replies)
 {
-  struct mesh_replies *replies = idle->data;
   struct reply *reply;
 
   while ((reply = take_first (replies)) != NULL)
@@ -44,7 +43,13 @@
       replies->deliver (replies->context, &reply->message);
       reply_free (reply);
     }
-  uv_idle_stop (idle);
+  uv_idle_stop (&replies->idle);
+}
+
+static void
+on_idle (uv_idle_t *idle)
+{
+  mesh_replies_deliver (idle->data);
 }
 
 void
--- a/meshd/replies.h
+++ b/meshd/replies.h
@@ -27,6 +27,9 @@
     void (*deliver) (void *context, const struct cp_peer_message *message),
     void *context);
 
+/* Delivers the results that wait.  */
+void mesh_replies_deliver (struct mesh_replies *replies);
+
 /* Drops the results that wait.  The loop must run until the handle is
    closed.  */
 void mesh_replies_stop (struct mesh_replies *replies);
--- a/meshd/server.c
+++ b/meshd/server.c
@@ -94,6 +94,16 @@
   connection_keep (connection);
 }
 
+/* Returns the time until which the server may work on JOB.  */
+static uint64_t
+work_until (const struct mesh_job *job)
+{
+  const struct cp_stop_plan *stop = job->inbound->stop;
+
+  return stop == NULL ? job->deadline_us
+                      : MIN (job->deadline_us, stop->work_until_us);
+}
+
 static void
 write_job (struct mesh_connection *connection)
 {
@@ -101,7 +111,8 @@
   GByteArray *request = g_byte_array_sized_new (job->body->len + 1024);
   GString *head = g_string_new (job->head);
   uint64_t now = now_us ();
-  uint64_t left_us = job->deadline_us > now ? job->deadline_us - now : 1000;
+  uint64_t until_us = work_until (job);
+  uint64_t left_us = until_us > now ? until_us - now : 1000;
   bool is_head_request = g_str_has_prefix (job->head, "HEAD ");
   bool has_length = job->body->len > 0 || g_str_has_prefix (job->head, "POST ")
                     || g_str_has_prefix (job->head, "PUT ")
--- a/net/server.c
+++ b/net/server.c
@@ -178,6 +178,14 @@
   memcpy (response->data + at, text, size);
 }
 
+/* Returns whether a request has arrived in part.  */
+static bool
+is_receiving (const struct net_connection *connection)
+{
+  return connection->receiving != NULL
+         && connection->receiving->request.started;
+}
+
 /* Parses the input that was held back while the pipeline was full.  */
 static void
 parse_held_input (struct net_connection *connection)
@@ -215,7 +223,8 @@
       connection->n_exchanges--;
       server->request_body_bytes -= exchange->request.body->len;
       close = exchange->close
-              || (server->draining && connection->n_exchanges == 0);
+              || (server->draining && connection->n_exchanges == 0
+                  && !is_receiving (connection));
       if (close)
         add_connection_close (exchange->response);
       if (output == NULL)
@@ -286,7 +295,7 @@
   server->n_exchanges++;
   server->request_body_bytes += exchange->request.body->len;
   exchange->received_ms = uv_now (server->loop);
-  if (!exchange->request.keep_alive)
+  if (!exchange->request.keep_alive || server->draining)
     connection->ending = true;
   server->events->request (server->context, exchange);
 }
@@ -440,7 +449,7 @@
         connection_close (connection);
       return;
     }
-  if (connection->receiving != NULL && connection->receiving->request.started)
+  if (is_receiving (connection))
     check_header_timeout (connection, now_ms);
   else if (connection->n_exchanges == 0 && server->limits.idle_ms > 0
            && now_ms - connection->idle_since_ms > server->limits.idle_ms)
@@ -491,20 +500,27 @@
   uv_close ((uv_handle_t *)&server->listener, NULL);
 }
 
+/* Accepts no more requests on CONNECTION, but for one that has arrived in
+   part.  */
+static void
+connection_drain (struct net_connection *connection)
+{
+  if (is_receiving (connection))
+    return;
+  connection->ending = true;
+  if (connection->n_exchanges == 0)
+    connection_shutdown (connection);
+}
+
 void
 net_server_drain (struct net_server *server)
 {
   struct net_connection *connection;
-  struct net_connection *next;
 
   server->draining = true;
   stop_listening (server);
-  cds_list_for_each_entry_safe (
-      connection, next, &server->connections,
-      node) if (connection->n_exchanges == 0
-                && (connection->receiving == NULL
-                    || !connection->receiving->request.started))
-      connection_shutdown (connection);
+  cds_list_for_each_entry (connection, &server->connections, node)
+      connection_drain (connection);
 }
 
 void
--- a/net/server.h
+++ b/net/server.h
@@ -73,8 +73,9 @@
                      const struct net_server_limits *limits,
                      const struct net_server_events *events, void *context);
 
-/* Stops listening, closes idle connections, and closes each of the others
-   after its last pending response.  */
+/* Stops listening and closes idle connections.  Each of the others is closed
+   after the responses to the requests that have been read, and to one that has
+   been read in part; no other request is read there.  */
 void net_server_drain (struct net_server *server);
 
 /* Closes the listener and all connections.  The loop must run until the close
--- a/regress/net/check_server.c
+++ b/regress/net/check_server.c
@@ -204,6 +204,29 @@
 }
 END_TEST
 
+/* Guards against requests that are taken from a connection without end while
+   the server stops.  */
+START_TEST (nothing_is_read_behind_the_last_request_of_a_stopping_server)
+{
+  char answers[1024];
+  char request[64];
+  int length;
+
+  send_requests (2);
+  net_server_drain (&site.server);
+  length = snprintf (request, sizeof request, text, 2U);
+  ck_assert_int_eq (send (site.client, request, (size_t)length, 0), length);
+  for (unsigned i = 0; i < 10; i++)
+    uv_run (&site.loop, UV_RUN_NOWAIT);
+  ck_assert_uint_eq (site.n_requests, 2);
+  net_exchange_respond (site.exchanges[0], 200, NULL, NULL, 0);
+  net_exchange_respond (site.exchanges[1], 200, NULL, NULL, 0);
+  read_to_end (answers, sizeof answers);
+  ck_assert_ptr_nonnull (strstr (answers, "Connection: close"));
+  ck_assert_ptr_nonnull (strstr (answers + 1, "HTTP/1.1 200"));
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
@@ -212,6 +235,8 @@
       tests, a_request_that_ends_while_others_are_abandoned_is_not_answered);
   tcase_add_test (tests, nothing_is_sent_behind_an_answer_that_closes);
   tcase_add_loop_test (tests, a_long_answer_is_read_to_its_end, 0, 2);
+  tcase_add_test (
+      tests, nothing_is_read_behind_the_last_request_of_a_stopping_server);
 }
 
 int
