Forward a request ID of any length, and survive what cannot be encoded

Cause: the message between daemons bounded the ID as a name; the entry bounds it with the head only, and the encoder ended the process when a value passed its bound.

Change: the ID may be as long as the head in which it stands. The encoder returns an error: a request is refused as not sent, an answer is replaced by a failure, any other message is left out; the log says which. A head or body that does not fit into a message, which a configuration may allow, gets 431 or 413 at the entry.

Result: a_message_with_a_part_that_is_too_long_is_not_encoded and a_request_id_of_any_length_is_forwarded pass.

--- a/meshd/job.c
+++ b/meshd/job.c
@@ -78,13 +78,17 @@
 }
 
 /* Ends JOB with MESSAGE, its result, and sends it unless nobody waits for
-   it.  */
+   it.  An answer that cannot be sent is replaced by a failure.  */
 static void
 job_end (struct mesh_job *job, const struct cp_peer_message *message)
 {
   struct mesh_inbound *inbound = job->inbound;
   struct mesh_link *link = job->link;
   bool local = job->local;
+  const struct cp_peer_message failure
+      = { .kind = CP_PEER_FAILURE,
+          .cp_peer_message_u.failure
+          = { .stream = job->key.stream, .reason = MESH_REASON_GARBLED } };
 
   job->state = MESH_JOB_ENDED;
   job->ended_us = now_us ();
@@ -95,13 +99,17 @@
       return;
     }
   if (must_keep_result (job, message))
-    job->kept_message = mesh_message_encode (message);
+    {
+      job->kept_message = mesh_message_encode (message);
+      if (job->kept_message == NULL)
+        job->kept_message = mesh_message_encode (&failure);
+    }
   else
     mesh_job_free (job);
   if (local)
     mesh_replies_add (&inbound->replies, message);
-  else if (link != NULL)
-    mesh_link_send (link, message);
+  else if (link != NULL && !mesh_link_send (link, message))
+    mesh_link_send (link, &failure);
 }
 
 /* Returns the time from the arrival of JOB until AT_US in microseconds,
--- a/meshd/log.c
+++ b/meshd/log.c
@@ -42,6 +42,7 @@
   [MESH_LOG_UNREADABLE] = "unreadable",
   [MESH_LOG_EVACUATION] = "evacuation",
   [MESH_LOG_PEER] = "peer",
+  [MESH_LOG_UNSENDABLE] = "unsendable",
   [MESH_LOG_LOAD] = "load",
   [MESH_LOG_RATE_LIMIT] = "rate_limit",
   [MESH_LOG_LEAVING] = "leaving",
@@ -65,6 +66,7 @@
   [MESH_LOG_FAILED] = true,
   [MESH_LOG_JOB_FAILED] = true,
   [MESH_LOG_REFUSED] = true,
+  [MESH_LOG_UNSENDABLE] = true,
 };
 
 struct kind_rate
--- a/meshd/outbound.c
+++ b/meshd/outbound.c
@@ -14,6 +14,9 @@
    a short wait only adds load.  */
 #define RETRY_AFTER_UNUSABLE_US CP_US_PER_S
 
+/* More than this daemon adds to the head of a request that it forwards.  */
+#define ADDED_HEAD_BYTES 1024
+
 /* Limits before the first configuration, taken from the platform's
    examples.  */
 static const struct net_server_limits initial_limits
@@ -103,14 +106,32 @@
   return call;
 }
 
+/* Returns the status with which REQUEST is refused because it does not fit
+   into a message to another daemon, or 0.  The limits of the configuration are
+   usually less than that.  */
+static unsigned
+find_excess (const struct net_message *request)
+{
+  if (request->head_bytes + ADDED_HEAD_BYTES > CP_PEER_HEAD_MAX)
+    return 431;
+  return request->body->len > CP_PEER_BODY_MAX ? 413 : 0;
+}
+
 static void
 on_request (void *context, struct net_exchange *exchange)
 {
   struct mesh_outbound *outbound = context;
   const struct net_message *request = &exchange->request;
   struct cp_route_table_entry *route;
+  unsigned excess = find_excess (request);
 
   outbound->counts.calls++;
+  if (excess != 0)
+    {
+      answer_without_call (outbound, exchange, excess,
+                           "does not fit into a message", 0);
+      return;
+    }
   if (outbound->table == NULL)
     {
       answer_without_call (outbound, exchange, 503, "no configuration yet",
--- a/meshd/peers.c
+++ b/meshd/peers.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "meshd/log.h"
 #include "meshd/peers.h"
 
 #define TICK_MS 100
@@ -450,18 +451,26 @@
     peer_free (peer);
 }
 
-void
+bool
 mesh_link_send (struct mesh_link *link, const struct cp_peer_message *message)
 {
   struct mesh_traffic *traffic = &link->peers->traffic;
   GByteArray *record;
 
   if (link->net.failed)
-    return;
+    return true;
   record = mesh_message_encode (message);
+  if (record == NULL)
+    {
+      if (mesh_log_allowed (MESH_LOG_UNSENDABLE))
+        mesh_log (MESH_LOG_UNSENDABLE, "\"message\":\"%s\"",
+                  mesh_message_names[message->kind]);
+      return false;
+    }
   traffic->messages[message->kind][link->same_domain]++;
   traffic->bytes[message->kind][link->same_domain] += record->len;
   net_link_send (&link->net, record);
+  return true;
 }
 
 bool
@@ -469,9 +478,8 @@
 {
   uint64_t now = now_us ();
 
-  if (!peer->up)
+  if (!peer->up || !mesh_link_send (peer->link, message))
     return false;
-  mesh_link_send (peer->link, message);
   if (peer->up && peer->oldest_ping_us == 0
       && now - peer->heard_us > PING_AFTER_QUIET_US)
     send_ping (peer, now);
--- a/meshd/peers.h
+++ b/meshd/peers.h
@@ -128,10 +128,14 @@
                                      const struct cp_address *address);
 void mesh_peer_release (struct mesh_peer *peer);
 
-/* Sends MESSAGE to PEER.  Returns false if it is not connected.  */
+/* Sends MESSAGE to PEER.  Returns false if it is not connected, or as
+   mesh_link_send does.  */
 bool mesh_peer_send (struct mesh_peer *peer,
                      const struct cp_peer_message *message);
-void mesh_link_send (struct mesh_link *link,
+
+/* Sends MESSAGE over LINK, unless that has failed.  Returns false if MESSAGE
+   cannot be encoded; that is logged.  */
+bool mesh_link_send (struct mesh_link *link,
                      const struct cp_peer_message *message);
 
 /* Sends MESSAGE over all incoming links that have said hello, or only over
--- a/meshd/wire.c
+++ b/meshd/wire.c
@@ -23,15 +23,18 @@
   struct cp_peer_message *value = (struct cp_peer_message *)message;
   unsigned long size = xdr_sizeof ((xdrproc_t)xdr_cp_peer_message, value);
   GByteArray *record = g_byte_array_sized_new ((guint)size + LENGTH_BYTES);
+  bool good;
   XDR xdr;
 
   g_byte_array_set_size (record, (guint)size + LENGTH_BYTES);
   xdrmem_create (&xdr, (char *)record->data + LENGTH_BYTES, (u_int)size,
                  XDR_ENCODE);
-  if (size == 0 || !xdr_cp_peer_message (&xdr, value))
-    g_error ("cannot encode a peer message");
+  good = size > 0 && xdr_cp_peer_message (&xdr, value);
   xdr_destroy (&xdr);
-  return record;
+  if (good)
+    return record;
+  g_byte_array_unref (record);
+  return NULL;
 }
 
 bool
--- a/meshd/wire.h
+++ b/meshd/wire.h
@@ -56,7 +56,8 @@
 
 extern const char *const mesh_reason_names[MESH_REASON_COUNT];
 
-/* Returns MESSAGE encoded as a record, with space for the length in front.  */
+/* Returns MESSAGE encoded as a record, with space for the length in front, or
+   NULL if a part of it is longer than rpc/peer.x allows.  */
 GByteArray *mesh_message_encode (const struct cp_peer_message *message);
 
 /* Decodes a record.  Returns false if it is invalid; otherwise the caller
--- a/regress/meshd/check_mesh_life.c
+++ b/regress/meshd/check_mesh_life.c
@@ -108,6 +108,24 @@
 }
 END_TEST
 
+/* Guards against a daemon that ends because a value from a client is longer
+   than a message between daemons allows for its kind.  */
+START_TEST (a_request_id_of_any_length_is_forwarded)
+{
+  static const size_t lengths[] = { 256, 257, 300, 4000, 7000 };
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (lengths); i++)
+    {
+      CP_AUTO_FREE char *id = g_strnfill (lengths[i], 'i');
+
+      stage_call (&stage, &reply, 3, "POST", "alpha.test", "/write/1", id,
+                  "order");
+      ck_assert_int_eq (reply.status, 200);
+      ck_assert_uint_eq (stage_runs (&stage, id), 1);
+    }
+}
+END_TEST
+
 START_TEST (ambiguous_message_framing_is_refused)
 {
   ck_assert_int_eq (
@@ -381,6 +399,7 @@
   tcase_add_test (
       tests, pipelined_requests_run_concurrently_and_are_answered_in_order);
   tcase_add_test (tests, configured_request_limits_are_enforced);
+  tcase_add_test (tests, a_request_id_of_any_length_is_forwarded);
   tcase_add_test (tests, ambiguous_message_framing_is_refused);
   tcase_add_test (tests, a_chunked_body_is_forwarded_whole);
   tcase_add_test (tests,
--- a/regress/meshd/check_mesh_wire.c
+++ b/regress/meshd/check_mesh_wire.c
@@ -54,9 +54,23 @@
 }
 END_TEST
 
+/* Guards against a process that ends because a message has a part that is too
+   long.  */
+START_TEST (a_message_with_a_part_that_is_too_long_is_not_encoded)
+{
+  g_autofree char *name = g_strnfill (CP_PEER_NAME_MAX + 1, 'n');
+  struct cp_peer_message message = { .kind = CP_PEER_HELLO };
+
+  message.cp_peer_message_u.hello.domain = name;
+  ck_assert_ptr_null (mesh_message_encode (&message));
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
+  tcase_add_test (tests,
+                  a_message_with_a_part_that_is_too_long_is_not_encoded);
   tcase_add_test (tests, a_report_arrives_as_it_was_sent);
   tcase_add_test (tests, a_number_that_is_too_large_is_sent_as_the_largest);
 }
--- a/rpc/peer.h
+++ b/rpc/peer.h
@@ -85,7 +85,7 @@
 struct cp_peer_request {
 	u_quad_t stream;
 	u_quad_t digest;
-	cp_peer_name request_id;
+	cp_peer_head request_id;
 	cp_peer_name instance;
 	u_int left;
 	u_int objective;
--- a/rpc/peer.x
+++ b/rpc/peer.x
@@ -92,7 +92,7 @@
 struct cp_peer_request {
 	unsigned hyper stream;
 	unsigned hyper digest;
-	cp_peer_name request_id;
+	cp_peer_head request_id;
 	cp_peer_name instance;
 	unsigned int left;
 	unsigned int objective;
--- a/rpc/peer_xdr.c
+++ b/rpc/peer_xdr.c
@@ -157,7 +157,7 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->digest))
 			 return FALSE;
-		 if (!xdr_cp_peer_name (xdrs, &objp->request_id))
+		 if (!xdr_cp_peer_head (xdrs, &objp->request_id))
 			 return FALSE;
 		 if (!xdr_cp_peer_name (xdrs, &objp->instance))
 			 return FALSE;
@@ -206,7 +206,7 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->digest))
 			 return FALSE;
-		 if (!xdr_cp_peer_name (xdrs, &objp->request_id))
+		 if (!xdr_cp_peer_head (xdrs, &objp->request_id))
 			 return FALSE;
 		 if (!xdr_cp_peer_name (xdrs, &objp->instance))
 			 return FALSE;
@@ -256,7 +256,7 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->digest))
 		 return FALSE;
-	 if (!xdr_cp_peer_name (xdrs, &objp->request_id))
+	 if (!xdr_cp_peer_head (xdrs, &objp->request_id))
 		 return FALSE;
 	 if (!xdr_cp_peer_name (xdrs, &objp->instance))
 		 return FALSE;
