Let a new connection for a repeated request take the place of a kept one

Seen by unanswered_health_checks_are_closed, whose caller uses one ID for all its requests: since the ID of a request decides that it gets a new connection, each of its requests left one more idle connection (55 descriptors of two daemons, 53 allowed). Servers accept a limited number.

Change: the idle connection that was not used for the longest time is closed when a new one is opened though idle ones are there.

--- a/meshd/server.c
+++ b/meshd/server.c
@@ -476,12 +476,26 @@
          || cp_recent_ids_add (&inbound->sent_ids, job->request_id, now_us ());
 }
 
+/* Closes the idle connection that has not been used for the longest time, if
+   there is one.  */
+static void
+close_oldest_idle (struct mesh_inbound *inbound)
+{
+  if (!cds_list_empty (&inbound->idle))
+    connection_close (cds_list_entry (inbound->idle.prev,
+                                      struct mesh_connection, idle_node));
+}
+
 void
 mesh_server_send (struct mesh_inbound *inbound, struct mesh_job *job)
 {
-  struct mesh_connection *connection
-      = get_connection (inbound, needs_new_connection (inbound, job));
+  bool needs_new = needs_new_connection (inbound, job);
+  struct mesh_connection *connection = get_connection (inbound, needs_new);
 
+  /* The new connection takes the place of one that is kept, since servers
+     accept a limited number.  */
+  if (needs_new)
+    close_oldest_idle (inbound);
   connection->job = job;
   job->connection = connection;
   start_request (connection);
