Release the memory of a long record on a link

Cause: a link keeps the memory of the longest record that it has received, and each machine that uploads has a link of its own.

Change: the memory of a record of more than 64 KB is released with it.

--- a/net/link.c
+++ b/net/link.c
@@ -5,6 +5,9 @@
 
 #define LENGTH_BYTES 4
 
+/* Longest record whose memory is kept for the next one.  */
+#define KEPT_BYTES_MAX 65536
+
 static void
 fail (struct net_link *link, const char *reason)
 {
@@ -81,7 +84,12 @@
   g_byte_array_append (link->input, (const guint8 *)data, (guint)length);
   consumed
       = deliver_records (link, (char *)link->input->data, link->input->len);
-  if (consumed > 0)
+  if (consumed == link->input->len && consumed > KEPT_BYTES_MAX)
+    {
+      g_byte_array_unref (link->input);
+      link->input = g_byte_array_new ();
+    }
+  else if (consumed > 0)
     g_byte_array_remove_range (link->input, 0, (guint)consumed);
 }
 
