Count request bodies from when they are announced

Cause: a body was counted when it was whole; those that were still being read were not, and nothing bounded their sum.

Change: the length that a request announces, or what has come of a body in chunks, is taken from the memory for request bodies (a quarter of the limit) as it is for answers. A body that does not fit beside the others is refused with 503 and Retry-After before it is read, and its connection is closed; one of up to 64 KB is always taken. The parser tells a body over the budget from one that is longer than allowed, so a_body_within_its_share_always_fits asks for the new result.

--- a/meshd/metrics.c
+++ b/meshd/metrics.c
@@ -106,7 +106,7 @@
                  counts->repeat_calls_no_budget);
   write_gauge (text, "calls_open", outbound->server.n_exchanges);
   write_gauge (text, "call_connections", outbound->server.n_connections);
-  write_gauge (text, "call_body_bytes", outbound->server.request_body_bytes);
+  write_gauge (text, "call_body_bytes", outbound->server.body_budget.used);
   write_latency (text, outbound->latency);
 }
 
--- a/meshd/outbound.c
+++ b/meshd/outbound.c
@@ -14,6 +14,9 @@
    a short wait only adds load.  */
 #define RETRY_AFTER_UNUSABLE_US CP_US_PER_S
 
+/* A body of up to this length is taken whatever others take.  */
+#define SMALL_BODY_BYTES 65536
+
 /* More than this daemon adds to the head of a request that it forwards.  */
 #define ADDED_HEAD_BYTES 1024
 
@@ -138,13 +141,6 @@
                            RETRY_AFTER_UNCONFIGURED_US);
       return;
     }
-  if (outbound->server.request_body_bytes > outbound->settings.body_bytes_max)
-    {
-      answer_without_call (outbound, exchange, 503,
-                           "request bodies exceed the memory limit",
-                           RETRY_AFTER_UNCONFIGURED_US);
-      return;
-    }
   route = cp_route_table_find (outbound->table,
                                net_headers_find (&request->headers, "Host"),
                                request->target->str);
@@ -228,6 +224,13 @@
     server_limits->idle_ms = limits->idle_us / CP_US_PER_MS;
 }
 
+void
+mesh_outbound_set_body_memory (struct mesh_outbound *outbound, uint64_t bytes)
+{
+  outbound->server.body_budget.max = bytes;
+  outbound->server.body_budget.share = SMALL_BODY_BYTES;
+}
+
 void
 mesh_outbound_plan_stop (struct mesh_outbound *outbound,
                          const struct cp_stop_plan *plan)
--- a/meshd/outbound.h
+++ b/meshd/outbound.h
@@ -36,8 +36,7 @@
 
 struct mesh_outbound_settings
 {
-  char service[128];       /* the service on this VM */
-  uint64_t body_bytes_max; /* for the request bodies of all calls */
+  char service[128]; /* the service on this VM */
 };
 
 struct mesh_outbound_counts
@@ -91,6 +90,10 @@
                         void *context);
 void mesh_outbound_stop (struct mesh_outbound *outbound);
 
+/* Limits the memory for the bodies of all calls to BYTES.  */
+void mesh_outbound_set_body_memory (struct mesh_outbound *outbound,
+                                    uint64_t bytes);
+
 /* Keeps to PLAN, which stays the caller's, from now on: calls that begin end
    in time, or are refused.  */
 void mesh_outbound_plan_stop (struct mesh_outbound *outbound,
--- a/meshd/reload.c
+++ b/meshd/reload.c
@@ -46,8 +46,9 @@
   cp_repeat_budgets_configure (
       &daemon->budgets, settings->repeat_ratio, settings->repeat_slack,
       settings->repeat_window_us, cp_clock_now_us (&cp_clock_boot));
-  to->body_bytes_max
-      = (uint64_t)(BODY_MEMORY_SHARE * (double)settings->memory_bytes);
+  mesh_outbound_set_body_memory (
+      &daemon->outbound,
+      (uint64_t)(BODY_MEMORY_SHARE * (double)settings->memory_bytes));
   mesh_inbound_set_warm_up_bounds (
       &daemon->inbound, settings->warm_up_overshoot, settings->warm_up_slack);
   apply_regions (daemon);
--- a/net/client.c
+++ b/net/client.c
@@ -74,7 +74,7 @@
       state = net_message_feed (&client->response, data, length, &used);
       data += used;
       length -= used;
-      if (state == NET_BODY_TOO_LONG)
+      if (state == NET_BODY_TOO_LONG || state == NET_BODY_OVER_BUDGET)
         fail (client, NET_FAILED_TOO_LONG);
       else if (state != NET_INCOMPLETE && state != NET_COMPLETE)
         fail (client, NET_FAILED_GARBLED);
--- a/net/message.c
+++ b/net/message.c
@@ -97,6 +97,23 @@
   return true;
 }
 
+/* Takes memory for a body of LENGTH bytes in all from the budget.  Returns
+   false if it does not fit.  */
+static bool
+take_from_budget (struct net_message *message, size_t length)
+{
+  struct net_body_budget *budget = message->limits.budget;
+  size_t more = length - MIN (length, message->budgeted);
+
+  if (budget == NULL || more == 0)
+    return true;
+  if (length > budget->share && budget->used + more > budget->max)
+    return false;
+  budget->used += more;
+  message->budgeted += more;
+  return true;
+}
+
 static int
 on_headers (http_parser *parser)
 {
@@ -124,6 +141,12 @@
       message->state = NET_BODY_TOO_LONG;
       return -1;
     }
+  if (parser->type == HTTP_REQUEST
+      && !take_from_budget (message, content_length))
+    {
+      message->state = NET_BODY_OVER_BUDGET;
+      return -1;
+    }
   if (content_length <= BODY_PREALLOCATION_MAX)
     {
       g_byte_array_set_size (message->body, (guint)content_length);
@@ -132,27 +155,12 @@
   return message->bodiless ? 1 : 0;
 }
 
-/* Takes LENGTH more bytes of body from the budget.  Returns false if they do
-   not fit.  */
-static bool
-take_from_budget (struct net_message *message, size_t length)
-{
-  struct net_body_budget *budget = message->limits.budget;
-
-  if (budget == NULL)
-    return true;
-  if (message->body->len + length > budget->share
-      && budget->used + length > budget->max)
-    return false;
-  budget->used += length;
-  return true;
-}
-
 static void
 return_to_budget (struct net_message *message)
 {
   if (message->limits.budget != NULL)
-    message->limits.budget->used -= message->body->len;
+    message->limits.budget->used -= message->budgeted;
+  message->budgeted = 0;
 }
 
 static int
@@ -163,8 +171,8 @@
   if (message->limits.body > 0
       && message->body->len + length > message->limits.body)
     return stop_parsing (message, NET_BODY_TOO_LONG);
-  if (!take_from_budget (message, length))
-    return stop_parsing (message, NET_BODY_TOO_LONG);
+  if (!take_from_budget (message, message->body->len + length))
+    return stop_parsing (message, NET_BODY_OVER_BUDGET);
   g_byte_array_append (message->body, (const guint8 *)data, (guint)length);
   return 0;
 }
--- a/net/message.h
+++ b/net/message.h
@@ -37,12 +37,13 @@
   NET_MALFORMED,
   NET_HEAD_TOO_LONG,
   NET_BODY_TOO_LONG,
+  NET_BODY_OVER_BUDGET,
   NET_TOO_MANY_HEADERS
 };
 
 /* Memory for the bodies of several messages.  A body of up to SHARE bytes
    always fits; a longer one is refused once all of them together exceed MAX.
- */
+   The length that a request announces is taken before its body is read.  */
 struct net_body_budget
 {
   size_t used;
@@ -67,6 +68,7 @@
   GString *target; /* request target: path and query */
   GByteArray *body;
   size_t head_bytes;
+  size_t budgeted; /* bytes of the body taken from the budget */
   enum net_parse_state state;
   bool started; /* at least one byte was read */
   bool headers_complete;
--- a/net/server.c
+++ b/net/server.c
@@ -16,6 +16,9 @@
 /* Unsent response bytes beyond which a connection is closed.  */
 #define UNWRITTEN_BYTES_MAX (16U << 20)
 
+/* When a client may return whose body does not fit beside those of others.  */
+#define RETRY_AFTER_BODIES "Retry-After: 0.2\r\n"
+
 /* Interval of the timeout check.  */
 #define TIMEOUT_CHECK_MS 250
 
@@ -50,7 +53,8 @@
 {
   struct net_exchange *exchange = g_new0 (struct net_exchange, 1);
   struct net_limits limits = { .head = connection->server->limits.head_bytes,
-                               .body = connection->server->limits.body_bytes };
+                               .body = connection->server->limits.body_bytes,
+                               .budget = &connection->server->body_budget };
 
   exchange->connection = connection;
   exchange->started_ms = uv_now (connection->server->loop);
@@ -90,7 +94,6 @@
                                        struct net_exchange, node);
       cds_list_del (&exchange->node);
       connection->n_exchanges--;
-      server->request_body_bytes -= exchange->request.body->len;
       if (exchange->response == NULL)
         {
           server->n_exchanges--;
@@ -221,7 +224,6 @@
         break;
       cds_list_del (&exchange->node);
       connection->n_exchanges--;
-      server->request_body_bytes -= exchange->request.body->len;
       close = exchange->close
               || (server->draining && connection->n_exchanges == 0
                   && !is_receiving (connection));
@@ -261,6 +263,7 @@
   struct net_exchange *exchange = connection->receiving;
   unsigned status = 400;
   const char *reason = "malformed request";
+  const char *head = NULL;
 
   if (state == NET_HEAD_TOO_LONG || state == NET_TOO_MANY_HEADERS)
     {
@@ -272,15 +275,20 @@
       status = 413;
       reason = "body too long";
     }
+  else if (state == NET_BODY_OVER_BUDGET)
+    {
+      status = 503;
+      reason = "request bodies exceed the memory limit";
+      head = RETRY_AFTER_BODIES;
+    }
   server->events->refused (server->context, status, reason);
   connection->receiving = NULL;
   connection->ending = true;
   cds_list_add_tail (&exchange->node, &connection->exchanges);
   connection->n_exchanges++;
   server->n_exchanges++;
-  server->request_body_bytes += exchange->request.body->len;
   exchange->close = true;
-  net_exchange_respond (exchange, status, NULL, NULL, 0);
+  net_exchange_respond (exchange, status, head, NULL, 0);
 }
 
 static void
@@ -293,7 +301,6 @@
   cds_list_add_tail (&exchange->node, &connection->exchanges);
   connection->n_exchanges++;
   server->n_exchanges++;
-  server->request_body_bytes += exchange->request.body->len;
   exchange->received_ms = uv_now (server->loop);
   if (!exchange->request.keep_alive || server->draining)
     connection->ending = true;
@@ -475,9 +482,11 @@
 {
   int error;
 
-  *server = (struct net_server){
-    .loop = loop, .limits = *limits, .events = events, .context = context
-  };
+  *server = (struct net_server){ .loop = loop,
+                                 .limits = *limits,
+                                 .body_budget = { .max = SIZE_MAX },
+                                 .events = events,
+                                 .context = context };
   CDS_INIT_LIST_HEAD (&server->connections);
   error = net_listen (&server->listener, loop, address, on_accept);
   server->listener.data = server;
--- a/net/server.h
+++ b/net/server.h
@@ -61,8 +61,9 @@
   struct net_server_limits limits;
   struct cds_list_head connections;
   unsigned n_connections;
-  unsigned n_exchanges;      /* received and not yet answered */
-  size_t request_body_bytes; /* held in memory */
+  unsigned n_exchanges;               /* received and not yet answered */
+  struct net_body_budget body_budget; /* of the bodies of requests that are
+                                         read or unanswered */
   bool listening;
   bool draining;
 };
--- a/regress/net/check_message.c
+++ b/regress/net/check_message.c
@@ -214,7 +214,7 @@
                                       "Content-Length: 10\r\n\r\n0123456789",
                                       49, &used),
                     NET_COMPLETE);
-  ck_assert_int_eq (feed ("0", 1, NULL), NET_BODY_TOO_LONG);
+  ck_assert_int_eq (feed ("0", 1, NULL), NET_BODY_OVER_BUDGET);
   net_message_finish (&message);
   net_message_reset (&other);
   ck_assert_uint_eq (budget.used, 0);
--- a/regress/net/check_server.c
+++ b/regress/net/check_server.c
@@ -149,7 +149,7 @@
   ck_assert_str_eq (answers, "");
   ck_assert_uint_eq (site.n_abandoned, REQUESTS / 2);
   ck_assert_uint_eq (site.server.n_exchanges, 0);
-  ck_assert_uint_eq (site.server.request_body_bytes, 0);
+  ck_assert_uint_eq (site.server.body_budget.used, 0);
 }
 END_TEST
 
@@ -227,6 +227,67 @@
 }
 END_TEST
 
+static int
+connect_other (void)
+{
+  struct sockaddr_storage name;
+  socklen_t size = sizeof name;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  ck_assert_int_eq (getpeername (site.client, (struct sockaddr *)&name, &size),
+                    0);
+  ck_assert_int_eq (connect (fd, (struct sockaddr *)&name, size), 0);
+  return fd;
+}
+
+/* Sends the head of a request that announces LENGTH bytes on FD, and runs the
+   loop for a while.  Returns the status of the answer, or 0 if there is
+   none.  */
+static int
+announce_body (int fd, unsigned length)
+{
+  char buffer[1024] = "";
+  int size = snprintf (buffer, sizeof buffer,
+                       "POST / HTTP/1.1\r\nHost: a.test\r\n"
+                       "Content-Length: %u\r\n\r\n",
+                       length);
+
+  ck_assert_int_eq (send (fd, buffer, (size_t)size, 0), size);
+  for (unsigned i = 0; i < 20; i++)
+    {
+      uv_run (&site.loop, UV_RUN_NOWAIT);
+      usleep (1000);
+    }
+  if (recv (fd, buffer, sizeof buffer - 1, MSG_DONTWAIT) <= 0)
+    return 0;
+  return atoi (buffer + strlen ("HTTP/1.1 "));
+}
+
+/* Guards against bodies that together need more memory than the daemon has,
+   because those that are still being read are not counted.  */
+START_TEST (a_body_that_does_not_fit_beside_others_is_refused_unread)
+{
+  int others[3];
+
+  for (unsigned i = 0; i < 3; i++)
+    others[i] = connect_other ();
+  site.server.body_budget.max = 10000;
+  site.server.body_budget.share = 1000;
+  ck_assert_int_eq (announce_body (site.client, 8000), 0);
+  ck_assert_int_eq (announce_body (others[0], 8000), 503);
+  ck_assert_int_eq (announce_body (others[1], 2000), 0);
+  /* The share of each is taken in any case.  */
+  ck_assert_int_eq (announce_body (others[2], 1000), 0);
+  ck_assert_uint_eq (site.server.body_budget.used, 11000);
+  for (unsigned i = 0; i < 3; i++)
+    close (others[i]);
+  close (site.client);
+  while (site.server.n_connections > 0)
+    uv_run (&site.loop, UV_RUN_ONCE);
+  ck_assert_uint_eq (site.server.body_budget.used, 0);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
@@ -234,6 +295,8 @@
   tcase_add_test (
       tests, a_request_that_ends_while_others_are_abandoned_is_not_answered);
   tcase_add_test (tests, nothing_is_sent_behind_an_answer_that_closes);
+  tcase_add_test (tests,
+                  a_body_that_does_not_fit_beside_others_is_refused_unread);
   tcase_add_loop_test (tests, a_long_answer_is_read_to_its_end, 0, 2);
   tcase_add_test (
       tests, nothing_is_read_behind_the_last_request_of_a_stopping_server);
