--- a/regress/meshd/check_mesh_stops.c
+++ b/regress/meshd/check_mesh_stops.c
@@ -8,8 +8,9 @@
 #include "lib/cleanup.h"
 #include "regress/harness/stage_fixture.h"
 
-/* The daemon that is stopped.  Its own server is not called.  */
-#define STOPPED_VM 3
+/* A daemon whose server is not called, and one whose server is.  */
+#define CALLING_VM 3
+#define SERVING_VM 1
 
 #define GRACE_US 6000000
 #define REQUESTS_MAX 2048
@@ -20,6 +21,7 @@
   pthread_t thread;
   const char *name;
   const char *path;
+  unsigned vm;    /* whose daemon it calls */
   unsigned depth; /* requests that are unanswered at the same time */
   int fd;
   unsigned n_sent;
@@ -103,7 +105,7 @@
 static void
 caller_start (struct caller *caller)
 {
-  caller->fd = stage_open (&stage, STOPPED_VM, 8000);
+  caller->fd = stage_open (&stage, caller->vm, 8000);
   caller->input = g_string_new (NULL);
   ck_assert_int_eq (pthread_create (&caller->thread, NULL, run_caller, caller),
                     0);
@@ -132,22 +134,22 @@
   close (caller->fd);
 }
 
-/* Tells the daemon to stop.  Returns when that was.  */
+/* Tells the daemon of VM to stop.  Returns when that was.  */
 static gint64
-begin_stop (void)
+begin_stop (unsigned vm)
 {
   gint64 since = g_get_monotonic_time ();
 
-  kill (stage.daemons[STOPPED_VM].pid, SIGTERM);
+  kill (stage.daemons[vm].pid, SIGTERM);
   return since;
 }
 
-/* Waits until the daemon, which was told to stop at SINCE, has ended.  Returns
-   whether it ended by itself and in time.  */
+/* Waits until the daemon of VM, which was told to stop at SINCE, has ended.
+   Returns whether it ended by itself and in time.  */
 static bool
-ends_well (gint64 since)
+ends_well (unsigned vm, gint64 since)
 {
-  int status = process_wait (&stage.daemons[STOPPED_VM]);
+  int status = process_wait (&stage.daemons[vm]);
 
   return status == 0 && g_get_monotonic_time () - since < GRACE_US;
 }
@@ -159,6 +161,7 @@
 {
   static const char *const paths[]
       = { "GET /read/1?slow=100", "POST /write/1?slow=100" };
+  unsigned stopped = _i == 0 ? CALLING_VM : SERVING_VM;
   struct caller callers[6] = { 0 };
   gint64 since;
   bool ended_well;
@@ -167,12 +170,13 @@
     {
       callers[i].name = (const char *[]){ "a", "b", "c", "d", "e", "f" }[i];
       callers[i].path = paths[i % 2];
+      callers[i].vm = stopped;
       callers[i].depth = 1 + i / 2;
       caller_start (&callers[i]);
     }
   g_usleep (300000);
-  since = begin_stop ();
-  ended_well = ends_well (since);
+  since = begin_stop (stopped);
+  ended_well = ends_well (stopped, since);
   for (unsigned i = 0; i < G_N_ELEMENTS (callers); i++)
     caller_check (&callers[i]);
   ck_assert (ended_well);
@@ -189,11 +193,37 @@
 has_long_route (void *context)
 {
   (void)context;
-  stage_call (&stage, &reply, STOPPED_VM, "POST", "alpha.test", "/long/0",
+  stage_call (&stage, &reply, CALLING_VM, "POST", "alpha.test", "/long/0",
               "w0", "order");
   return reply.status == 200;
 }
 
+/* Guards against requests of other machines that are cut, or told to be lost,
+   because the daemon beside their server is stopped.  */
+START_TEST (requests_of_other_machines_are_answered_while_their_daemon_stops)
+{
+  struct caller callers[4] = { 0 };
+  gint64 since;
+  bool ended_well;
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (callers); i++)
+    {
+      callers[i].name = (const char *[]){ "a", "b", "c", "d" }[i];
+      callers[i].path = "POST /write/1?slow=150";
+      callers[i].depth = 2;
+      callers[i].vm = CALLING_VM;
+      caller_start (&callers[i]);
+    }
+  g_usleep (300000);
+  since = begin_stop (SERVING_VM);
+  ended_well = ends_well (SERVING_VM, since);
+  ck_assert (ended_well);
+  begin_stop (CALLING_VM);
+  for (unsigned i = 0; i < G_N_ELEMENTS (callers); i++)
+    caller_check (&callers[i]);
+}
+END_TEST
+
 /* When the last byte of a request arrives, in ms after the signal, and how
    long its server works on it.  */
 static const struct
@@ -207,7 +237,7 @@
    is cut.  Its head arrives before the daemon stops to accept requests.  */
 START_TEST (a_request_that_is_complete_late_is_answered_or_has_not_run)
 {
-  struct caller caller = { .name = "late" };
+  struct caller caller = { .name = "late", .vm = CALLING_VM };
   CP_AUTO_FREE char *path = g_strdup_printf (
       "POST /long/1?slow=%u HTTP/1.1\r\nHost: alpha.test\r\n"
       "X-Cornelpick-Request-Id: late0\r\n"
@@ -221,10 +251,10 @@
   wait_until (has_long_route, NULL);
   caller_start (&caller);
   ck_assert_int_gt (send (caller.fd, path, strlen (path), MSG_NOSIGNAL), 0);
-  since = begin_stop ();
+  since = begin_stop (CALLING_VM);
   g_usleep (late_requests[_i].at_ms * 1000);
   caller.n_sent = send (caller.fd, "er", 2, MSG_NOSIGNAL) == 2;
-  ended_well = ends_well (since);
+  ended_well = ends_well (CALLING_VM, since);
   caller_check (&caller);
   ck_assert (ended_well);
 }
@@ -234,7 +264,8 @@
    open at the end of the grace time.  */
 START_TEST (a_daemon_with_open_calls_ends_by_itself)
 {
-  struct caller caller = { .name = "open", .path = "POST /long/1?hang" };
+  struct caller caller
+      = { .name = "open", .path = "POST /long/1?hang", .vm = CALLING_VM };
   gint64 since;
   bool ended_well;
 
@@ -243,8 +274,8 @@
   caller.depth = 20;
   caller_start (&caller);
   g_usleep (300000);
-  since = begin_stop ();
-  ended_well = ends_well (since);
+  since = begin_stop (CALLING_VM);
+  ended_well = ends_well (CALLING_VM, since);
   pthread_join (caller.thread, NULL);
   ck_assert_uint_eq (caller.n_answered, 0);
   ck_assert (ended_well);
@@ -257,8 +288,10 @@
 add_tests (TCase *tests)
 {
   tcase_add_checked_fixture (tests, setup, teardown);
-  tcase_add_test (tests,
-                  requests_that_follow_each_other_until_the_end_are_answered);
+  tcase_add_loop_test (
+      tests, requests_that_follow_each_other_until_the_end_are_answered, 0, 2);
+  tcase_add_test (
+      tests, requests_of_other_machines_are_answered_while_their_daemon_stops);
   tcase_add_test (tests, a_daemon_with_open_calls_ends_by_itself);
   tcase_add_loop_test (
       tests, a_request_that_is_complete_late_is_answered_or_has_not_run, 0,
