Log how long a daemon stood, how long attempts were on their way, how old news is

The logs of the incident could not tell a daemon that stood from a full link, nor an attempt that waited from a fresh one, nor when a daemon learned that a server leaves. Now a line 'stall' says how long nothing was read, 'table' how long the table took, job lines how long the attempt was on its way at least (by a lower bound of the sender's clock, lib/peer_clock), and 'server' lines how old the change is at most. Hello, request, ping and item messages carry the sender's clock for that, and items their age: 8 and 4 bytes more. Nothing is decided by these yet.

--- a/lib/peer_clock.c
+++ b/lib/peer_clock.c
@@ -25,15 +25,29 @@
   pthread_mutex_destroy (&peers->lock);
 }
 
-static uint64_t
-lower_bound_at (const struct cp_peer_clock *peer, uint64_t now_us)
+uint64_t
+cp_peer_clock_bound (const struct cp_peer_clock *clock, uint64_t now_us)
 {
-  uint64_t elapsed_us = now_us - peer->received_us;
+  uint64_t elapsed_us = now_us - clock->received_us;
 
-  return peer->clock_us + elapsed_us - elapsed_us / PPM * CP_CLOCK_DRIFT_PPM
+  if (clock->incarnation == 0)
+    return 0;
+  return clock->clock_us + elapsed_us - elapsed_us / PPM * CP_CLOCK_DRIFT_PPM
          - elapsed_us % PPM * CP_CLOCK_DRIFT_PPM / PPM;
 }
 
+void
+cp_peer_clock_update (struct cp_peer_clock *clock, uint64_t incarnation,
+                      uint64_t clock_us, uint64_t now_us)
+{
+  if (clock->incarnation == incarnation
+      && cp_peer_clock_bound (clock, now_us) >= clock_us)
+    return;
+  clock->incarnation = incarnation;
+  clock->clock_us = clock_us;
+  clock->received_us = now_us;
+}
+
 /* Returns the entry of ADDRESS, created when it is missing.  */
 static struct cp_peer_clock *
 get_peer (struct cp_peer_clocks *peers, const char *address)
@@ -56,16 +70,10 @@
                        uint64_t incarnation, uint64_t clock_us)
 {
   uint64_t now_us = cp_clock_now_us (peers->clock);
-  struct cp_peer_clock *peer;
 
   CP_LOCK_SCOPE (&peers->lock);
-  peer = get_peer (peers, address);
-  if (peer->incarnation == incarnation
-      && lower_bound_at (peer, now_us) >= clock_us)
-    return;
-  peer->incarnation = incarnation;
-  peer->clock_us = clock_us;
-  peer->received_us = now_us;
+  cp_peer_clock_update (get_peer (peers, address), incarnation, clock_us,
+                        now_us);
 }
 
 void
@@ -95,7 +103,7 @@
   if (peer == NULL || peer->incarnation == 0)
     return false;
   *entry = *peer;
-  *bound_us = lower_bound_at (peer, cp_clock_now_us (peers->clock));
+  *bound_us = cp_peer_clock_bound (peer, cp_clock_now_us (peers->clock));
   return true;
 }
 
--- a/lib/peer_clock.h
+++ b/lib/peer_clock.h
@@ -32,6 +32,16 @@
   uint64_t latency_us;  /* moving mean to the first byte; 0: none */
 };
 
+/* Returns a lower bound, at NOW_US, of the clock that CLOCK is a sample of; 0
+   if there is none.  */
+uint64_t cp_peer_clock_bound (const struct cp_peer_clock *clock,
+                              uint64_t now_us);
+
+/* Records a sample, received at NOW_US, unless the bound of the same
+   incarnation is already as high.  */
+void cp_peer_clock_update (struct cp_peer_clock *clock, uint64_t incarnation,
+                           uint64_t clock_us, uint64_t now_us);
+
 struct cp_peer_clocks
 {
   pthread_mutex_t lock;
--- a/lib/server_pool.h
+++ b/lib/server_pool.h
@@ -46,6 +46,7 @@
   uint64_t warm_up_us;  /* remaining warm-up time */
   bool warm_up_unknown; /* the entry does not give it */
   bool draining;
+  uint64_t changed_us; /* when it was written, at the earliest */
 };
 
 /* Load of a server, as reported by the daemon on its VM.  */
--- a/meshd/call.c
+++ b/meshd/call.c
@@ -228,6 +228,7 @@
   uint64_t now = now_us ();
 
   request->stream = attempt->stream;
+  request->clock = now;
   request->digest = call->digest;
   request->request_id = (char *)call->request_id;
   request->instance = attempt->server->instance;
--- a/meshd/daemon.c
+++ b/meshd/daemon.c
@@ -158,6 +158,14 @@
         .unlinked = on_unlinked,
         .released = on_server_released };
 
+/* Returns the age of a change that was made at CHANGED_US at the earliest, for
+   the log; -1 if that is not known.  */
+static int64_t
+age_us (uint64_t changed_us)
+{
+  return changed_us == 0 ? -1 : (int64_t)(now_us () - changed_us);
+}
+
 static void
 on_table (void *context, struct cp_route_table *table,
           struct cp_store_position position)
@@ -170,9 +178,10 @@
   if (mesh_log_allowed (MESH_LOG_TABLE))
     mesh_log (MESH_LOG_TABLE,
               "\"config\":%" G_GUINT64_FORMAT ",\"era\":%" G_GUINT64_FORMAT
-              ",\"revision\":%" G_GUINT64_FORMAT ",\"routes\":%u",
-              table->version, position.era, position.revision,
-              table->n_routes);
+              ",\"revision\":%" G_GUINT64_FORMAT
+              ",\"routes\":%u,\"took_us\":%" G_GUINT64_FORMAT,
+              table->version, position.era, position.revision, table->n_routes,
+              daemon->exchange.registry.table_took_us);
 }
 
 static void
@@ -188,15 +197,18 @@
     mesh_log (MESH_LOG_SERVER,
               "\"server\":\"%s\",\"state\":\"%s\",\"address\":\"%s\","
               "\"born_ms\":%" G_GUINT64_FORMAT ",\"era\":%" G_GUINT64_FORMAT
-              ",\"revision\":%" G_GUINT64_FORMAT,
+              ",\"revision\":%" G_GUINT64_FORMAT
+              ",\"age_us\":%" G_GINT64_FORMAT,
               mesh_log_sanitize (entry->instance, id, sizeof id),
               entry->draining ? "draining" : "ready", entry->address.text,
-              entry->born_ms, position.era, position.revision);
+              entry->born_ms, position.era, position.revision,
+              age_us (entry->changed_us));
 }
 
 static void
 on_server_removed (void *context, const char *instance,
-                   uint64_t unsure_until_us, struct cp_store_position position)
+                   uint64_t unsure_until_us, uint64_t changed_us,
+                   struct cp_store_position position)
 {
   struct mesh_daemon *daemon = context;
   uint64_t now = now_us ();
@@ -210,10 +222,11 @@
     mesh_log (
         MESH_LOG_SERVER,
         "\"server\":\"%s\",\"state\":\"%s\",\"kept_us\":%" G_GUINT64_FORMAT
-        ",\"era\":%" G_GUINT64_FORMAT ",\"revision\":%" G_GUINT64_FORMAT,
+        ",\"era\":%" G_GUINT64_FORMAT ",\"revision\":%" G_GUINT64_FORMAT
+        ",\"age_us\":%" G_GINT64_FORMAT,
         mesh_log_sanitize (instance, id, sizeof id),
         lapsed ? "lapsed" : "gone", lapsed ? unsure_until_us - now : 0,
-        position.era, position.revision);
+        position.era, position.revision, age_us (changed_us));
 }
 
 static void
@@ -359,7 +372,7 @@
                                  &message->cp_peer_message_u.position);
       break;
     case CP_PEER_ITEMS:
-      mesh_exchange_apply_items (&daemon->exchange,
+      mesh_exchange_apply_items (&daemon->exchange, link,
                                  &message->cp_peer_message_u.items);
       break;
     case CP_PEER_SUSPECTS:
@@ -436,6 +449,25 @@
   mesh_peers_broadcast (&daemon->peers, message, own_domain_only);
 }
 
+static void
+on_stood (void *context, uint64_t duration_us)
+{
+  struct mesh_daemon *daemon = context;
+
+  daemon->stalls++;
+  daemon->longest_stall_us = MAX (daemon->longest_stall_us, duration_us);
+  if (mesh_log_allowed (MESH_LOG_STALL))
+    mesh_log (MESH_LOG_STALL, "\"stood_us\":%" G_GUINT64_FORMAT, duration_us);
+}
+
+static void
+on_settled (void *context)
+{
+  (void)context;
+}
+
+static const struct net_turns_events turns_events = { on_stood, on_settled };
+
 static void
 on_server_leaving (void *context)
 {
@@ -480,6 +512,7 @@
   uint64_t incarnation = random_incarnation ();
   int code;
 
+  net_turns_init (&daemon->turns, &daemon->loop, &turns_events, daemon);
   uv_timer_init (&daemon->loop, &daemon->links_timer);
   daemon->links_timer.data = daemon;
   cp_server_pool_init (&daemon->pool, settings->domain,
--- a/meshd/daemon.h
+++ b/meshd/daemon.h
@@ -10,11 +10,15 @@
 #include "meshd/exchange.h"
 #include "meshd/inbound.h"
 #include "meshd/outbound.h"
+#include "net/turns.h"
 #include "platform/settings.h"
 
 struct mesh_daemon
 {
   uv_loop_t loop;
+  struct net_turns turns;
+  uint64_t stalls; /* how often the loop has stood */
+  uint64_t longest_stall_us;
   struct platform_settings settings;
   const char *settings_path;
   struct cp_chart chart;
--- a/meshd/exchange.c
+++ b/meshd/exchange.c
@@ -217,6 +217,27 @@
   return unsure_ms == 0 ? 0 : now_us () + MIN (left_us, LAPSED_ENTRY_KEEP_US);
 }
 
+/* Converts the time of a change to its age in messages.  */
+static u_int
+age_to_wire (uint64_t changed_us)
+{
+  uint64_t age_ms = (now_us () - changed_us) / CP_US_PER_MS + 1;
+
+  return changed_us == 0 ? CP_PEER_AGE_UNKNOWN
+                         : (u_int)MIN (age_ms, CP_PEER_AGE_UNKNOWN);
+}
+
+/* Converts the age of a change in a message that was on its way for DELAY_US
+   to its time.  */
+static uint64_t
+age_from_wire (u_int age_ms, uint64_t delay_us)
+{
+  uint64_t now = now_us ();
+  uint64_t age_us = age_ms * CP_US_PER_MS + delay_us;
+
+  return age_ms == CP_PEER_AGE_UNKNOWN ? 0 : now - MIN (now, age_us);
+}
+
 static void
 on_item (void *context, const struct platform_item *item)
 {
@@ -242,16 +263,17 @@
 }
 
 /* Ends a complete listing as of POSITION, from the store or a peer.
-   KEPT_UNTIL_US is the UNSURE_UNTIL_US of platform_registry_end_listing.  */
+   KEPT_UNTIL_US and COVERED_US are the UNSURE_UNTIL_US and COVERED_US of
+   platform_registry_end_listing.  */
 static void
 end_listing (struct mesh_exchange *exchange, struct cp_store_position position,
-             uint64_t kept_until_us)
+             uint64_t kept_until_us, uint64_t covered_us)
 {
   struct platform_registry *registry = &exchange->registry;
   struct cp_store_position known = registry->position;
 
   platform_registry_end_listing (registry, position, kept_until_us,
-                                 now_us () + LAPSED_ENTRY_KEEP_US);
+                                 now_us () + LAPSED_ENTRY_KEEP_US, covered_us);
   if (known.revision != 0 && position.era > known.era)
     log_era (exchange, known, position);
   registry->n_kept = 0;
@@ -263,7 +285,8 @@
 {
   struct mesh_exchange *exchange = context;
 
-  end_listing (exchange, position, unsure_until_us (exchange));
+  end_listing (exchange, position, unsure_until_us (exchange),
+               exchange->store.covered_us);
 }
 
 static void
@@ -462,6 +485,7 @@
   struct cp_peer_message message = { .kind = CP_PEER_ITEMS };
   struct cp_peer_items *items = &message.cp_peer_message_u.items;
 
+  items->clock = now_us ();
   items->position = mesh_position_to_wire (position);
   items->whole = batch->whole;
   items->unsure_ms = unsure_to_wire (batch->unsure_until_us);
@@ -488,7 +512,8 @@
                                  = mesh_position_to_wire (record->position),
                                  .removed = record->value == NULL,
                                  .unsure_ms
-                                 = unsure_to_wire (record->unsure_until_us) };
+                                 = unsure_to_wire (record->unsure_until_us),
+                                 .age = age_to_wire (record->changed_us) };
   if (value != NULL)
     item->value.value_val = (char *)g_bytes_get_data (value, &length);
   item->value.value_len = (u_int)length;
@@ -516,9 +541,16 @@
   g_free (batch);
 }
 
+/* How a message with items arrived.  */
+struct arrival
+{
+  bool listed;       /* it holds all items */
+  uint64_t delay_us; /* see mesh_link_delay_us */
+};
+
 static void
 apply_value (struct mesh_exchange *exchange, const struct cp_peer_item *from,
-             const char *value, size_t length, bool listed)
+             const char *value, size_t length, const struct arrival *arrival)
 {
   struct platform_item item
       = { .key = from->key,
@@ -526,7 +558,8 @@
           .length = length,
           .position = mesh_position_from_wire (&from->position),
           .removed = from->removed,
-          .listed = listed };
+          .listed = arrival->listed,
+          .changed_us = age_from_wire (from->age, arrival->delay_us) };
 
   platform_registry_apply (&exchange->registry, &item,
                            unsure_from_wire (from->unsure_ms));
@@ -535,7 +568,7 @@
 /* Applies FROM.  Returns false if its value cannot be read.  */
 static bool
 apply_item (struct mesh_exchange *exchange, const struct cp_peer_item *from,
-            bool listed)
+            const struct arrival *arrival)
 {
   struct platform_registry *registry = &exchange->registry;
   struct cp_error error = { 0 };
@@ -544,7 +577,7 @@
   if (from->uncompressed_length == 0)
     {
       apply_value (exchange, from, from->value.value_val,
-                   from->value.value_len, listed);
+                   from->value.value_len, arrival);
       return true;
     }
   if (from->uncompressed_length > CP_PEER_VALUE_MAX)
@@ -564,29 +597,33 @@
       return false;
     }
   apply_value (exchange, from, g_bytes_get_data (value, NULL),
-               from->uncompressed_length, listed);
+               from->uncompressed_length, arrival);
   g_bytes_unref (value);
   return true;
 }
 
 void
 mesh_exchange_apply_items (struct mesh_exchange *exchange,
+                           struct mesh_link *link,
                            const struct cp_peer_items *items)
 {
+  const struct arrival arrival
+      = { .listed = items->whole,
+          .delay_us = mesh_link_delay_us (link, items->clock) };
   struct cp_store_position position
       = mesh_position_from_wire (&items->position);
   bool all_readable = true;
 
   for (u_int i = 0; i < items->items.items_len; i++)
     all_readable
-        &= apply_item (exchange, &items->items.items_val[i], items->whole);
+        &= apply_item (exchange, &items->items.items_val[i], &arrival);
   /* An item that cannot be read leaves our position unchanged, so that it is
      pulled again.  */
   if (position.revision == 0 || !all_readable)
     return;
   if (items->whole)
     {
-      end_listing (exchange, position, unsure_from_wire (items->unsure_ms));
+      end_listing (exchange, position, unsure_from_wire (items->unsure_ms), 0);
       platform_store_adopt_snapshot (&exchange->store, position);
     }
   set_position (exchange, position, false);
--- a/meshd/exchange.h
+++ b/meshd/exchange.h
@@ -57,6 +57,7 @@
 
 /* Applies changes that were pulled from a peer.  */
 void mesh_exchange_apply_items (struct mesh_exchange *exchange,
+                                struct mesh_link *link,
                                 const struct cp_peer_items *items);
 
 #endif
--- a/meshd/job.c
+++ b/meshd/job.c
@@ -144,7 +144,8 @@
       ",\"objective_left_us\":%" G_GINT64_FORMAT
       ",\"deadline_left_us\":%" G_GINT64_FORMAT
       ",\"allowed_wait_us\":%" G_GINT64_FORMAT
-      ",\"work_us\":%" G_GUINT64_FORMAT ",\"overtaken_by\":%u",
+      ",\"work_us\":%" G_GUINT64_FORMAT ",\"overtaken_by\":%u"
+      ",\"delay_us\":%" G_GUINT64_FORMAT,
       mesh_log_sanitize (job->request_id, id, sizeof id), job->key.stream,
       outcome, reason, status,
       since_arrival (job, job->started_us == 0 ? now : job->started_us),
@@ -155,7 +156,7 @@
       since_arrival (job, entry->rank.objective_us),
       since_arrival (job, job->deadline_us),
       since_arrival (job, entry->wait_until_us), entry->work_us,
-      entry->overtaken_by);
+      entry->overtaken_by, job->delay_us);
 }
 
 void
@@ -297,6 +298,7 @@
   job->priority = request->priority;
   job->parent_priority = request->parent_priority;
   job->objective_us = objective_us;
+  job->delay_us = link == NULL ? 0 : mesh_link_delay_us (link, request->clock);
   job->deadline_us = now + request->left * CP_US_PER_MS;
   fill_entry (job, request, now);
   cds_list_add_tail (&job->node, &inbound->jobs);
--- a/meshd/life.c
+++ b/meshd/life.c
@@ -124,6 +124,7 @@
 stop_components (struct mesh_daemon *daemon)
 {
   mesh_daemon_handle_event (daemon, MESH_EVENT_STOP);
+  net_turns_stop (&daemon->turns);
   uv_close ((uv_handle_t *)&daemon->tick, NULL);
   uv_close ((uv_handle_t *)&daemon->shutdown_tick, NULL);
   uv_close ((uv_handle_t *)&daemon->links_timer, NULL);
--- a/meshd/log.c
+++ b/meshd/log.c
@@ -33,6 +33,7 @@
   [MESH_LOG_STOP] = "stop",
   [MESH_LOG_RELOAD] = "reload",
   [MESH_LOG_STATE] = "state",
+  [MESH_LOG_STALL] = "stall",
   [MESH_LOG_SHUTDOWN] = "shutdown",
   [MESH_LOG_STORE] = "store",
   [MESH_LOG_WATCH] = "watch",
--- a/meshd/metrics.c
+++ b/meshd/metrics.c
@@ -80,6 +80,13 @@
                           cp_histogram_count (histogram));
 }
 
+static void
+write_loop (const struct mesh_daemon *daemon, GString *text)
+{
+  write_counter (text, "loop_stalls_total", daemon->stalls);
+  write_gauge (text, "loop_longest_stall_us", daemon->longest_stall_us);
+}
+
 static void
 write_outbound (const struct mesh_outbound *outbound, GString *text)
 {
@@ -177,6 +184,7 @@
 void
 mesh_metrics_write (const struct mesh_daemon *daemon, GString *text)
 {
+  write_loop (daemon, text);
   write_outbound (&daemon->outbound, text);
   write_inbound (&daemon->inbound, text);
   write_traffic (&daemon->peers.traffic, text);
--- a/meshd/peers.c
+++ b/meshd/peers.c
@@ -59,6 +59,7 @@
 
   message.cp_peer_message_u.hello
       = (struct cp_peer_hello){ .incarnation = peers->incarnation,
+                                .clock = now_us (),
                                 .view = peers->view,
                                 .leaving = peers->leaving,
                                 .domain = (char *)peers->domain };
@@ -162,12 +163,44 @@
 {
   struct cp_peer_message message = { .kind = CP_PEER_PONG };
 
-  message.cp_peer_message_u.ping
-      = (struct cp_peer_ping){ .token = ping->token,
-                               .view = link->peers->view };
+  message.cp_peer_message_u.ping = (struct cp_peer_ping){
+    .token = ping->token, .clock = now_us (), .view = link->peers->view
+  };
   mesh_link_send (link, &message);
 }
 
+static struct cp_peer_clock *
+get_clock (struct mesh_peers *peers, uint64_t incarnation)
+{
+  struct cp_peer_clock *clock
+      = g_hash_table_lookup (peers->clocks, &incarnation);
+  uint64_t *key;
+
+  if (clock != NULL)
+    return clock;
+  if (g_hash_table_size (peers->clocks) >= CP_PEER_CLOCKS_MAX)
+    g_hash_table_remove_all (peers->clocks);
+  key = g_memdup2 (&incarnation, sizeof incarnation);
+  clock = g_new0 (struct cp_peer_clock, 1);
+  g_hash_table_insert (peers->clocks, key, clock);
+  return clock;
+}
+
+uint64_t
+mesh_link_delay_us (struct mesh_link *link, uint64_t clock_us)
+{
+  uint64_t now = now_us ();
+  struct cp_peer_clock *clock;
+  uint64_t bound_us;
+
+  if (clock_us == 0 || link->incarnation == 0)
+    return 0;
+  clock = get_clock (link->peers, link->incarnation);
+  cp_peer_clock_update (clock, link->incarnation, clock_us, now);
+  bound_us = cp_peer_clock_bound (clock, now);
+  return bound_us - MIN (bound_us, clock_us);
+}
+
 static void
 dispatch (struct mesh_link *link, const struct cp_peer_message *message)
 {
@@ -177,12 +210,15 @@
     {
     case CP_PEER_HELLO:
       receive_hello (link, &message->cp_peer_message_u.hello);
+      mesh_link_delay_us (link, message->cp_peer_message_u.hello.clock);
       break;
     case CP_PEER_PING:
+      mesh_link_delay_us (link, message->cp_peer_message_u.ping.clock);
       answer_ping (link, &message->cp_peer_message_u.ping);
       receive_view (link, &message->cp_peer_message_u.ping.view);
       break;
     case CP_PEER_PONG:
+      mesh_link_delay_us (link, message->cp_peer_message_u.ping.clock);
       receive_view (link, &message->cp_peer_message_u.ping.view);
       break;
     case CP_PEER_VIEW:
@@ -290,8 +326,9 @@
 {
   struct cp_peer_message message = { .kind = CP_PEER_PING };
 
-  message.cp_peer_message_u.ping
-      = (struct cp_peer_ping){ .token = now, .view = peer->peers->view };
+  message.cp_peer_message_u.ping = (struct cp_peer_ping){
+    .token = now, .clock = now, .view = peer->peers->view
+  };
   peer->last_ping_us = now;
   if (peer->oldest_ping_us == 0)
     peer->oldest_ping_us = now;
@@ -388,6 +425,8 @@
                                 .context = context };
   CDS_INIT_LIST_HEAD (&peers->outgoing);
   CDS_INIT_LIST_HEAD (&peers->incoming);
+  peers->clocks
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   error = net_listen (&peers->listener, loop, address, on_accept);
   peers->listener.data = peers;
   if (error != 0)
@@ -558,6 +597,7 @@
 
   cds_list_for_each_entry_safe (peer, next, &peers->outgoing, node)
       peer_free (peer);
+  g_hash_table_unref (peers->clocks);
 }
 
 bool
--- a/meshd/peers.h
+++ b/meshd/peers.h
@@ -15,6 +15,7 @@
 
 #include "lib/address.h"
 #include "lib/clock.h"
+#include "lib/peer_clock.h"
 #include "meshd/wire.h"
 #include "net/link.h"
 
@@ -100,6 +101,7 @@
   bool leaving;
   bool stopped;
   unsigned n_up;
+  GHashTable *clocks; /* incarnation to struct cp_peer_clock */
   struct mesh_traffic traffic;
   const struct mesh_peers_events *events;
   void *context;
@@ -138,6 +140,11 @@
 bool mesh_link_send (struct mesh_link *link,
                      const struct cp_peer_message *message);
 
+/* Returns for how long at least a message from LINK was on its way that was
+   sent when its sender's clock showed CLOCK_US, 0 for unknown.  It may have
+   waited in a link, a socket, or for the event loop.  */
+uint64_t mesh_link_delay_us (struct mesh_link *link, uint64_t clock_us);
+
 /* Sends MESSAGE over all incoming links that have said hello, or only over
    those from our own failure domain.  */
 void mesh_peers_broadcast (struct mesh_peers *peers,
--- /dev/null
+++ b/net/turns.h
@@ -0,0 +1,61 @@
+/* Turns of an event loop, and what is known after it stood still.
+
+   A loop stands while a callback takes long or the process does not run.  What
+   arrives meanwhile waits unread: a request, the cancel behind it, the answer
+   that a timer waits for.  The first to be handled would decide by what was
+   known before.  A loop that has stood is therefore behind until it has polled
+   twice: the first poll reads what has arrived, the second finds the
+   connections that were closed behind that.  What starts work or gives it up
+   asks net_turns_is_behind, and waits for SETTLED if so.
+
+   There is one for each loop, which it is found by; on a loop without one
+   nothing is ever behind.  All functions run on the event loop's thread.  */
+#ifndef NET_TURNS_H
+#define NET_TURNS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <uv.h>
+
+/* Callbacks.  STOOD: nothing was read for DURATION_US.  SETTLED: the loop is no
+   longer behind.  */
+struct net_turns_events
+{
+  void (*stood) (void *context, uint64_t duration_us);
+  void (*settled) (void *context);
+};
+
+struct net_turns
+{
+  uv_prepare_t prepare;
+  uv_check_t check;
+  uv_idle_t idle;           /* active while the loop is behind, which keeps a
+                               poll from waiting */
+  uint64_t poll_began_us;   /* when the last poll began */
+  uint64_t read_until_us;   /* what had arrived by then has been read */
+  unsigned polls_left;      /* until the loop is no longer behind */
+  bool settled;             /* in this turn: nothing waits any longer */
+  const struct net_turns_events *events;
+  void *context;
+};
+
+/* Watches the turns of LOOP, whose user data it takes.  */
+void net_turns_init (struct net_turns *turns, uv_loop_t *loop,
+                     const struct net_turns_events *events, void *context);
+
+/* Closes the handles of TURNS.  */
+void net_turns_stop (struct net_turns *turns);
+
+/* Returns whether LOOP has stood and has not read yet what arrived
+   meanwhile.  */
+bool net_turns_is_behind (uv_loop_t *loop);
+
+/* Called first by CALLBACK, that of TIMER: if the loop is behind, returns true
+   and has CALLBACK called again afterwards.  */
+bool net_turns_defer (uv_timer_t *timer, uv_timer_cb callback);
+
+/* Returns a time, of the clock that counts suspended time, such that all that
+   had arrived by then has been read; 0 if that is not known.  */
+uint64_t net_turns_read_until_us (const uv_loop_t *loop);
+
+#endif
--- a/regress/meshd/check_mesh_items.c
+++ b/regress/meshd/check_mesh_items.c
@@ -44,8 +44,9 @@
 
 static void
 on_removed (void *context, const char *instance, uint64_t unsure_until_us,
-            struct cp_store_position position)
+            uint64_t changed_us, struct cp_store_position position)
 {
+  (void)changed_us;
   (void)context;
   (void)instance;
   (void)unsure_until_us;
@@ -115,14 +116,14 @@
 }
 
 static void
-receive_items (struct cp_peer_items *items)
+receive_items (struct mesh_link *link, struct cp_peer_items *items)
 {
   items_messages++;
   ck_assert_uint_eq (items->items.items_len, 1);
   sent_bytes = items->items.items_val[0].value.value_len;
   if (corrupt_value)
     items->items.items_val[0].value.value_val[sent_bytes / 2] ^= 1;
-  mesh_exchange_apply_items (&receiver, items);
+  mesh_exchange_apply_items (&receiver, link, items);
   stop_loop ();
 }
 
@@ -134,7 +135,8 @@
     mesh_exchange_answer_pull (&sender, link,
                                &message->cp_peer_message_u.position);
   else if (message->kind == CP_PEER_ITEMS && context == &second)
-    receive_items ((struct cp_peer_items *)&message->cp_peer_message_u.items);
+    receive_items (link,
+                   (struct cp_peer_items *)&message->cp_peer_message_u.items);
 }
 
 static const struct mesh_peers_events peers_events
--- a/regress/platform/check_platform_evacuation.c
+++ b/regress/platform/check_platform_evacuation.c
@@ -44,8 +44,9 @@
 
 static void
 on_removed (void *context, const char *instance, uint64_t unsure_until_us,
-            struct cp_store_position position)
+            uint64_t changed_us, struct cp_store_position position)
 {
+  (void)changed_us;
   (void)context;
   (void)instance;
   (void)unsure_until_us;
@@ -103,7 +104,7 @@
 end_listing (struct platform_registry *registry, uint64_t revision)
 {
   platform_registry_end_listing (
-      registry, (struct cp_store_position){ era, revision }, 0, 1);
+      registry, (struct cp_store_position){ era, revision }, 0, 1, 0);
 }
 
 /* Guards against an evacuation whose value is not the usual one, and against
--- a/regress/platform/check_platform_warm_up.c
+++ b/regress/platform/check_platform_warm_up.c
@@ -163,8 +163,9 @@
 
 static void
 on_removed (void *context, const char *instance, uint64_t unsure_until_us,
-            struct cp_store_position position)
+            uint64_t changed_us, struct cp_store_position position)
 {
+  (void)changed_us;
   (void)context;
   (void)instance;
   (void)unsure_until_us;
--- a/rpc/peer.h
+++ b/rpc/peer.h
@@ -22,6 +22,7 @@
 #define CP_PEER_ITEMS_MAX 4096
 #define CP_PEER_SUSPECTS_MAX 1024
 #define CP_PEER_ENDS_MAX 3
+#define CP_PEER_AGE_UNKNOWN 4294967295
 #define CP_PEER_LOAD_LEAVING 1
 #define CP_PEER_LOAD_DOWN 2
 
@@ -67,6 +68,7 @@
 
 struct cp_peer_hello {
 	u_quad_t incarnation;
+	u_quad_t clock;
 	cp_peer_view view;
 	bool_t leaving;
 	cp_peer_name domain;
@@ -84,6 +86,7 @@
 
 struct cp_peer_request {
 	u_quad_t stream;
+	u_quad_t clock;
 	u_quad_t digest;
 	cp_peer_head request_id;
 	cp_peer_name instance;
@@ -128,6 +131,7 @@
 
 struct cp_peer_ping {
 	u_quad_t token;
+	u_quad_t clock;
 	cp_peer_view view;
 };
 typedef struct cp_peer_ping cp_peer_ping;
@@ -142,10 +146,12 @@
 	cp_peer_position position;
 	bool_t removed;
 	u_int unsure_ms;
+	u_int age;
 };
 typedef struct cp_peer_item cp_peer_item;
 
 struct cp_peer_items {
+	u_quad_t clock;
 	cp_peer_position position;
 	bool_t whole;
 	u_int unsure_ms;
--- a/rpc/peer.x
+++ b/rpc/peer.x
@@ -14,6 +14,7 @@
 const CP_PEER_ITEMS_MAX = 4096;
 const CP_PEER_SUSPECTS_MAX = 1024;
 const CP_PEER_ENDS_MAX = 3;
+const CP_PEER_AGE_UNKNOWN = 4294967295;
 const CP_PEER_LOAD_LEAVING = 1;
 const CP_PEER_LOAD_DOWN = 2;
 
@@ -54,9 +55,14 @@
 	bool store_answers;
 };
 
-/* First message of each side.  domain: failure domain of the sender. */
+/*
+ * First message of each side.  domain: failure domain of the sender.
+ * clock, here and in other messages: the sender's clock in microseconds when
+ * it sent this, 0 if it does not say.
+ */
 struct cp_peer_hello {
 	unsigned hyper incarnation;
+	unsigned hyper clock;
 	cp_peer_view view;
 	bool leaving;
 	cp_peer_name domain;
@@ -91,6 +97,7 @@
  */
 struct cp_peer_request {
 	unsigned hyper stream;
+	unsigned hyper clock;
 	unsigned hyper digest;
 	cp_peer_head request_id;
 	cp_peer_name instance;
@@ -137,6 +144,7 @@
 
 struct cp_peer_ping {
 	unsigned hyper token;
+	unsigned hyper clock;
 	cp_peer_view view;
 };
 
@@ -144,7 +152,9 @@
  * One key of the store.  uncompressed_length: length of the value before
  * compression (lib/compress.h), 0 when it is not compressed.  unsure_ms: the key
  * was removed while the store was disturbed, and may be written again for this
- * long; 1 when that time is over, 0 when the removal was sure.
+ * long; 1 when that time is over, 0 when the removal was sure.  age: the
+ * longest time for which the store may have had this, CP_PEER_AGE_UNKNOWN if
+ * there is no bound.
  */
 struct cp_peer_item {
 	string key<CP_PEER_KEY_MAX>;
@@ -153,6 +163,7 @@
 	cp_peer_position position;
 	bool removed;
 	unsigned int unsure_ms;
+	unsigned int age;
 };
 
 /*
@@ -163,6 +174,7 @@
  * missing.
  */
 struct cp_peer_items {
+	unsigned hyper clock;
 	cp_peer_position position;
 	bool whole;
 	unsigned int unsure_ms;
--- a/rpc/peer_xdr.c
+++ b/rpc/peer_xdr.c
@@ -76,6 +76,8 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->clock))
+		 return FALSE;
 	 if (!xdr_cp_peer_view (xdrs, &objp->view))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->leaving))
@@ -155,6 +157,8 @@
 	if (xdrs->x_op == XDR_ENCODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->stream))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->clock))
+			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->digest))
 			 return FALSE;
 		 if (!xdr_cp_peer_head (xdrs, &objp->request_id))
@@ -204,6 +208,8 @@
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->stream))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->clock))
+			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->digest))
 			 return FALSE;
 		 if (!xdr_cp_peer_head (xdrs, &objp->request_id))
@@ -254,6 +260,8 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->stream))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->clock))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->digest))
 		 return FALSE;
 	 if (!xdr_cp_peer_head (xdrs, &objp->request_id))
@@ -342,6 +350,8 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->token))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->clock))
+		 return FALSE;
 	 if (!xdr_cp_peer_view (xdrs, &objp->view))
 		 return FALSE;
 	return TRUE;
@@ -364,6 +374,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->unsure_ms))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -372,6 +384,8 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_u_quad_t (xdrs, &objp->clock))
+		 return FALSE;
 	 if (!xdr_cp_peer_position (xdrs, &objp->position))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->whole))
