--- a/net/turns.c
+++ b/net/turns.c
@@ -1,5 +1,5 @@
-#include "lib/clock.h"
 #include "net/turns.h"
+#include "lib/clock.h"
 
 /* A loop that has read nothing for this long has stood.  It must be more than
    two intervals of the most frequent timer of the loop, since a poll may wait
--- a/net/turns.h
+++ b/net/turns.h
@@ -17,8 +17,8 @@
 #include <stdint.h>
 #include <uv.h>
 
-/* Callbacks.  STOOD: nothing was read for DURATION_US.  SETTLED: the loop is no
-   longer behind.  */
+/* Callbacks.  STOOD: nothing was read for DURATION_US.  SETTLED: the loop is
+   no longer behind.  */
 struct net_turns_events
 {
   void (*stood) (void *context, uint64_t duration_us);
@@ -29,12 +29,12 @@
 {
   uv_prepare_t prepare;
   uv_check_t check;
-  uv_idle_t idle;           /* active while the loop is behind, which keeps a
-                               poll from waiting */
-  uint64_t poll_began_us;   /* when the last poll began */
-  uint64_t read_until_us;   /* what had arrived by then has been read */
-  unsigned polls_left;      /* until the loop is no longer behind */
-  bool settled;             /* in this turn: nothing waits any longer */
+  uv_idle_t idle;         /* active while the loop is behind, which keeps a
+                             poll from waiting */
+  uint64_t poll_began_us; /* when the last poll began */
+  uint64_t read_until_us; /* what had arrived by then has been read */
+  unsigned polls_left;    /* until the loop is no longer behind */
+  bool settled;           /* in this turn: nothing waits any longer */
   const struct net_turns_events *events;
   void *context;
 };
--- a/regress/meshd/check_mesh_peers.c
+++ b/regress/meshd/check_mesh_peers.c
@@ -1,9 +1,12 @@
 /* Peer messages to an inbound side; the test acts as the outbound side.  */
 #include <arpa/inet.h>
+#include <signal.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
 #include "lib/cleanup.h"
+#include "lib/clock.h"
 #include "meshd/wire.h"
 #include "regress/harness/stage.h"
 #include "regress/harness/suite.h"
@@ -14,6 +17,20 @@
 /* Time after which no request may reach a server that has left.  */
 #define DRAIN_US 2000000
 
+/* Time for which a daemon stands.  */
+#define STOOD_US 200000
+
+/* Time after which a request that is sent has arrived at the server.  */
+#define ARRIVAL_US 300000
+
+/* Time after a change until a watch waits for the next one.  */
+#define WATCH_BEGUN_US 800000
+
+/* How late a daemon learns that its server has left.  */
+#define LATE_NEWS_US 1200000
+
+#define REQUEST_LEFT_MS 2000
+
 static struct stage stage;
 static char instance[64];
 
@@ -91,6 +108,7 @@
   int fd = stage_open (&stage, 1, 7400);
 
   message.cp_peer_message_u.hello.incarnation = INCARNATION;
+  message.cp_peer_message_u.hello.clock = cp_clock_now_us (&cp_clock_boot);
   message.cp_peer_message_u.hello.domain = domain;
   send_message (fd, &message);
   read_until (fd, CP_PEER_HELLO, &message);
@@ -108,16 +126,27 @@
   struct cp_peer_message message = { .kind = CP_PEER_REQUEST };
   struct cp_peer_request *request = &message.cp_peer_message_u.request;
 
-  *request = (struct cp_peer_request){ .stream = stream,
-                                       .request_id = id,
-                                       .instance = instance,
-                                       .left = 2000,
-                                       .objective = 500,
-                                       .idempotent = idempotent,
-                                       .head = head };
+  *request
+      = (struct cp_peer_request){ .stream = stream,
+                                  .clock = cp_clock_now_us (&cp_clock_boot),
+                                  .request_id = id,
+                                  .instance = instance,
+                                  .left = REQUEST_LEFT_MS,
+                                  .objective = 500,
+                                  .idempotent = idempotent,
+                                  .head = head };
   send_message (fd, &message);
 }
 
+static void
+sleep_until (gint64 time)
+{
+  gint64 left = time - g_get_monotonic_time ();
+
+  if (left > 0)
+    g_usleep ((gulong)left);
+}
+
 static void
 send_stream (int fd, enum cp_peer_kind kind, uint64_t stream)
 {
@@ -279,6 +308,147 @@
 }
 END_TEST
 
+/* Stops the daemon of VM 1, so that what is sent to it stays unread.  */
+static void
+stand (void)
+{
+  process_signal (&stage.daemons[1], SIGSTOP);
+}
+
+static void
+go_on (void)
+{
+  process_signal (&stage.daemons[1], SIGCONT);
+}
+
+/* Guards against a request that reaches the server although its cancel has
+   arrived, because the daemon stood and reads one after the other.  */
+START_TEST (a_request_that_was_cancelled_while_the_daemon_stood_is_not_sent)
+{
+  struct cp_peer_message message;
+  int fd = open_link ();
+  uint64_t started;
+
+  /* Leaves an idle connection to the server.  */
+  send_request (fd, 1, "/read/1", true);
+  read_until (fd, CP_PEER_ANSWER, &message);
+  mesh_message_free (&message);
+  started = stage_counter (&stage, 1, "jobs_admitted_total");
+  stand ();
+  send_request (fd, 2, "/read/1?slow=100", true);
+  g_usleep (STOOD_US);
+  send_stream (fd, CP_PEER_CANCEL, 2);
+  go_on ();
+  g_usleep (ARRIVAL_US);
+  ck_assert_uint_eq (stage_runs (&stage, "q2"), 0);
+  ck_assert_uint_eq (stage_counter (&stage, 1, "jobs_admitted_total"),
+                     started);
+  close (fd);
+}
+END_TEST
+
+/* Guards against a request that reaches the server half a second after it was
+   sent, when its caller may have left unnoticed.  */
+START_TEST (a_request_that_waited_unread_for_long_is_refused)
+{
+  struct cp_peer_message message;
+  int fd = open_link ();
+
+  stand ();
+  send_request (fd, 1, "/write/1", false);
+  g_usleep (500000);
+  go_on ();
+  read_until (fd, CP_PEER_REFUSAL, &message);
+  ck_assert_uint_eq (message.cp_peer_message_u.refusal.reason,
+                     MESH_REASON_WAITED);
+  mesh_message_free (&message);
+  ck_assert_uint_eq (stage_runs (&stage, "q1"), 0);
+  close (fd);
+}
+END_TEST
+
+/* Guards against a server that gets more time than is left, because the time
+   for which a request waited unread is not counted.  */
+START_TEST (the_deadline_counts_while_a_request_waits_unread)
+{
+  struct cp_peer_message message;
+  char left[32];
+  int fd = open_link ();
+
+  stand ();
+  send_request (fd, 1, "/write/1", false);
+  g_usleep (STOOD_US);
+  go_on ();
+  read_until (fd, CP_PEER_ANSWER, &message);
+  mesh_message_free (&message);
+  stage_server_header (&stage, 1, "X-Cornelpick-Deadline-Ms", left,
+                       sizeof left);
+  ck_assert_int_le (atoi (left), REQUEST_LEFT_MS - STOOD_US / 1000);
+  close (fd);
+}
+END_TEST
+
+static void
+expect_refused_as_leaving (int fd, uint64_t stream)
+{
+  CP_AUTO_FREE char *id = g_strdup_printf ("q%u", (unsigned)stream);
+  struct cp_peer_message message;
+
+  send_request (fd, stream, "/write/1", false);
+  read_until (fd, CP_PEER_REFUSAL, &message);
+  ck_assert_uint_eq (message.cp_peer_message_u.refusal.reason,
+                     MESH_REASON_LEAVING);
+  mesh_message_free (&message);
+  ck_assert_uint_eq (stage_runs (&stage, id), 0);
+}
+
+/* Guards against requests that reach a server that has left, because the
+   daemon beside it learned of that late.  */
+START_TEST (the_drain_time_counts_while_the_news_waits_unread)
+{
+  int fd = open_link ();
+  gint64 left_us;
+
+  g_usleep (WATCH_BEGUN_US);
+  stand ();
+  stage_enter (&stage, 1, "draining");
+  left_us = g_get_monotonic_time ();
+  g_usleep (LATE_NEWS_US);
+  go_on ();
+  sleep_until (left_us + DRAIN_US);
+  expect_refused_as_leaving (fd, 1);
+  close (fd);
+}
+END_TEST
+
+/* Guards against the same when the news comes from another daemon, and waited
+   on its way there or here.  */
+START_TEST (the_drain_time_counts_while_the_news_passes_daemons)
+{
+  CP_AUTO_FREE char *key = stage_server_key (&stage, 1);
+  struct cp_peer_item item = { .key = key, .removed = true };
+  struct cp_peer_message message = { .kind = CP_PEER_ITEMS };
+  struct cp_peer_items *items = &message.cp_peer_message_u.items;
+  int fd = open_link ();
+  gint64 read_us;
+
+  item.position.revision = stage_counter (&stage, 1, "store_revision") + 100;
+  item.age = LATE_NEWS_US / 2000;
+  items->clock = cp_clock_now_us (&cp_clock_boot);
+  items->position = item.position;
+  items->items.items_len = 1;
+  items->items.items_val = &item;
+  stand ();
+  send_message (fd, &message);
+  g_usleep (LATE_NEWS_US / 2);
+  go_on ();
+  read_us = g_get_monotonic_time ();
+  sleep_until (read_us + DRAIN_US - LATE_NEWS_US);
+  expect_refused_as_leaving (fd, 1);
+  close (fd);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
@@ -290,6 +460,12 @@
   tcase_add_test (tests, a_running_attempt_is_answered_over_the_new_link);
   tcase_add_test (tests, resuming_an_unknown_attempt_is_refused);
   tcase_add_test (tests, invalid_records_close_only_their_link);
+  tcase_add_test (
+      tests, a_request_that_was_cancelled_while_the_daemon_stood_is_not_sent);
+  tcase_add_test (tests, a_request_that_waited_unread_for_long_is_refused);
+  tcase_add_test (tests, the_deadline_counts_while_a_request_waits_unread);
+  tcase_add_test (tests, the_drain_time_counts_while_the_news_waits_unread);
+  tcase_add_test (tests, the_drain_time_counts_while_the_news_passes_daemons);
 }
 
 int
