Read what arrived while the loop stood before anything is started or given up

Callers saw requests run for them after they had left, and time-outs of calls whose answers had arrived (GONE). A loop that stands for a table of 3,062 routes reads nothing for 0.8 s; then timers ran first, and what had arrived was handled in its order, each request before the cancel or the close behind it.

Nothing is sent or given up now by a loop that has read nothing for 100 ms, until it has polled three times without waiting (net/turns.h): new calls, repeats and hedges, jobs of other daemons, queued jobs, jobs whose connection opened meanwhile; the timers of calls, jobs, peers, clients, the store and the daemon. What is held is bounded by three polls, so an overloaded daemon goes on.

The cause is the loop that stands; this mends what it makes of that.

--- a/meshd/call.c
+++ b/meshd/call.c
@@ -4,6 +4,7 @@
 
 #include "lib/counter.h"
 #include "meshd/outbound_internal.h"
+#include "net/turns.h"
 #include "platform/headers.h"
 
 /* When a repeatable call is checked for a hedge, as shares of its objective:
@@ -91,6 +92,7 @@
       mesh_attempt_free (call->open[0]);
     }
   mesh_call_give_back_token (call);
+  mesh_call_release (call);
   call->exchange->owner = NULL;
   call->exchange = NULL;
   uv_close ((uv_handle_t *)&call->timer, on_call_closed);
@@ -381,11 +383,34 @@
              MAX (call->route->objective_us, mesh_call_expected_work (call)));
 }
 
+static void
+call_hold (struct mesh_call *call)
+{
+  if (call->held)
+    return;
+  call->held = true;
+  cds_list_add_tail (&call->held_node, &call->outbound->held);
+}
+
+void
+mesh_call_release (struct mesh_call *call)
+{
+  if (!call->held)
+    return;
+  call->held = false;
+  cds_list_del (&call->held_node);
+}
+
 void
 mesh_call_try_next (struct mesh_call *call)
 {
   struct cp_server *server;
 
+  if (net_turns_is_behind (call->outbound->loop))
+    {
+      call_hold (call);
+      return;
+    }
   if (!fits_into_stop (call))
     {
       call->reason = MESH_REASON_LEAVING;
@@ -450,6 +475,11 @@
   if (call->n_open != 1 || call->route->idempotency != CP_IDEMPOTENT
       || !fits_into_stop (call))
     return;
+  if (net_turns_is_behind (call->outbound->loop))
+    {
+      mesh_call_check_soon (call);
+      return;
+    }
   server = next_server (call);
   if (server == NULL || !mesh_call_take_repeat (call))
     return;
@@ -499,6 +529,8 @@
   struct mesh_call *call = timer->data;
   uint64_t now = now_us ();
 
+  if (net_turns_defer (timer, on_call_timer))
+    return;
   if (now + CP_US_PER_MS > call->deadline_us)
     {
       call_time_out (call);
--- a/meshd/daemon.c
+++ b/meshd/daemon.c
@@ -463,7 +463,10 @@
 static void
 on_settled (void *context)
 {
-  (void)context;
+  struct mesh_daemon *daemon = context;
+
+  mesh_inbound_settle (&daemon->inbound);
+  mesh_outbound_settle (&daemon->outbound);
 }
 
 static const struct net_turns_events turns_events = { on_stood, on_settled };
--- a/meshd/inbound.c
+++ b/meshd/inbound.c
@@ -3,6 +3,7 @@
 
 #include "meshd/inbound.h"
 #include "meshd/inbound_internal.h"
+#include "net/turns.h"
 
 /* Slots of a server that has not reported how many it has; the servers of both
    users have more.  */
@@ -102,25 +103,36 @@
   mesh_load_to_wire (load, &own, inbound->instance);
 }
 
+/* Returns whether the server gets no more requests, since it leaves.  */
+static bool
+is_drained (const struct mesh_inbound *inbound, uint64_t now)
+{
+  return inbound->drain_deadline_us != 0 && now > inbound->drain_deadline_us;
+}
+
+enum mesh_reason
+mesh_job_check (const struct mesh_job *job)
+{
+  uint64_t now = now_us ();
+
+  if (job->inbound->evacuated)
+    return MESH_REASON_EVACUATED;
+  if (job->deadline_us <= now)
+    return MESH_REASON_WAITED;
+  return is_drained (job->inbound, now) ? MESH_REASON_LEAVING
+                                        : MESH_REASON_NONE;
+}
+
 /* Starts JOB, which holds a slot.  */
 static void
 job_start (struct mesh_job *job)
 {
   struct mesh_inbound *inbound = job->inbound;
-  uint64_t now = now_us ();
+  enum mesh_reason reason = mesh_job_check (job);
 
   job->state = MESH_JOB_RUNNING;
-  if (inbound->evacuated)
-    {
-      cp_job_queue_done (&inbound->queue);
-      mesh_job_refuse (job, MESH_REASON_EVACUATED, false);
-      return;
-    }
-  if (job->deadline_us <= now
-      || (inbound->drain_deadline_us != 0 && now > inbound->drain_deadline_us))
+  if (reason != MESH_REASON_NONE)
     {
-      enum mesh_reason reason
-          = job->deadline_us <= now ? MESH_REASON_WAITED : MESH_REASON_LEAVING;
       cp_job_queue_done (&inbound->queue);
       mesh_job_refuse (job, reason, false);
       return;
@@ -131,7 +143,7 @@
       mesh_job_refuse (job, MESH_REASON_NO_BUDGET, false);
       return;
     }
-  job->started_us = now;
+  job->started_us = now_us ();
   inbound->counts.admitted++;
   mesh_server_send (inbound, job);
 }
@@ -159,6 +171,8 @@
 {
   struct cp_job_queue_entry *entry;
 
+  if (net_turns_is_behind (inbound->loop))
+    return;
   cp_job_queue_set_pace (&inbound->queue, current_service_us (inbound),
                          inbound->slowness_percent);
   while ((entry = cp_job_queue_start_next (&inbound->queue, now_us ()))
@@ -186,13 +200,14 @@
     uv_timer_stop (timer);
 }
 
-/* Returns whether REQUEST is for an instance that is known to have ended.  */
+/* Returns whether JOB is for an instance that is known to have ended.  */
 static bool
-is_for_ended_instance (const struct mesh_inbound *inbound,
-                       const struct cp_peer_request *request, uint64_t now)
+is_for_ended_instance (const struct mesh_job *job, uint64_t now)
 {
+  const struct mesh_inbound *inbound = job->inbound;
+
   return inbound->ended_instance[0] != '\0'
-         && strcmp (request->instance, inbound->ended_instance) == 0
+         && strcmp (job->instance, inbound->ended_instance) == 0
          && now - inbound->ended_instance_us < ENDED_INSTANCE_KEEP_US;
 }
 
@@ -233,27 +248,25 @@
   return covered;
 }
 
-void
-mesh_inbound_offer (struct mesh_inbound *inbound, struct mesh_link *link,
-                    const struct cp_peer_request *request)
+/* Queues, starts or refuses JOB.  */
+static void
+admit (struct mesh_job *job)
 {
-  struct mesh_job *job = mesh_job_create (inbound, link, request);
+  struct mesh_inbound *inbound = job->inbound;
   uint64_t now = now_us ();
 
-  inbound->last_job_us = now;
+  job->state = MESH_JOB_QUEUED;
   cp_job_queue_set_pace (&inbound->queue, current_service_us (inbound),
                          inbound->slowness_percent);
   if (inbound->server.length == 0)
     mesh_job_refuse (job, MESH_REASON_NO_SERVER, false);
   else if (inbound->evacuated)
     mesh_job_refuse (job, MESH_REASON_EVACUATED, false);
-  else if ((inbound->drain_deadline_us != 0
-            && now > inbound->drain_deadline_us)
-           || !fits_into_stop (job, now))
+  else if (is_drained (inbound, now) || !fits_into_stop (job, now))
     mesh_job_refuse (job, MESH_REASON_LEAVING, false);
   else if (inbound->connect_refusals >= MESH_CONNECT_REFUSALS_MAX)
     mesh_job_refuse (job, MESH_REASON_NO_SERVER, false);
-  else if (is_for_ended_instance (inbound, request, now))
+  else if (is_for_ended_instance (job, now))
     mesh_job_refuse (job, MESH_REASON_OTHER_INSTANCE, false);
   else if (mesh_suspects_hold_back (inbound->suspects, job->digest))
     mesh_job_refuse (job, MESH_REASON_HELD_BACK, false);
@@ -281,6 +294,43 @@
       }
 }
 
+void
+mesh_inbound_offer (struct mesh_inbound *inbound, struct mesh_link *link,
+                    const struct cp_peer_request *request)
+{
+  struct mesh_job *job = mesh_job_create (inbound, link, request);
+
+  inbound->last_job_us = now_us ();
+  /* The cancel of the job may be unread, and so may news of the server.  */
+  if (!net_turns_is_behind (inbound->loop))
+    admit (job);
+}
+
+static struct mesh_job *
+find_job_in_state (struct mesh_inbound *inbound, enum mesh_job_state state)
+{
+  struct mesh_job *job;
+
+  cds_list_for_each_entry (job, &inbound->jobs, node)
+  {
+    if (job->state == state)
+      return job;
+  }
+  return NULL;
+}
+
+void
+mesh_inbound_settle (struct mesh_inbound *inbound)
+{
+  struct mesh_job *job;
+
+  /* One may end others, so the list is read from its head again.  */
+  while ((job = find_job_in_state (inbound, MESH_JOB_HELD)) != NULL)
+    admit (job);
+  mesh_inbound_start_queued (inbound);
+  mesh_server_settle (inbound);
+}
+
 static struct mesh_job *
 find_job (struct mesh_inbound *inbound, struct mesh_link *link,
           uint64_t stream)
@@ -305,7 +355,7 @@
       cp_job_queue_remove (&inbound->queue, &job->entry);
       mesh_job_free (job);
     }
-  else if (job->state == MESH_JOB_ENDED)
+  else if (job->state == MESH_JOB_HELD || job->state == MESH_JOB_ENDED)
     mesh_job_free (job);
   else if (job->idempotent)
     mesh_server_abort (job, MESH_REASON_CANCELLED);
@@ -477,6 +527,8 @@
   struct mesh_inbound *inbound = timer->data;
   uint64_t now = now_us ();
 
+  if (net_turns_defer (timer, on_tick))
+    return;
   check_jobs (inbound, now);
   mesh_warm_up_check (inbound, now);
   mesh_server_tick (inbound, now);
@@ -588,19 +640,6 @@
   inbound->stop = plan;
 }
 
-static struct mesh_job *
-find_queued_job (struct mesh_inbound *inbound)
-{
-  struct mesh_job *job;
-
-  cds_list_for_each_entry (job, &inbound->jobs, node)
-  {
-    if (job->state == MESH_JOB_QUEUED)
-      return job;
-  }
-  return NULL;
-}
-
 unsigned
 mesh_inbound_set_evacuated (struct mesh_inbound *inbound, bool evacuated)
 {
@@ -613,7 +652,8 @@
     inbound->queue.unproved = true;
   inbound->evacuated = evacuated;
   /* A refusal may end other jobs, so the list is read from its head again.  */
-  while (evacuated && (job = find_queued_job (inbound)) != NULL)
+  while (evacuated
+         && (job = find_job_in_state (inbound, MESH_JOB_QUEUED)) != NULL)
     {
       cp_job_queue_remove (&inbound->queue, &job->entry);
       mesh_job_refuse (job, MESH_REASON_EVACUATED, false);
--- a/meshd/inbound.h
+++ b/meshd/inbound.h
@@ -166,6 +166,11 @@
    outbound side.  */
 void mesh_inbound_offer (struct mesh_inbound *inbound, struct mesh_link *link,
                          const struct cp_peer_request *request);
+
+/* Handles what was held until the event loop has read what arrived while it
+   stood.  */
+void mesh_inbound_settle (struct mesh_inbound *inbound);
+
 void mesh_inbound_cancel (struct mesh_inbound *inbound, struct mesh_link *link,
                           uint64_t stream);
 
--- a/meshd/inbound_internal.h
+++ b/meshd/inbound_internal.h
@@ -20,6 +20,7 @@
 
 enum mesh_job_state
 {
+  MESH_JOB_HELD, /* until the event loop is no longer behind */
   MESH_JOB_QUEUED,
   MESH_JOB_RUNNING,
   MESH_JOB_ENDED
@@ -82,6 +83,9 @@
 void mesh_job_fail (struct mesh_job *job, enum mesh_reason reason);
 void mesh_job_answer (struct mesh_job *job, const struct net_message *answer);
 
+/* Returns why JOB may not be sent to the server now, or MESH_REASON_NONE.  */
+enum mesh_reason mesh_job_check (const struct mesh_job *job);
+
 /* Reserves the retry budgets for the calls of JOB, if it is a repeat.  Returns
    false if they do not cover them.  */
 bool mesh_job_reserve_calls (struct mesh_job *job);
@@ -120,6 +124,9 @@
 /* Sends JOB, which holds a slot, to the server.  */
 void mesh_server_send (struct mesh_inbound *inbound, struct mesh_job *job);
 
+/* Sends the jobs that were held after their connection was opened.  */
+void mesh_server_settle (struct mesh_inbound *inbound);
+
 /* Closes the connection of JOB, which is running, and fails JOB for
    REASON.  */
 void mesh_server_abort (struct mesh_job *job, enum mesh_reason reason);
--- a/meshd/life.c
+++ b/meshd/life.c
@@ -196,6 +196,8 @@
   struct mesh_daemon *daemon = timer->data;
   uint64_t now = now_us ();
 
+  if (net_turns_defer (timer, on_tick))
+    return;
   if (cp_server_pool_expire (&daemon->pool, now))
     mesh_daemon_update_server (daemon);
   mesh_daemon_expire_evacuations (daemon, now);
--- a/meshd/outbound.c
+++ b/meshd/outbound.c
@@ -197,6 +197,7 @@
                                       .random = random,
                                       .events = events,
                                       .context = context };
+  CDS_INIT_LIST_HEAD (&outbound->held);
   outbound->attempts = g_hash_table_new (g_int64_hash, g_int64_equal);
   outbound->rooms
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -224,6 +225,19 @@
     server_limits->idle_ms = limits->idle_us / CP_US_PER_MS;
 }
 
+void
+mesh_outbound_settle (struct mesh_outbound *outbound)
+{
+  while (!cds_list_empty (&outbound->held))
+    {
+      struct mesh_call *call = cds_list_first_entry (
+          &outbound->held, struct mesh_call, held_node);
+
+      mesh_call_release (call);
+      mesh_call_try_next (call);
+    }
+}
+
 void
 mesh_outbound_set_body_memory (struct mesh_outbound *outbound, uint64_t bytes)
 {
--- a/meshd/outbound.h
+++ b/meshd/outbound.h
@@ -71,6 +71,8 @@
   GHashTable *attempts; /* by stream */
   GHashTable *rooms;    /* service to struct cp_service_room */
   struct cp_repeat_budgets *budgets;
+  struct cds_list_head held; /* calls whose next attempt waits until the event
+                                loop is no longer behind */
   uint64_t last_stream;
   const struct cp_stop_plan *stop; /* while the daemon stops, or NULL */
   const struct mesh_outbound_events *events;
@@ -90,6 +92,10 @@
                         void *context);
 void mesh_outbound_stop (struct mesh_outbound *outbound);
 
+/* Sends the calls that were held until the event loop has read what arrived
+   while it stood.  */
+void mesh_outbound_settle (struct mesh_outbound *outbound);
+
 /* Limits the memory for the bodies of all calls to BYTES.  */
 void mesh_outbound_set_body_memory (struct mesh_outbound *outbound,
                                     uint64_t bytes);
--- a/meshd/outbound_internal.h
+++ b/meshd/outbound_internal.h
@@ -80,6 +80,8 @@
   uint64_t token_us; /* when the repeat for the next attempt was taken from the
                         budget; 0 for none */
   bool may_have_run;
+  bool held; /* in the outbound side's list of held calls */
+  struct cds_list_head held_node;
   struct cp_peer_answer failure; /* first failed answer, or status 0 */
   enum mesh_reason reason;       /* why the last attempt ended */
   struct cp_room_view room;      /* at its beginning, or when it was refused */
@@ -102,9 +104,13 @@
 /* Returns the usual time of a run at a server that is not slow.  */
 uint64_t mesh_call_expected_work (const struct mesh_call *call);
 
-/* Sends the call to the next server, or ends it if there is none.  */
+/* Sends the call to the next server, or ends it if there is none.  While the
+   event loop is behind, the call is held: its caller may have left.  */
 void mesh_call_try_next (struct mesh_call *call);
 
+/* Takes CALL off the list of held calls, if it is there.  */
+void mesh_call_release (struct mesh_call *call);
+
 /* Ends a call for which no further attempt is allowed: with the failure that a
    server answered, with 502 or 504 if it may have run, otherwise with 503.  */
 void mesh_call_give_up (struct mesh_call *call);
--- a/meshd/peers.c
+++ b/meshd/peers.c
@@ -3,6 +3,7 @@
 
 #include "meshd/log.h"
 #include "meshd/peers.h"
+#include "net/turns.h"
 
 #define TICK_MS 100
 
@@ -399,6 +400,8 @@
   struct mesh_peer *peer;
   struct mesh_peer *next;
 
+  if (net_turns_defer (timer, on_tick))
+    return;
   if (peers->last_tick_us != 0 && now - peers->last_tick_us > STALL_US)
     reset_silence_timers (peers, now);
   peers->last_tick_us = now;
--- a/meshd/server.c
+++ b/meshd/server.c
@@ -4,6 +4,7 @@
 
 #include "meshd/inbound_internal.h"
 #include "meshd/log.h"
+#include "net/turns.h"
 #include "platform/headers.h"
 
 #define HEAD_BYTES_MAX 65536
@@ -37,6 +38,7 @@
   struct mesh_job *job;
   unsigned server_number; /* of the server it was opened to */
   bool idle;
+  bool held; /* the job is sent when the event loop is no longer behind */
   uint64_t idle_us;
   uint64_t idle_timeout_us;
 };
@@ -156,6 +158,19 @@
   mesh_inbound_release_slot (inbound);
 }
 
+/* Sends the job of CONNECTION, unless that is no longer allowed: connecting
+   may have taken long.  */
+static void
+send_job (struct mesh_connection *connection)
+{
+  enum mesh_reason reason = mesh_job_check (connection->job);
+
+  if (reason == MESH_REASON_NONE)
+    write_job (connection);
+  else
+    refuse_unsent (connection, reason);
+}
+
 static void
 on_connected (struct net_client *client)
 {
@@ -164,11 +179,10 @@
 
   if (connection->server_number == inbound->server_number)
     mesh_server_record_reached (inbound);
-  /* The domain may have been evacuated while the connection was opened.  */
-  if (connection->job != NULL && inbound->evacuated)
-    refuse_unsent (connection, MESH_REASON_EVACUATED);
+  if (connection->job != NULL && net_turns_is_behind (inbound->loop))
+    connection->held = true;
   else if (connection->job != NULL)
-    write_job (connection);
+    send_job (connection);
   else if (is_probe (connection) && inbound->health_path[0] != '\0')
     write_probe (connection);
   else
@@ -501,6 +515,24 @@
   start_request (connection);
 }
 
+void
+mesh_server_settle (struct mesh_inbound *inbound)
+{
+  struct mesh_connection *connection;
+  struct mesh_connection *next;
+
+  /* A connection stays in the list until the event loop comes round.  */
+  cds_list_for_each_entry_safe (connection, next, &inbound->connections,
+                                all_node)
+  {
+    if (!connection->held)
+      continue;
+    connection->held = false;
+    if (connection->job != NULL)
+      send_job (connection);
+  }
+}
+
 void
 mesh_server_abort (struct mesh_job *job, enum mesh_reason reason)
 {
--- a/net/server.c
+++ b/net/server.c
@@ -3,6 +3,7 @@
 #include <strings.h>
 
 #include "net/server.h"
+#include "net/turns.h"
 
 /* Unanswered requests per connection.  At this number reading pauses, and
    further requests stay in the socket buffer.  */
@@ -470,6 +471,8 @@
   struct net_connection *connection;
   struct net_connection *next;
 
+  if (net_turns_defer (timer, on_timeout_check))
+    return;
   cds_list_for_each_entry_safe (connection, next, &server->connections, node)
       check_timeouts (connection, uv_now (server->loop));
 }
--- a/net/turns.c
+++ b/net/turns.c
@@ -6,8 +6,9 @@
    for that.  */
 #define STOOD_US UINT64_C (100000)
 
-/* Polls after which nothing is unread that arrived while the loop stood.  */
-#define POLLS_TO_SETTLE 2
+/* Polls after which nothing is unread that arrived while the loop stood: they
+   accept connections, read requests, and find that a client has left.  */
+#define POLLS_TO_SETTLE 3
 
 /* Delay of a deferred timer, in ms.  One without a delay would be called again
    before the next poll.  */
@@ -25,16 +26,33 @@
   (void)idle;
 }
 
+/* Returns for how long nothing has been read, if the loop has stood, or 0. The
+   loop is behind then.  */
+static uint64_t
+check_stood (struct net_turns *turns)
+{
+  uint64_t unread_us = now_us () - turns->read_until_us;
+
+  if (unread_us <= STOOD_US)
+    return 0;
+  if (turns->polls_left == 0)
+    {
+      turns->polls_left = POLLS_TO_SETTLE;
+      uv_idle_start (&turns->idle, on_idle);
+    }
+  return unread_us;
+}
+
 static void
 on_prepare (uv_prepare_t *prepare)
 {
   struct net_turns *turns = prepare->data;
-  uint64_t now = now_us ();
+  uint64_t stood_us = check_stood (turns);
 
   turns->settled = false;
-  turns->poll_began_us = now;
-  if (now - turns->read_until_us > STOOD_US)
-    turns->events->stood (turns->context, now - turns->read_until_us);
+  turns->poll_began_us = now_us ();
+  if (stood_us > 0)
+    turns->events->stood (turns->context, stood_us);
 }
 
 static void
@@ -86,11 +104,8 @@
 
   if (turns == NULL || turns->settled)
     return false;
-  if (turns->polls_left == 0 && now_us () - turns->read_until_us > STOOD_US)
-    {
-      turns->polls_left = POLLS_TO_SETTLE;
-      uv_idle_start (&turns->idle, on_idle);
-    }
+  if (turns->polls_left == 0)
+    check_stood (turns);
   return turns->polls_left > 0;
 }
 
--- a/net/turns.h
+++ b/net/turns.h
@@ -4,9 +4,8 @@
    arrives meanwhile waits unread: a request, the cancel behind it, the answer
    that a timer waits for.  The first to be handled would decide by what was
    known before.  A loop that has stood is therefore behind until it has polled
-   twice: the first poll reads what has arrived, the second finds the
-   connections that were closed behind that.  What starts work or gives it up
-   asks net_turns_is_behind, and waits for SETTLED if so.
+   often enough to have read all that.  What starts work, or gives it up, asks
+   net_turns_is_behind first, and waits for SETTLED if so.
 
    There is one for each loop, which it is found by; on a loop without one
    nothing is ever behind.  All functions run on the event loop's thread.  */
