Count the time for which an attempt waited on its way

The time left travels as a duration, which began anew when the message was read, whatever it had waited in a link, a socket or for the loop.

The daemon beside the server now takes off the time for which the message was on its way, by a lower bound of the sender's clock, and refuses an attempt that was so for 0.3 s or whose time is over, as not run: its sender knows by then whether the caller is still there.

a_request_that_waited_unread_for_long_is_refused: no refusal before; the_deadline_counts_while_a_request_waits_unread: 1,999 ms before, 1,800 at most now.

--- a/meshd/inbound.c
+++ b/meshd/inbound.c
@@ -36,6 +36,11 @@
    begins later than this after another: its caller has left by then.  */
 #define SENT_ID_KEEP_US UINT64_C (10000000)
 
+/* Longest time for which an attempt may have been on its way.  Its sender may
+   not know yet, for as long, that its caller has left, and no request may
+   reach a server half a second after that.  */
+#define DELAY_MAX_US UINT64_C (300000)
+
 /* How long a job may run past its deadline.  The server itself answers at the
    deadline.  */
 #define DEADLINE_GRACE_US UINT64_C (150000)
@@ -264,6 +269,8 @@
     mesh_job_refuse (job, MESH_REASON_EVACUATED, false);
   else if (is_drained (inbound, now) || !fits_into_stop (job, now))
     mesh_job_refuse (job, MESH_REASON_LEAVING, false);
+  else if (job->delay_us > DELAY_MAX_US || job->deadline_us <= now)
+    mesh_job_refuse (job, MESH_REASON_WAITED, false);
   else if (inbound->connect_refusals >= MESH_CONNECT_REFUSALS_MAX)
     mesh_job_refuse (job, MESH_REASON_NO_SERVER, false);
   else if (is_for_ended_instance (job, now))
--- a/meshd/job.c
+++ b/meshd/job.c
@@ -221,7 +221,7 @@
 wait_until_us (const struct mesh_job *job,
                const struct cp_peer_request *request, uint64_t now)
 {
-  uint64_t left_us = job->deadline_us - now;
+  uint64_t left_us = job->deadline_us - MIN (job->deadline_us, now);
 
   if (request->hedge)
     return now;
@@ -249,6 +249,14 @@
                         UNKNOWN_WORK_MAX_SHARE * (double)job->objective_us);
 }
 
+/* Returns the time that was LEFT_MS away when the sender sent a message that
+   arrives at NOW and was on its way for DELAY_US.  */
+static uint64_t
+time_at_sender (u_int left_ms, uint64_t now, uint64_t delay_us)
+{
+  return now + left_ms * CP_US_PER_MS - MIN (now, delay_us);
+}
+
 static void
 fill_entry (struct mesh_job *job, const struct cp_peer_request *request,
             uint64_t now)
@@ -266,7 +274,8 @@
     .deadline_us = job->deadline_us,
   };
   if (request->objective_left > 0)
-    entry->rank.objective_us = now + request->objective_left * CP_US_PER_MS;
+    entry->rank.objective_us
+        = time_at_sender (request->objective_left, now, job->delay_us);
   else if (request->objective > 0)
     entry->rank.objective_us = now - 1; /* missed */
 }
@@ -299,7 +308,7 @@
   job->parent_priority = request->parent_priority;
   job->objective_us = objective_us;
   job->delay_us = link == NULL ? 0 : mesh_link_delay_us (link, request->clock);
-  job->deadline_us = now + request->left * CP_US_PER_MS;
+  job->deadline_us = time_at_sender (request->left, now, job->delay_us);
   fill_entry (job, request, now);
   cds_list_add_tail (&job->node, &inbound->jobs);
   g_hash_table_insert (inbound->by_stream, &job->key, job);
