Count the drain time from when the server's entry changed

Requests reached servers more than the drain time after the store had acknowledged that they leave (DRAIN). The daemon beside a server is the last that can refuse them.

Now it counts from when the entry can have changed at the earliest: a watch knows until when it had heard all, and daemons tell each other how old a change is, to which the receiver adds the time on the way. A change of unknown age, from a daemon's first listing, counts as over. The margin is 0.2 s in place of 0.5 s, as it no longer stands for the way of the news. The time for which a lapsed server is kept is shortened by the way as well.

--- a/meshd/daemon.c
+++ b/meshd/daemon.c
@@ -5,8 +5,10 @@
 #include "meshd/log.h"
 
 /* Subtracted from the drain time, so that a request started last still reaches
-   the server in time.  */
-#define DRAIN_MARGIN_US UINT64_C (500000)
+   the server in time; by how much more if the server itself said that it
+   leaves, which it may have told the store before.  */
+#define DRAIN_MARGIN_US UINT64_C (200000)
+#define OWN_NOTICE_MARGIN_US UINT64_C (500000)
 
 static uint64_t
 now_us (void)
@@ -46,10 +48,17 @@
                      const struct cp_server *server)
 {
   bool removed = server == NULL && daemon->inbound.instance[0] != '\0';
-
-  if (removed || daemon->inbound.server_leaving
-      || (server != NULL && server->draining))
-    return now_us () + daemon->settings.drain_us - DRAIN_MARGIN_US;
+  uint64_t drain_us = daemon->settings.drain_us;
+  uint64_t entry_us = UINT64_MAX;
+  uint64_t notice_us = UINT64_MAX;
+
+  if (removed || (server != NULL && server->draining))
+    entry_us = daemon->entry_changed_us
+               + (drain_us - MIN (drain_us, DRAIN_MARGIN_US));
+  if (daemon->inbound.server_leaving)
+    notice_us = now_us () + (drain_us - MIN (drain_us, OWN_NOTICE_MARGIN_US));
+  if (MIN (entry_us, notice_us) < UINT64_MAX)
+    return MIN (entry_us, notice_us);
   return server == NULL ? 0 : server->kept_until_us;
 }
 
@@ -74,7 +83,8 @@
   if (daemon->sigterm_us != 0)
     return;
   deadline_us = find_drain_deadline (daemon, server);
-  if (deadline_us == 0 || daemon->inbound.drain_deadline_us == 0)
+  if (deadline_us == 0 || daemon->inbound.drain_deadline_us == 0
+      || deadline_us < daemon->inbound.drain_deadline_us)
     mesh_inbound_set_drain_deadline (&daemon->inbound, deadline_us);
 }
 
@@ -191,6 +201,8 @@
   struct mesh_daemon *daemon = context;
   char id[128];
 
+  if (cp_address_same_host (&entry->address, &daemon->settings.peer_listen))
+    daemon->entry_changed_us = entry->changed_us;
   cp_server_pool_update (&daemon->pool, entry, now_us ());
   mesh_daemon_update_server (daemon);
   if (mesh_log_allowed (MESH_LOG_SERVER))
@@ -215,6 +227,8 @@
   bool lapsed = unsure_until_us > now;
   char id[128];
 
+  if (strcmp (instance, daemon->inbound.instance) == 0)
+    daemon->entry_changed_us = changed_us;
   cp_server_pool_remove (&daemon->pool, instance,
                          lapsed ? unsure_until_us : 0);
   mesh_daemon_update_server (daemon);
--- a/meshd/daemon.h
+++ b/meshd/daemon.h
@@ -17,7 +17,9 @@
 {
   uv_loop_t loop;
   struct net_turns turns;
-  uint64_t stalls; /* how often the loop has stood */
+  uint64_t entry_changed_us; /* when the entry of the local server changed, at
+                                the earliest; 0 if that is not known */
+  uint64_t stalls;           /* how often the loop has stood */
   uint64_t longest_stall_us;
   struct platform_settings settings;
   const char *settings_path;
--- a/meshd/exchange.c
+++ b/meshd/exchange.c
@@ -207,14 +207,15 @@
   return (u_int)MAX ((until_us - now) / CP_US_PER_MS, 1U);
 }
 
-/* Converts from the form in messages.  A peer cannot make this daemon keep a
-   server for longer than it would by itself.  */
+/* Converts from the form in a message that was on its way for DELAY_US.  A
+   peer cannot make this daemon keep a server for longer than it would by
+   itself.  */
 static uint64_t
-unsure_from_wire (u_int unsure_ms)
+unsure_from_wire (u_int unsure_ms, uint64_t delay_us)
 {
-  uint64_t left_us = unsure_ms * CP_US_PER_MS;
+  uint64_t left_us = MIN (unsure_ms * CP_US_PER_MS, LAPSED_ENTRY_KEEP_US);
 
-  return unsure_ms == 0 ? 0 : now_us () + MIN (left_us, LAPSED_ENTRY_KEEP_US);
+  return unsure_ms == 0 ? 0 : now_us () + left_us - MIN (left_us, delay_us);
 }
 
 /* Converts the time of a change to its age in messages.  */
@@ -561,8 +562,9 @@
           .listed = arrival->listed,
           .changed_us = age_from_wire (from->age, arrival->delay_us) };
 
-  platform_registry_apply (&exchange->registry, &item,
-                           unsure_from_wire (from->unsure_ms));
+  platform_registry_apply (
+      &exchange->registry, &item,
+      unsure_from_wire (from->unsure_ms, arrival->delay_us));
 }
 
 /* Applies FROM.  Returns false if its value cannot be read.  */
@@ -623,7 +625,8 @@
     return;
   if (items->whole)
     {
-      end_listing (exchange, position, unsure_from_wire (items->unsure_ms), 0);
+      end_listing (exchange, position,
+                   unsure_from_wire (items->unsure_ms, arrival.delay_us), 0);
       platform_store_adopt_snapshot (&exchange->store, position);
     }
   set_position (exchange, position, false);
--- a/regress/meshd/check_mesh_peers.c
+++ b/regress/meshd/check_mesh_peers.c
@@ -432,6 +432,7 @@
   int fd = open_link ();
   gint64 read_us;
 
+  item.position.era = stage_counter (&stage, 1, "store_era");
   item.position.revision = stage_counter (&stage, 1, "store_revision") + 100;
   item.age = LATE_NEWS_US / 2000;
   items->clock = cp_clock_now_us (&cp_clock_boot);
