Count the grace time from when the signal can have come

A daemon that stood when it was asked to stop counted its grace time from when it handled the signal. It ended up to a second late then, when the platform kills it and everything that is left is cut (LOST).

--- a/meshd/life.c
+++ b/meshd/life.c
@@ -99,7 +99,8 @@
 {
   if (daemon->sigterm_us != 0)
     return;
-  daemon->sigterm_us = now_us ();
+  /* The signal may have come while the loop stood.  */
+  daemon->sigterm_us = net_turns_read_until_us (&daemon->loop);
   cp_stop_plan_init (&daemon->stop, daemon->sigterm_us,
                      daemon->settings.grace_us);
   mesh_outbound_plan_stop (&daemon->outbound, &daemon->stop);
--- a/regress/meshd/check_mesh_stalls.c
+++ b/regress/meshd/check_mesh_stalls.c
@@ -14,6 +14,8 @@
 /* Time after which a request that is sent has arrived at a server.  */
 #define ARRIVAL_US 300000
 
+#define GRACE_US 6000000
+
 static int
 send_text (const char *text)
 {
@@ -96,6 +98,27 @@
 }
 END_TEST
 
+/* Guards against a stop that ends after the grace time, when everything that
+   is left is cut, because the daemon stood when it was asked to stop.  */
+START_TEST (a_stop_that_was_asked_for_while_the_daemon_stood_ends_in_time)
+{
+  /* The rest of the body never comes.  */
+  int fd = send_text ("POST /write/1 HTTP/1.1\r\nHost: alpha.test\r\n"
+                      "Content-Length: 10\r\n\r\nabc");
+  gint64 asked_us;
+
+  g_usleep (ARRIVAL_US);
+  process_signal (&stage.daemons[VM], SIGSTOP);
+  asked_us = g_get_monotonic_time ();
+  kill (stage.daemons[VM].pid, SIGTERM);
+  g_usleep (1000000);
+  process_signal (&stage.daemons[VM], SIGCONT);
+  ck_assert_int_eq (process_wait (&stage.daemons[VM]), 0);
+  ck_assert_int_lt (g_get_monotonic_time () - asked_us, GRACE_US);
+  close (fd);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
@@ -106,6 +129,8 @@
                   an_answer_that_came_while_the_daemon_stood_is_passed_on);
   tcase_add_test (
       tests, a_call_whose_caller_left_while_the_daemon_stood_is_not_repeated);
+  tcase_add_test (
+      tests, a_stop_that_was_asked_for_while_the_daemon_stood_ends_in_time);
 }
 
 int
