--- a/meshd/daemon.c
+++ b/meshd/daemon.c
@@ -5,8 +5,8 @@
 #include "meshd/log.h"
 
 /* Subtracted from the drain time, so that a request started last still reaches
-   the server in time; by how much more if the server itself said that it
-   leaves, which it may have told the store before.  */
+   the server in time.  The second is for a server that itself says that it
+   leaves: it may have told the store some time before.  */
 #define DRAIN_MARGIN_US UINT64_C (200000)
 #define OWN_NOTICE_MARGIN_US UINT64_C (500000)
 
--- a/net/turns.h
+++ b/net/turns.h
@@ -7,8 +7,8 @@
    often enough to have read all that.  What starts work, or gives it up, asks
    net_turns_is_behind first, and waits for SETTLED if so.
 
-   There is one for each loop, which it is found by; on a loop without one
-   nothing is ever behind.  All functions run on the event loop's thread.  */
+   The user data of a loop leads to its turns; a loop without any is never
+   behind.  All functions run on the event loop's thread.  */
 #ifndef NET_TURNS_H
 #define NET_TURNS_H
 
@@ -49,8 +49,8 @@
    meanwhile.  */
 bool net_turns_is_behind (uv_loop_t *loop);
 
-/* Called first by CALLBACK, that of TIMER: if the loop is behind, returns true
-   and has CALLBACK called again afterwards.  */
+/* Called by CALLBACK of TIMER before it does anything.  If the loop is behind,
+   returns true and has CALLBACK called again soon.  */
 bool net_turns_defer (uv_timer_t *timer, uv_timer_cb callback);
 
 /* Returns a time, of the clock that counts suspended time, such that all that
