Let an attempt that was refused for its delay be sent to the same server again

A call whose servers' daemons had all stood was answered 503 when they went on: an attempt that was on its way for more than 0.3 s is refused since, and its sender took that as a refusal of the server and had none left.

The refusal has a reason of its own, 'delayed', after which the server counts as untried, as after a link that failed: its daemon runs now.

--- a/meshd/call_log.c
+++ b/meshd/call_log.c
@@ -98,7 +98,8 @@
   struct mesh_call *call = attempt->call;
   bool link_failed = reason == MESH_REASON_LINK_LOST
                      || reason == MESH_REASON_RESTARTED
-                     || reason == MESH_REASON_UNKNOWN_ATTEMPT;
+                     || reason == MESH_REASON_UNKNOWN_ATTEMPT
+                     || reason == MESH_REASON_DELAYED;
 
   for (unsigned i = 0; i < call->n_tried; i++)
     if (call->trials[i].stream == attempt->stream)
--- a/meshd/inbound.c
+++ b/meshd/inbound.c
@@ -269,8 +269,10 @@
     mesh_job_refuse (job, MESH_REASON_EVACUATED, false);
   else if (is_drained (inbound, now) || !fits_into_stop (job, now))
     mesh_job_refuse (job, MESH_REASON_LEAVING, false);
-  else if (job->delay_us > DELAY_MAX_US || job->deadline_us <= now)
+  else if (job->deadline_us <= now)
     mesh_job_refuse (job, MESH_REASON_WAITED, false);
+  else if (job->delay_us > DELAY_MAX_US)
+    mesh_job_refuse (job, MESH_REASON_DELAYED, false);
   else if (inbound->connect_refusals >= MESH_CONNECT_REFUSALS_MAX)
     mesh_job_refuse (job, MESH_REASON_NO_SERVER, false);
   else if (is_for_ended_instance (job, now))
--- a/meshd/outbound_internal.h
+++ b/meshd/outbound_internal.h
@@ -50,8 +50,8 @@
   unsigned slowness_percent;
   uint64_t cold_us;     /* remaining warm-up time that the server reported */
   enum mesh_reason end; /* NONE while it is open, and for an answer */
-  bool link_failed;     /* the link failed, not the server, which may be tried
-                           again */
+  bool link_failed;     /* the link failed or was slow, not the server, which
+                           may be tried again */
 };
 
 struct mesh_call
--- a/meshd/wire.c
+++ b/meshd/wire.c
@@ -14,7 +14,7 @@
   "server-full", "other-instance", "cancelled", "unknown-attempt", "cut",
   "garbled",     "unsigned",       "closed",    "timeout",         "link-lost",
   "restarted",   "hedged",         "suspect",   "held-back",       "evacuated",
-  "region",      "no-budget",      "no-room",   "overtaken"
+  "region",      "no-budget",      "no-room",   "overtaken",       "delayed"
 };
 
 GByteArray *
--- a/meshd/wire.h
+++ b/meshd/wire.h
@@ -38,6 +38,7 @@
   MESH_REASON_NO_BUDGET, /* the retry budget does not cover its calls */
   MESH_REASON_NO_ROOM,   /* no server has room, by recent reports */
   MESH_REASON_OVERTAKEN, /* more urgent requests leave it no time */
+  MESH_REASON_DELAYED,   /* it was on its way for too long */
   MESH_REASON_COUNT
 };
 
--- a/regress/meshd/check_mesh_peers.c
+++ b/regress/meshd/check_mesh_peers.c
@@ -360,7 +360,7 @@
   go_on ();
   read_until (fd, CP_PEER_REFUSAL, &message);
   ck_assert_uint_eq (message.cp_peer_message_u.refusal.reason,
-                     MESH_REASON_WAITED);
+                     MESH_REASON_DELAYED);
   mesh_message_free (&message);
   ck_assert_uint_eq (stage_runs (&stage, "q1"), 0);
   close (fd);
--- a/regress/meshd/check_mesh_stalls.c
+++ b/regress/meshd/check_mesh_stalls.c
@@ -98,6 +98,33 @@
 }
 END_TEST
 
+/* Guards against a call that is refused although its only server has room,
+   because the attempt waited unread while the daemon beside it stood.  */
+START_TEST (a_call_whose_only_server_stood_is_sent_there_again)
+{
+  for (unsigned i = 0; i < 5; i++)
+    {
+      CP_AUTO_FREE char *id = g_strdup_printf ("s%u", i);
+      struct process *only = &stage.daemons[VM];
+      int fd = stage_open (&stage, 1, 8000);
+      CP_AUTO_FREE char *text
+          = g_strdup_printf ("GET /read/1 HTTP/1.1\r\nHost: beta.test\r\n"
+                             "X-Cornelpick-Request-Id: %s\r\n\r\n",
+                             id);
+      char status[16] = "";
+
+      process_signal (only, SIGSTOP);
+      ck_assert_int_eq (write (fd, text, strlen (text)), strlen (text));
+      g_usleep (350000);
+      process_signal (only, SIGCONT);
+      ck_assert_int_gt (read (fd, status, sizeof status - 1), 0);
+      ck_assert_msg (g_str_has_prefix (status, "HTTP/1.1 200"), "%s", status);
+      close (fd);
+      g_usleep (ARRIVAL_US);
+    }
+}
+END_TEST
+
 /* Guards against a stop that ends after the grace time, when everything that
    is left is cut, because the daemon stood when it was asked to stop.  */
 START_TEST (a_stop_that_was_asked_for_while_the_daemon_stood_ends_in_time)
@@ -129,6 +156,7 @@
                   an_answer_that_came_while_the_daemon_stood_is_passed_on);
   tcase_add_test (
       tests, a_call_whose_caller_left_while_the_daemon_stood_is_not_repeated);
+  tcase_add_test (tests, a_call_whose_only_server_stood_is_sent_there_again);
   tcase_add_test (
       tests, a_stop_that_was_asked_for_while_the_daemon_stood_ends_in_time);
 }
