--- a/meshd/inbound_internal.h
+++ b/meshd/inbound_internal.h
@@ -49,7 +49,9 @@
   GByteArray *body;
   uint64_t objective_us;
   uint64_t deadline_us;
-  uint64_t delay_us; /* for how long the attempt was on its way, at least */
+  uint64_t delay_us;  /* for how long the attempt was on its way, at least */
+  uint64_t unread_us; /* the same if it waited while the event loop stood, or
+                         0 */
   uint64_t started_us;
   uint64_t lost_us; /* when its link broke, or 0 */
   uint64_t ended_us;
