Use the time that an attempt waited unread for its deadline and refusal

The deadline, the time to the objective and the refusal as delayed now use unread_us, which is 0 unless the loop had stood.

--- a/meshd/inbound.c
+++ b/meshd/inbound.c
@@ -36,7 +36,7 @@
    begins later than this after another: its caller has left by then.  */
 #define SENT_ID_KEEP_US UINT64_C (10000000)
 
-/* Longest time for which an attempt may have been on its way.  Its sender may
+/* Longest time for which an attempt may have waited unread.  Its sender may
    not know yet, for as long, that its caller has left, and no request may
    reach a server half a second after that.  */
 #define DELAY_MAX_US UINT64_C (300000)
@@ -271,7 +271,7 @@
     mesh_job_refuse (job, MESH_REASON_LEAVING, false);
   else if (job->deadline_us <= now)
     mesh_job_refuse (job, MESH_REASON_WAITED, false);
-  else if (job->delay_us > DELAY_MAX_US)
+  else if (job->unread_us > DELAY_MAX_US)
     mesh_job_refuse (job, MESH_REASON_DELAYED, false);
   else if (inbound->connect_refusals >= MESH_CONNECT_REFUSALS_MAX)
     mesh_job_refuse (job, MESH_REASON_NO_SERVER, false);
--- a/meshd/job.c
+++ b/meshd/job.c
@@ -5,6 +5,7 @@
 
 #include "meshd/inbound_internal.h"
 #include "meshd/log.h"
+#include "net/turns.h"
 
 /* Maximum wait for a slot, as a share of the objective.  A refused request
    goes to another server.  A run takes about half of the objective, so a
@@ -275,7 +276,7 @@
   };
   if (request->objective_left > 0)
     entry->rank.objective_us
-        = time_at_sender (request->objective_left, now, job->delay_us);
+        = time_at_sender (request->objective_left, now, job->unread_us);
   else if (request->objective > 0)
     entry->rank.objective_us = now - 1; /* missed */
 }
@@ -308,7 +309,10 @@
   job->parent_priority = request->parent_priority;
   job->objective_us = objective_us;
   job->delay_us = link == NULL ? 0 : mesh_link_delay_us (link, request->clock);
-  job->deadline_us = time_at_sender (request->left, now, job->delay_us);
+  /* A long body is on its way for as long without waiting.  */
+  if (net_turns_is_behind (inbound->loop))
+    job->unread_us = job->delay_us;
+  job->deadline_us = time_at_sender (request->left, now, job->unread_us);
   fill_entry (job, request, now);
   cds_list_add_tail (&job->node, &inbound->jobs);
   g_hash_table_insert (inbound->by_stream, &job->key, job);
