Take the time of a hello before it is answered

Cause: a daemon answered a hello, and sent all items to a new peer, before it noted when the hello had arrived. If it stood in between, as it does while it builds a large message, or because the process that reads the answer runs first on a busy machine, the bound of the peer's clock was too low by that time, and what waited unread after it counted as fresh.

Ruled out: load alone (7 runs beside 8 busy processes passed).

The test of the deadline did not allow for the way of the hello, by which the bound may be too low (net/turns and docs/design/stalls.md say so): with 20 ms before the note it saw 1,819 ms, at most 1,800. It measures that way now and subtracts it from the time that must be counted; 200 ms without it stay asked.

--- a/meshd/peers.c
+++ b/meshd/peers.c
@@ -138,38 +138,6 @@
   link->peers->events->view (link->peers->context, link);
 }
 
-static void
-receive_hello (struct mesh_link *link, const struct cp_peer_hello *hello)
-{
-  struct mesh_peers *peers = link->peers;
-
-  link->net.record_max = NET_RECORD_MAX;
-  link->incarnation = hello->incarnation;
-  g_free (link->domain);
-  link->domain = g_strdup (hello->domain);
-  link->same_domain = strcmp (link->domain, peers->domain) == 0;
-  if (link->peer != NULL)
-    peer_up (link->peer, hello);
-  else
-    {
-      close_older_links (link);
-      send_hello (link);
-      peers->events->incoming_up (peers->context, link);
-    }
-  receive_view (link, &hello->view);
-}
-
-static void
-answer_ping (struct mesh_link *link, const struct cp_peer_ping *ping)
-{
-  struct cp_peer_message message = { .kind = CP_PEER_PONG };
-
-  message.cp_peer_message_u.ping = (struct cp_peer_ping){
-    .token = ping->token, .clock = now_us (), .view = link->peers->view
-  };
-  mesh_link_send (link, &message);
-}
-
 static struct cp_peer_clock *
 get_clock (struct mesh_peers *peers, uint64_t incarnation)
 {
@@ -202,6 +170,39 @@
   return bound_us - MIN (bound_us, clock_us);
 }
 
+static void
+receive_hello (struct mesh_link *link, const struct cp_peer_hello *hello)
+{
+  struct mesh_peers *peers = link->peers;
+
+  link->net.record_max = NET_RECORD_MAX;
+  link->incarnation = hello->incarnation;
+  mesh_link_delay_us (link, hello->clock);
+  g_free (link->domain);
+  link->domain = g_strdup (hello->domain);
+  link->same_domain = strcmp (link->domain, peers->domain) == 0;
+  if (link->peer != NULL)
+    peer_up (link->peer, hello);
+  else
+    {
+      close_older_links (link);
+      send_hello (link);
+      peers->events->incoming_up (peers->context, link);
+    }
+  receive_view (link, &hello->view);
+}
+
+static void
+answer_ping (struct mesh_link *link, const struct cp_peer_ping *ping)
+{
+  struct cp_peer_message message = { .kind = CP_PEER_PONG };
+
+  message.cp_peer_message_u.ping = (struct cp_peer_ping){
+    .token = ping->token, .clock = now_us (), .view = link->peers->view
+  };
+  mesh_link_send (link, &message);
+}
+
 static void
 dispatch (struct mesh_link *link, const struct cp_peer_message *message)
 {
@@ -211,7 +212,6 @@
     {
     case CP_PEER_HELLO:
       receive_hello (link, &message->cp_peer_message_u.hello);
-      mesh_link_delay_us (link, message->cp_peer_message_u.hello.clock);
       break;
     case CP_PEER_PING:
       mesh_link_delay_us (link, message->cp_peer_message_u.ping.clock);
--- a/regress/meshd/check_mesh_peers.c
+++ b/regress/meshd/check_mesh_peers.c
@@ -33,6 +33,7 @@
 
 static struct stage stage;
 static char instance[64];
+static uint64_t way_us; /* of the last hello, at most */
 
 static void
 setup (void)
@@ -107,11 +108,14 @@
   struct cp_peer_message message = { .kind = CP_PEER_HELLO };
   int fd = stage_open (&stage, 1, 7400);
 
+  uint64_t sent_us = cp_clock_now_us (&cp_clock_boot);
+
   message.cp_peer_message_u.hello.incarnation = INCARNATION;
-  message.cp_peer_message_u.hello.clock = cp_clock_now_us (&cp_clock_boot);
+  message.cp_peer_message_u.hello.clock = sent_us;
   message.cp_peer_message_u.hello.domain = domain;
   send_message (fd, &message);
   read_until (fd, CP_PEER_HELLO, &message);
+  way_us = cp_clock_now_us (&cp_clock_boot) - sent_us;
   mesh_message_free (&message);
   return fd;
 }
@@ -383,7 +387,10 @@
   mesh_message_free (&message);
   stage_server_header (&stage, 1, "X-Cornelpick-Deadline-Ms", left,
                        sizeof left);
-  ck_assert_int_le (atoi (left), REQUEST_LEFT_MS - STOOD_US / 1000);
+  /* The daemon knows its clock and ours as far apart as the hello says, which
+     was on its way as well.  */
+  ck_assert_uint_le ((uint64_t)atoi (left),
+                     REQUEST_LEFT_MS - (STOOD_US - way_us) / 1000);
   close (fd);
 }
 END_TEST
