--- a/regress/meshd/check_mesh_peers.c
+++ b/regress/meshd/check_mesh_peers.c
@@ -56,17 +56,31 @@
   stage_finish (&stage);
 }
 
+/* Sends MESSAGE, and its last byte only after PAUSE_US.  */
 static void
-send_message (int fd, const struct cp_peer_message *message)
+send_message_slowly (int fd, const struct cp_peer_message *message,
+                     unsigned pause_us)
 {
   GByteArray *record = mesh_message_encode (message);
   uint32_t length = htonl (record->len - 4);
+  size_t first = record->len - (pause_us > 0 ? 1 : 0);
 
   memcpy (record->data, &length, sizeof length);
-  ck_assert_int_eq (write (fd, record->data, record->len), record->len);
+  ck_assert_int_eq (write (fd, record->data, first), first);
+  if (first < record->len)
+    {
+      g_usleep (pause_us);
+      ck_assert_int_eq (write (fd, record->data + first, 1), 1);
+    }
   g_byte_array_unref (record);
 }
 
+static void
+send_message (int fd, const struct cp_peer_message *message)
+{
+  send_message_slowly (fd, message, 0);
+}
+
 static void
 read_exactly (int fd, void *buffer, size_t size)
 {
@@ -120,8 +134,10 @@
   return fd;
 }
 
+/* Sends a request, and the last byte of its record only after PAUSE_US.  */
 static void
-send_request (int fd, uint64_t stream, const char *path, bool idempotent)
+send_request_slowly (int fd, uint64_t stream, const char *path,
+                     bool idempotent, unsigned pause_us)
 {
   CP_AUTO_FREE char *head = g_strdup_printf (
       "%s %s HTTP/1.1\r\nHost: alpha.test\r\nX-Cornelpick-Request-Id: q%u\r\n",
@@ -139,7 +155,13 @@
                                   .objective = 500,
                                   .idempotent = idempotent,
                                   .head = head };
-  send_message (fd, &message);
+  send_message_slowly (fd, &message, pause_us);
+}
+
+static void
+send_request (int fd, uint64_t stream, const char *path, bool idempotent)
+{
+  send_request_slowly (fd, stream, path, idempotent, 0);
 }
 
 static void
@@ -395,6 +417,24 @@
 }
 END_TEST
 
+/* Guards against long bodies on slow links that are refused, or get less time,
+   as if they had waited unread.  */
+START_TEST (the_time_that_a_request_takes_to_arrive_is_not_counted)
+{
+  struct cp_peer_message message;
+  char left[32];
+  int fd = open_link ();
+
+  send_request_slowly (fd, 1, "/write/1", false, 500000);
+  read_until (fd, CP_PEER_ANSWER, &message);
+  mesh_message_free (&message);
+  stage_server_header (&stage, 1, "X-Cornelpick-Deadline-Ms", left,
+                       sizeof left);
+  ck_assert_int_gt (atoi (left), REQUEST_LEFT_MS - 500);
+  close (fd);
+}
+END_TEST
+
 static void
 expect_refused_as_leaving (int fd, uint64_t stream)
 {
@@ -472,6 +512,8 @@
       tests, a_request_that_was_cancelled_while_the_daemon_stood_is_not_sent);
   tcase_add_test (tests, a_request_that_waited_unread_for_long_is_refused);
   tcase_add_test (tests, the_deadline_counts_while_a_request_waits_unread);
+  tcase_add_test (tests,
+                  the_time_that_a_request_takes_to_arrive_is_not_counted);
   tcase_add_test (tests, the_drain_time_counts_while_the_news_waits_unread);
   tcase_add_test (tests, the_drain_time_counts_while_the_news_passes_daemons);
 }
