Keep the halves of a partition apart while the test changes its cuts

Cause: the test healed all cuts and then made others. In between, VMs 4 to 6 could learn of version 5 from the other half or from the service, after which they rightly never take 3. No fault of the daemon was involved.

The test now adds the cut of VMs 1 to 3 from the service, changes the document, and only then takes back the cut of 4 to 6; what it asks is the same.

--- a/regress/harness/cuts.c
+++ b/regress/harness/cuts.c
@@ -449,6 +449,24 @@
     uv_async_send (&cuts.changed);
 }
 
+void
+cuts_remove (unsigned from, unsigned to, unsigned other_from,
+             unsigned other_to)
+{
+  const struct range cut = { from, to, other_from, other_to };
+  unsigned kept = 0;
+
+  pthread_mutex_lock (&cuts.lock);
+  for (unsigned i = 0; i < cuts.n_cuts; i++)
+    {
+      if (memcmp (&cuts.cuts[i], &cut, sizeof cut) != 0)
+        cuts.cuts[kept++] = cuts.cuts[i];
+    }
+  harness_require (kept < cuts.n_cuts, "no such cut");
+  cuts.n_cuts = kept;
+  pthread_mutex_unlock (&cuts.lock);
+}
+
 void
 cuts_heal (void)
 {
--- a/regress/harness/cuts.h
+++ b/regress/harness/cuts.h
@@ -19,9 +19,12 @@
 void cuts_start (const char *net, unsigned n_vms);
 void cuts_stop (void);
 
-/* Cuts the VMs FROM to TO off from OTHER_FROM to OTHER_TO.  */
+/* Cuts the VMs FROM to TO off from OTHER_FROM to OTHER_TO, takes that cut
+   back, and heals all cuts.  */
 void cuts_add (unsigned from, unsigned to, unsigned other_from,
                unsigned other_to);
+void cuts_remove (unsigned from, unsigned to, unsigned other_from,
+                  unsigned other_to);
 void cuts_heal (void);
 
 #endif
--- a/regress/harness/spread.c
+++ b/regress/harness/spread.c
@@ -49,6 +49,13 @@
   cuts_add (from, to, other_from, other_to);
 }
 
+void
+fleet_reconnect (unsigned from, unsigned to, unsigned other_from,
+                 unsigned other_to)
+{
+  cuts_remove (from, to, other_from, other_to);
+}
+
 void
 fleet_heal (void)
 {
--- a/regress/harness/spread.h
+++ b/regress/harness/spread.h
@@ -11,10 +11,12 @@
 /* Lets fleets that are started from now on obey cuts.  */
 void fleet_allow_cuts (void);
 
-/* Cuts the VMs FROM to TO off from OTHER_FROM to OTHER_TO, and heals all cuts.
-   The platform is VM 250.  */
+/* Cuts the VMs FROM to TO off from OTHER_FROM to OTHER_TO, takes that cut
+   back, and heals all cuts.  The platform is VM 250.  */
 void fleet_cut (unsigned from, unsigned to, unsigned other_from,
                 unsigned other_to);
+void fleet_reconnect (unsigned from, unsigned to, unsigned other_from,
+                      unsigned other_to);
 void fleet_heal (void);
 
 /* Returns the version in force at a daemon; 0 when it does not answer.  */
--- a/regress/path/check_fleet_partition.c
+++ b/regress/path/check_fleet_partition.c
@@ -55,13 +55,12 @@
   fleet.version = 4;
   fleet_change (&fleet, NULL);
   fleet_wait_version (&fleet, 1, 3, 5);
-  fleet_heal ();
-  fleet_cut (1, 3, 4, 6);
   fleet_cut (1, 3, 250, 250);
   fleet.version = 3;
   control = json_pack ("{s:o}", "stale", fleet_document (&fleet));
   text = json_dumps (control, 0);
   fleet_control (&fleet, 0, text);
+  fleet_reconnect (4, 6, 250, 250);
   fleet_wait_version (&fleet, 4, 6, 3);
   for (unsigned vm = 1; vm <= 3; vm++)
     ck_assert_uint_eq (fleet_version (&fleet, vm), 5);
