Count the way of an attempt if the loop stood at any time of it

Callers may see their requests reach a server half a second after they left (GONE).

Cause: the time on the way counted only if the loop was behind when it read the attempt, that is for three polls after it had stood. A loop that stands lets its sockets fill up; what they hold back is sent and read later.

Now it counts if the loop has stood at any time since the attempt was sent, by the bound of its sender's clock. A long body on a slow link still counts only then.

New test: the last byte of a request comes 200 ms after the daemon goes on; it ran before (the test timed out), and is refused now. check_mesh_peers 15 of 15, check_mesh_stalls 5 of 5.

--- a/meshd/inbound_internal.h
+++ b/meshd/inbound_internal.h
@@ -50,8 +50,7 @@
   uint64_t objective_us;
   uint64_t deadline_us;
   uint64_t delay_us;  /* for how long the attempt was on its way, at least */
-  uint64_t unread_us; /* the same if it waited while the event loop stood, or
-                         0 */
+  uint64_t unread_us; /* the same if the event loop stood meanwhile, or 0 */
   uint64_t started_us;
   uint64_t lost_us; /* when its link broke, or 0 */
   uint64_t ended_us;
--- a/meshd/job.c
+++ b/meshd/job.c
@@ -310,7 +310,7 @@
   job->objective_us = objective_us;
   job->delay_us = link == NULL ? 0 : mesh_link_delay_us (link, request->clock);
   /* A long body is on its way for as long without waiting.  */
-  if (net_turns_is_behind (inbound->loop))
+  if (net_turns_stood_since (inbound->loop, now - MIN (now, job->delay_us)))
     job->unread_us = job->delay_us;
   job->deadline_us = time_at_sender (request->left, now, job->unread_us);
   fill_entry (job, request, now);
--- a/net/turns.c
+++ b/net/turns.c
@@ -31,10 +31,12 @@
 static uint64_t
 check_stood (struct net_turns *turns)
 {
-  uint64_t unread_us = now_us () - turns->read_until_us;
+  uint64_t now = now_us ();
+  uint64_t unread_us = now - turns->read_until_us;
 
   if (unread_us <= STOOD_US)
     return 0;
+  turns->stood_until_us = now;
   if (turns->polls_left == 0)
     {
       turns->polls_left = POLLS_TO_SETTLE;
@@ -109,6 +111,15 @@
   return turns->polls_left > 0;
 }
 
+bool
+net_turns_stood_since (uv_loop_t *loop, uint64_t since_us)
+{
+  const struct net_turns *turns = loop->data;
+
+  return net_turns_is_behind (loop)
+         || (turns != NULL && turns->stood_until_us > since_us);
+}
+
 bool
 net_turns_defer (uv_timer_t *timer, uv_timer_cb callback)
 {
--- a/net/turns.h
+++ b/net/turns.h
@@ -28,12 +28,13 @@
 {
   uv_prepare_t prepare;
   uv_check_t check;
-  uv_idle_t idle;         /* active while the loop is behind, which keeps a
-                             poll from waiting */
-  uint64_t poll_began_us; /* when the last poll began */
-  uint64_t read_until_us; /* what had arrived by then has been read */
-  unsigned polls_left;    /* until the loop is no longer behind */
-  bool settled;           /* in this turn: nothing waits any longer */
+  uv_idle_t idle;          /* active while the loop is behind, which keeps a
+                              poll from waiting */
+  uint64_t poll_began_us;  /* when the last poll began */
+  uint64_t read_until_us;  /* what had arrived by then has been read */
+  uint64_t stood_until_us; /* when the loop was last found to have stood */
+  unsigned polls_left;     /* until the loop is no longer behind */
+  bool settled;            /* in this turn: nothing waits any longer */
   const struct net_turns_events *events;
   void *context;
 };
@@ -49,6 +50,12 @@
    meanwhile.  */
 bool net_turns_is_behind (uv_loop_t *loop);
 
+/* Returns whether LOOP has stood at some time after SINCE_US, of the clock
+   that counts suspended time.  What was sent before that may have waited for
+   the loop, also if it is read when the loop is no longer behind: what a full
+   socket held back arrives later.  */
+bool net_turns_stood_since (uv_loop_t *loop, uint64_t since_us);
+
 /* Called by CALLBACK of TIMER before it does anything.  If the loop is behind,
    returns true and has CALLBACK called again soon.  */
 bool net_turns_defer (uv_timer_t *timer, uv_timer_cb callback);
--- a/regress/meshd/check_mesh_peers.c
+++ b/regress/meshd/check_mesh_peers.c
@@ -1,5 +1,6 @@
 /* Peer messages to an inbound side; the test acts as the outbound side.  */
 #include <arpa/inet.h>
+#include <pthread.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
@@ -347,6 +348,14 @@
   process_signal (&stage.daemons[1], SIGCONT);
 }
 
+static void *
+go_on_later (void *context)
+{
+  g_usleep (STOOD_US);
+  go_on ();
+  return context;
+}
+
 /* Guards against a request that reaches the server although its cancel has
    arrived, because the daemon stood and reads one after the other.  */
 START_TEST (a_request_that_was_cancelled_while_the_daemon_stood_is_not_sent)
@@ -417,6 +426,27 @@
 }
 END_TEST
 
+/* Guards against the same when the socket was full, so that the end of the
+   request arrives after the daemon has read what was there.  */
+START_TEST (a_request_that_waited_for_a_full_socket_is_refused)
+{
+  struct cp_peer_message message;
+  pthread_t thread;
+  int fd = open_link ();
+
+  stand ();
+  ck_assert_int_eq (pthread_create (&thread, NULL, go_on_later, NULL), 0);
+  send_request_slowly (fd, 1, "/write/1", false, STOOD_US * 2);
+  pthread_join (thread, NULL);
+  read_until (fd, CP_PEER_REFUSAL, &message);
+  ck_assert_uint_eq (message.cp_peer_message_u.refusal.reason,
+                     MESH_REASON_DELAYED);
+  mesh_message_free (&message);
+  ck_assert_uint_eq (stage_runs (&stage, "q1"), 0);
+  close (fd);
+}
+END_TEST
+
 /* Guards against long bodies on slow links that are refused, or get less time,
    as if they had waited unread.  */
 START_TEST (the_time_that_a_request_takes_to_arrive_is_not_counted)
@@ -511,6 +541,7 @@
   tcase_add_test (
       tests, a_request_that_was_cancelled_while_the_daemon_stood_is_not_sent);
   tcase_add_test (tests, a_request_that_waited_unread_for_long_is_refused);
+  tcase_add_test (tests, a_request_that_waited_for_a_full_socket_is_refused);
   tcase_add_test (tests, the_deadline_counts_while_a_request_waits_unread);
   tcase_add_test (tests,
                   the_time_that_a_request_takes_to_arrive_is_not_counted);
