Log the long messages of items that are sent to other daemons

No log line could tell whether its link was full, and of what.

An `items` line names the receiver, the bytes and the state.

--- a/meshd/exchange.c
+++ b/meshd/exchange.c
@@ -469,6 +469,9 @@
   catch_up (exchange);
 }
 
+/* Length of the values of a message from which it is logged.  */
+#define LONG_BYTES 4096
+
 /* Changes that are collected for a peer.  */
 struct item_batch
 {
@@ -477,8 +480,22 @@
   uint64_t unsure_until_us; /* of items that are missing */
   struct cp_peer_item items[ITEMS_MAX];
   unsigned count;
+  gsize bytes; /* length of their values on the link */
 };
 
+static void
+log_items (const struct item_batch *batch, struct cp_store_position position)
+{
+  if (batch->bytes >= LONG_BYTES && mesh_log_allowed (MESH_LOG_ITEMS))
+    mesh_log (MESH_LOG_ITEMS,
+              "\"process\":\"%" G_GINT64_MODIFIER "x\",\"domain\":\"%s\","
+              "\"items\":%u,\"bytes\":%" G_GSIZE_FORMAT ",\"whole\":%s,"
+              "\"era\":%" G_GUINT64_FORMAT ",\"revision\":%" G_GUINT64_FORMAT,
+              batch->link->incarnation, batch->link->domain, batch->count,
+              batch->bytes, batch->whole ? "true" : "false", position.era,
+              position.revision);
+}
+
 /* Sends what has been collected; POSITION has revision 0 if more follows.  */
 static void
 send_items (struct item_batch *batch, struct cp_store_position position)
@@ -493,7 +510,9 @@
   items->items.items_len = batch->count;
   items->items.items_val = batch->items;
   mesh_link_send (batch->link, &message);
+  log_items (batch, position);
   batch->count = 0;
+  batch->bytes = 0;
 }
 
 static void
@@ -518,6 +537,7 @@
   if (value != NULL)
     item->value.value_val = (char *)g_bytes_get_data (value, &length);
   item->value.value_len = (u_int)length;
+  batch->bytes += length;
   if (packed != NULL)
     item->uncompressed_length = (u_int)g_bytes_get_size (record->value);
 }
--- a/meshd/log.c
+++ b/meshd/log.c
@@ -37,6 +37,7 @@
   [MESH_LOG_SHUTDOWN] = "shutdown",
   [MESH_LOG_STORE] = "store",
   [MESH_LOG_WATCH] = "watch",
+  [MESH_LOG_ITEMS] = "items",
   [MESH_LOG_ERA] = "era",
   [MESH_LOG_TABLE] = "table",
   [MESH_LOG_SERVER] = "server",
