Pace long answers to pulls, so that a daemon's link is not full for long

What callers saw: requests that arrived 0.5 to 1.2 s after they were sent, through daemons that did not stand, and so after their clients had left or their server had begun to leave (GONE, DRAIN); 503 and second attempts as the daemon's peers counted as silent.

Cause: many daemons pull a long document at once from one that has it, and it answers all. Its link is full for a second, and requests, the cancels behind them and pings wait. A pull that was not answered within 0.2 s was repeated, also to the same daemon. The class: a limit for each link where the sum of all is what counts.

Now an answer of 4 kB or more leaves only if all before it would leave a link of 10 Mbit/s within 0.1 s. Those that wait are answered later, from the state that the peer reports by then. A daemon asks another peer after 0.4 s, and the same one after 1 s. The answers to pulls are a file of their own now.

--- a/meshd/exchange.c
+++ b/meshd/exchange.c
@@ -3,7 +3,7 @@
 #include "lib/cleanup.h"
 #include "lib/compress.h"
 #include "lib/watchers.h"
-#include "meshd/exchange.h"
+#include "meshd/exchange_internal.h"
 #include "meshd/log.h"
 
 /* Minimum number of watchers in a failure domain, and in all domains together.
@@ -39,11 +39,13 @@
    pulls the changes.  A store call takes some milliseconds.  */
 #define WATCH_LAG_MAX_US UINT64_C (400000)
 
-/* Minimum time between two pulls.  */
+/* Minimum time between two pulls, and the time after which another peer is
+   asked if the first has not answered.  */
 #define PULL_INTERVAL_US UINT64_C (200000)
+#define PULL_TIMEOUT_US UINT64_C (400000)
 
-/* Maximum number of items in one message.  */
-#define ITEMS_MAX 1000
+/* Minimum time between two pulls from a peer that has not answered.  */
+#define PULL_REPEAT_US UINT64_C (1000000)
 
 static uint64_t
 now_us (void)
@@ -176,12 +178,8 @@
   announce_position (exchange, from_store);
 }
 
-/* Returns until when a server may write its entry again whose removal is
-   learned now from the store; 0 if the removal cannot be due to a failure of
-   the store.  A call that fails late says nothing of the present: what counts
-   is when the store answered again.  */
-static uint64_t
-unsure_until_us (const struct mesh_exchange *exchange)
+uint64_t
+mesh_exchange_unsure_until_us (const struct mesh_exchange *exchange)
 {
   const struct platform_store *store = &exchange->store;
   uint64_t now = now_us ();
@@ -194,19 +192,6 @@
   return store->returned_us + LAPSED_ENTRY_KEEP_US;
 }
 
-/* Converts to the form in messages.  */
-static u_int
-unsure_to_wire (uint64_t until_us)
-{
-  uint64_t now = now_us ();
-
-  if (until_us == 0)
-    return 0;
-  if (until_us <= now)
-    return 1;
-  return (u_int)MAX ((until_us - now) / CP_US_PER_MS, 1U);
-}
-
 /* Converts from the form in a message that was on its way for DELAY_US.  A
    peer cannot make this daemon keep a server for longer than it would by
    itself.  */
@@ -218,16 +203,6 @@
   return unsure_ms == 0 ? 0 : now_us () + left_us - MIN (left_us, delay_us);
 }
 
-/* Converts the time of a change to its age in messages.  */
-static u_int
-age_to_wire (uint64_t changed_us)
-{
-  uint64_t age_ms = (now_us () - changed_us) / CP_US_PER_MS + 1;
-
-  return changed_us == 0 ? CP_PEER_AGE_UNKNOWN
-                         : (u_int)MIN (age_ms, CP_PEER_AGE_UNKNOWN);
-}
-
 /* Converts the age of a change in a message that was on its way for DELAY_US
    to its time.  */
 static uint64_t
@@ -245,7 +220,7 @@
   struct mesh_exchange *exchange = context;
 
   platform_registry_apply (&exchange->registry, item,
-                           unsure_until_us (exchange));
+                           mesh_exchange_unsure_until_us (exchange));
 }
 
 /* Logs that the state in force is of another era of the store than before,
@@ -286,7 +261,7 @@
 {
   struct mesh_exchange *exchange = context;
 
-  end_listing (exchange, position, unsure_until_us (exchange),
+  end_listing (exchange, position, mesh_exchange_unsure_until_us (exchange),
                exchange->store.covered_us);
 }
 
@@ -421,16 +396,18 @@
               exchange->registry.position.revision);
 }
 
-void
-mesh_exchange_receive_view (struct mesh_exchange *exchange,
-                            struct mesh_link *link)
+/* Pulls changes over LINK if its peer has a newer state and it is time to.
+   Returns whether a pull was sent.  */
+static bool
+pull (struct mesh_exchange *exchange, struct mesh_link *link)
 {
   struct cp_peer_message message = { .kind = CP_PEER_PULL };
   struct cp_store_position known = exchange->registry.position;
   uint64_t now = now_us ();
+  uint64_t pulled_us = now - exchange->last_pull_us;
 
-  if (!is_ahead (link, known))
-    return;
+  if (link->net.failed || !is_ahead (link, known))
+    return false;
   if (!cp_store_position_after (exchange->behind, known))
     {
       exchange->behind = mesh_position_from_wire (&link->view.position);
@@ -438,12 +415,28 @@
     }
   if (exchange->store.reachable && exchange->store.call == PLATFORM_STORE_WATCH
       && now - exchange->behind_since_us < WATCH_LAG_MAX_US)
-    return;
-  if (now - exchange->last_pull_us < PULL_INTERVAL_US)
-    return;
+    return false;
+  if (pulled_us < PULL_INTERVAL_US)
+    return false;
+  /* The answer may wait for others at the peer that was asked.  */
+  if (!exchange->pull_answered
+      && pulled_us < (link->incarnation == exchange->pulled_from
+                          ? PULL_REPEAT_US
+                          : PULL_TIMEOUT_US))
+    return false;
   exchange->last_pull_us = now;
+  exchange->pulled_from = link->incarnation;
+  exchange->pull_answered = false;
   message.cp_peer_message_u.position = mesh_position_to_wire (known);
   mesh_link_send (link, &message);
+  return true;
+}
+
+void
+mesh_exchange_receive_view (struct mesh_exchange *exchange,
+                            struct mesh_link *link)
+{
+  pull (exchange, link);
 }
 
 /* Pulls from a peer that has a newer state, if there is one.  Its view may
@@ -455,10 +448,8 @@
 
   cds_list_for_each_entry (link, &exchange->peers->incoming, node)
   {
-    if (link->net.failed || !is_ahead (link, exchange->registry.position))
-      continue;
-    mesh_exchange_receive_view (exchange, link);
-    return;
+    if (pull (exchange, link))
+      return;
   }
 }
 
@@ -467,99 +458,7 @@
 {
   update_watching (exchange);
   catch_up (exchange);
-}
-
-/* Length of the values of a message from which it is logged.  */
-#define LONG_BYTES 4096
-
-/* Changes that are collected for a peer.  */
-struct item_batch
-{
-  struct mesh_link *link;
-  bool whole;
-  uint64_t unsure_until_us; /* of items that are missing */
-  struct cp_peer_item items[ITEMS_MAX];
-  unsigned count;
-  gsize bytes; /* length of their values on the link */
-};
-
-static void
-log_items (const struct item_batch *batch, struct cp_store_position position)
-{
-  if (batch->bytes >= LONG_BYTES && mesh_log_allowed (MESH_LOG_ITEMS))
-    mesh_log (MESH_LOG_ITEMS,
-              "\"process\":\"%" G_GINT64_MODIFIER "x\",\"domain\":\"%s\","
-              "\"items\":%u,\"bytes\":%" G_GSIZE_FORMAT ",\"whole\":%s,"
-              "\"era\":%" G_GUINT64_FORMAT ",\"revision\":%" G_GUINT64_FORMAT,
-              batch->link->incarnation, batch->link->domain, batch->count,
-              batch->bytes, batch->whole ? "true" : "false", position.era,
-              position.revision);
-}
-
-/* Sends what has been collected; POSITION has revision 0 if more follows.  */
-static void
-send_items (struct item_batch *batch, struct cp_store_position position)
-{
-  struct cp_peer_message message = { .kind = CP_PEER_ITEMS };
-  struct cp_peer_items *items = &message.cp_peer_message_u.items;
-
-  items->clock = now_us ();
-  items->position = mesh_position_to_wire (position);
-  items->whole = batch->whole;
-  items->unsure_ms = unsure_to_wire (batch->unsure_until_us);
-  items->items.items_len = batch->count;
-  items->items.items_val = batch->items;
-  mesh_link_send (batch->link, &message);
-  log_items (batch, position);
-  batch->count = 0;
-  batch->bytes = 0;
-}
-
-static void
-add_to_batch (void *context, struct platform_record *record)
-{
-  struct item_batch *batch = context;
-  GBytes *packed = platform_record_packed (record);
-  GBytes *value = packed == NULL ? record->value : packed;
-  struct cp_peer_item *item;
-  gsize length = 0;
-
-  if (batch->count == ITEMS_MAX)
-    send_items (batch, (struct cp_store_position){ 0, 0 });
-  item = &batch->items[batch->count++];
-  *item = (struct cp_peer_item){ .key = record->key,
-                                 .position
-                                 = mesh_position_to_wire (record->position),
-                                 .removed = record->value == NULL,
-                                 .unsure_ms
-                                 = unsure_to_wire (record->unsure_until_us),
-                                 .age = age_to_wire (record->changed_us) };
-  if (value != NULL)
-    item->value.value_val = (char *)g_bytes_get_data (value, &length);
-  item->value.value_len = (u_int)length;
-  batch->bytes += length;
-  if (packed != NULL)
-    item->uncompressed_length = (u_int)g_bytes_get_size (record->value);
-}
-
-void
-mesh_exchange_answer_pull (struct mesh_exchange *exchange,
-                           struct mesh_link *link,
-                           const struct cp_peer_position *position)
-{
-  struct item_batch *batch = g_new0 (struct item_batch, 1);
-  struct cp_store_position since = mesh_position_from_wire (position);
-
-  batch->link = link;
-  batch->whole
-      = cp_store_position_after (exchange->registry.removals_from, since);
-  batch->unsure_until_us = unsure_until_us (exchange);
-  if (batch->whole)
-    since = (struct cp_store_position){ 0, 0 };
-  platform_registry_foreach_since (&exchange->registry, since, add_to_batch,
-                                   batch);
-  send_items (batch, exchange->registry.position);
-  g_free (batch);
+  mesh_exchange_answer_waiting (exchange);
 }
 
 /* How a message with items arrived.  */
@@ -643,6 +542,7 @@
      pulled again.  */
   if (position.revision == 0 || !all_readable)
     return;
+  exchange->pull_answered = true;
   if (items->whole)
     {
       end_listing (exchange, position,
@@ -661,9 +561,9 @@
                     const struct platform_registry_events *events,
                     void *context)
 {
-  *exchange = (struct mesh_exchange){ .peers = peers,
-                                      .random = random,
-                                      .watching = true };
+  *exchange = (struct mesh_exchange){
+    .peers = peers, .random = random, .watching = true, .pull_answered = true
+  };
   g_strlcpy (exchange->own_address, own->text, sizeof exchange->own_address);
   platform_registry_init (&exchange->registry, events, context);
   platform_store_init (&exchange->store, loop, store, random, &store_events,
--- a/meshd/exchange.h
+++ b/meshd/exchange.h
@@ -11,6 +11,7 @@
 #ifndef MESHD_EXCHANGE_H
 #define MESHD_EXCHANGE_H
 
+#include "lib/send_pace.h"
 #include "meshd/peers.h"
 #include "platform/registry.h"
 #include "platform/store.h"
@@ -25,6 +26,9 @@
                                               election */
   bool watching;
   uint64_t last_pull_us;           /* when changes were last pulled */
+  uint64_t pulled_from;            /* incarnation of the peer */
+  bool pull_answered;              /* they have arrived */
+  struct cp_send_pace pace;        /* of answers to pulls */
   struct cp_store_position behind; /* newer state that a peer has, */
   uint64_t behind_since_us;        /* and when that was first seen */
 };
@@ -41,8 +45,8 @@
 void mesh_exchange_stop (struct mesh_exchange *exchange);
 void mesh_exchange_finish (struct mesh_exchange *exchange);
 
-/* Repeats the election, and pulls changes from a peer that has a newer
-   state.  */
+/* Repeats the election, pulls changes from a peer that has a newer state, and
+   answers pulls that wait.  */
 void mesh_exchange_tick (struct mesh_exchange *exchange);
 
 /* Handles a new view of the store from the peer of LINK: pulls changes if the
@@ -50,7 +54,9 @@
 void mesh_exchange_receive_view (struct mesh_exchange *exchange,
                                  struct mesh_link *link);
 
-/* Sends the peer of LINK the changes after POSITION.  */
+/* Sends the peer of LINK the changes after POSITION.  Long ones wait until
+   what other peers were sent has left; what the peer reports to have by then
+   is not sent.  */
 void mesh_exchange_answer_pull (struct mesh_exchange *exchange,
                                 struct mesh_link *link,
                                 const struct cp_peer_position *position);
--- a/meshd/peers.h
+++ b/meshd/peers.h
@@ -35,6 +35,14 @@
 
 extern const char *const mesh_message_names[MESH_MESSAGE_KINDS];
 
+/* A request of a peer for the changes after a position.  */
+struct mesh_pull
+{
+  bool waits; /* for the link, which others use */
+  struct cp_store_position since;
+  uint64_t answered_us; /* when one with the same position was answered */
+};
+
 struct mesh_link
 {
   struct net_link net;
@@ -45,6 +53,7 @@
   char *domain;             /* its failure domain; NULL before its hello */
   bool same_domain;         /* that is our own */
   struct cp_peer_view view; /* what it last reported about the store */
+  struct mesh_pull pull;    /* the last one */
 };
 
 struct mesh_peer
--- a/regress/meshd/check_mesh_peers.c
+++ b/regress/meshd/check_mesh_peers.c
@@ -4,10 +4,12 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "lib/cleanup.h"
 #include "lib/clock.h"
+#include "lib/send_pace.h"
 #include "meshd/wire.h"
 #include "regress/harness/stage.h"
 #include "regress/harness/suite.h"
@@ -15,6 +17,13 @@
 #define VMS 2 /* VM 1 serves alpha */
 #define INCARNATION 4242
 
+/* Daemons that ask for a long document, and its length, half of which is sent
+   as it is packed.  */
+#define PULLERS 8
+#define DOCUMENT_DIGITS 300000
+#define DOCUMENT_SENT_MIN 140000
+#define DOCUMENT_SENT_MAX 200000
+
 /* Time after which no request may reach a server that has left.  */
 #define DRAIN_US 2000000
 
@@ -117,7 +126,7 @@
 }
 
 static int
-open_link (void)
+open_link_as (uint64_t incarnation)
 {
   static char domain[] = "zone-a";
   struct cp_peer_message message = { .kind = CP_PEER_HELLO };
@@ -125,7 +134,7 @@
 
   uint64_t sent_us = cp_clock_now_us (&cp_clock_boot);
 
-  message.cp_peer_message_u.hello.incarnation = INCARNATION;
+  message.cp_peer_message_u.hello.incarnation = incarnation;
   message.cp_peer_message_u.hello.clock = sent_us;
   message.cp_peer_message_u.hello.domain = domain;
   send_message (fd, &message);
@@ -135,6 +144,12 @@
   return fd;
 }
 
+static int
+open_link (void)
+{
+  return open_link_as (INCARNATION);
+}
+
 /* Sends a request, and the last byte of its record only after PAUSE_US.  */
 static void
 send_request_slowly (int fd, uint64_t stream, const char *path,
@@ -479,6 +494,104 @@
   ck_assert_uint_eq (stage_runs (&stage, id), 0);
 }
 
+/* Puts a value into the store that cannot be packed to less than half.  */
+static void
+put_long_document (void)
+{
+  CP_AUTO_FREE char *text = g_malloc (DOCUMENT_DIGITS + 1);
+  GRand *random = g_rand_new_with_seed (1);
+
+  for (unsigned i = 0; i < DOCUMENT_DIGITS; i++)
+    text[i] = "0123456789abcdef"[g_rand_int_range (random, 0, 16)];
+  text[DOCUMENT_DIGITS] = '\0';
+  g_rand_free (random);
+  stage_put (&stage, "op/evacuate/zone-a", text);
+  wait_until (is_evacuated, NULL);
+}
+
+static void
+send_pull (int fd)
+{
+  struct cp_peer_message message = { .kind = CP_PEER_PULL };
+
+  send_message (fd, &message);
+}
+
+static struct cp_peer_position
+newest_position (void)
+{
+  return (
+      struct cp_peer_position){ stage_counter (&stage, 1, "store_era"),
+                                stage_counter (&stage, 1, "store_revision") };
+}
+
+static void
+send_view (int fd, struct cp_peer_position position)
+{
+  struct cp_peer_message message = { .kind = CP_PEER_VIEW };
+
+  message.cp_peer_message_u.view.position = position;
+  send_message (fd, &message);
+}
+
+/* Reads what has arrived at FD.  Returns the number of bytes.  */
+static size_t
+read_available (int fd)
+{
+  static char buffer[65536];
+  size_t sum = 0;
+  ssize_t count;
+
+  while ((count = recv (fd, buffer, sizeof buffer, MSG_DONTWAIT)) > 0)
+    sum += (size_t)count;
+  return sum;
+}
+
+/* Guards against a daemon that fills its link for long, so that requests,
+   cancels and pings wait, because many ask it for a long document at once.  */
+START_TEST (a_long_document_is_sent_to_few_at_a_time)
+{
+  int fds[PULLERS + 1];
+  size_t got[PULLERS + 1] = { 0 };
+  unsigned done = 0;
+  uint64_t began_us;
+  struct cp_peer_position newest;
+
+  put_long_document ();
+  newest = newest_position ();
+  for (unsigned i = 0; i <= PULLERS; i++)
+    fds[i] = open_link_as (INCARNATION + i);
+  began_us = cp_clock_now_us (&cp_clock_boot);
+  for (unsigned i = 0; i <= PULLERS; i++)
+    send_pull (fds[i]);
+  /* The last one has it by the time when its turn comes.  */
+  send_view (fds[PULLERS], newest);
+  while (done < PULLERS)
+    {
+      size_t sum = 0;
+      uint64_t took_us;
+
+      done = 0;
+      for (unsigned i = 0; i < PULLERS; i++)
+        {
+          got[i] += read_available (fds[i]);
+          done += got[i] >= DOCUMENT_SENT_MIN;
+          sum += got[i];
+        }
+      took_us = cp_clock_now_us (&cp_clock_boot) - began_us;
+      ck_assert_uint_lt (sum, (took_us + CP_SEND_PACE_BACKLOG_US)
+                                      * CP_SEND_PACE_BYTES_PER_S / CP_US_PER_S
+                                  + DOCUMENT_SENT_MAX);
+      ck_assert_uint_lt (took_us, 5 * CP_US_PER_S);
+      g_usleep (1000);
+    }
+  g_usleep (ARRIVAL_US);
+  ck_assert_uint_lt (read_available (fds[PULLERS]), DOCUMENT_SENT_MIN);
+  for (unsigned i = 0; i <= PULLERS; i++)
+    close (fds[i]);
+}
+END_TEST
+
 /* Guards against requests that reach a server that has left, because the
    daemon beside it learned of that late.  */
 START_TEST (the_drain_time_counts_while_the_news_waits_unread)
@@ -545,6 +658,7 @@
   tcase_add_test (tests, the_deadline_counts_while_a_request_waits_unread);
   tcase_add_test (tests,
                   the_time_that_a_request_takes_to_arrive_is_not_counted);
+  tcase_add_test (tests, a_long_document_is_sent_to_few_at_a_time);
   tcase_add_test (tests, the_drain_time_counts_while_the_news_waits_unread);
   tcase_add_test (tests, the_drain_time_counts_while_the_news_passes_daemons);
 }
