Look at pulls that wait only when one may be answered

Each tick summed the lengths of what each waiting peer misses: work for the product of servers and waiting peers, ten times a second, while nothing could be sent. At 4,400 servers and 490 peers that is 21 million visits a second, by count. Now a tick looks at one only while the pace allows.

--- a/meshd/exchange_pulls.c
+++ b/meshd/exchange_pulls.c
@@ -194,12 +194,13 @@
 }
 
 static void
-answer_waiting_pull (struct mesh_exchange *exchange, struct mesh_link *link)
+answer_if_waiting (struct mesh_exchange *exchange, struct mesh_link *link)
 {
   struct cp_store_position reported
       = mesh_position_from_wire (&link->view.position);
 
-  if (!link->pull.waits || link->net.failed)
+  if (!link->pull.waits || link->net.failed
+      || !cp_send_pace_allows (&exchange->pace, now_us ()))
     return;
   if (cp_store_position_after (reported, link->pull.since))
     link->pull.since = reported;
@@ -216,8 +217,8 @@
   struct mesh_peer *peer;
 
   cds_list_for_each_entry (link, &exchange->peers->incoming, node)
-      answer_waiting_pull (exchange, link);
+      answer_if_waiting (exchange, link);
   cds_list_for_each_entry (peer, &exchange->peers->outgoing,
                            node) if (peer->link != NULL)
-      answer_waiting_pull (exchange, peer->link);
+      answer_if_waiting (exchange, peer->link);
 }
--- a/regress/meshd/check_mesh_peers.c
+++ b/regress/meshd/check_mesh_peers.c
@@ -17,12 +17,12 @@
 #define VMS 2 /* VM 1 serves alpha */
 #define INCARNATION 4242
 
-/* Daemons that ask for a long document, and its length, half of which is sent
-   as it is packed.  */
-#define PULLERS 8
-#define DOCUMENT_DIGITS 300000
-#define DOCUMENT_SENT_MIN 140000
-#define DOCUMENT_SENT_MAX 200000
+/* Daemons that ask for a long document, and its length, some half of which is
+   sent as it is packed.  */
+#define PULLERS 4
+#define DOCUMENT_DIGITS 1000000
+#define DOCUMENT_SENT_MIN 500000
+#define DOCUMENT_SENT_MAX 700000
 
 /* Time after which no request may reach a server that has left.  */
 #define DRAIN_US 2000000
@@ -507,6 +507,8 @@
   g_rand_free (random);
   stage_put (&stage, "op/evacuate/zone-a", text);
   wait_until (is_evacuated, NULL);
+  /* The position follows when the whole response has been read.  */
+  g_usleep (ARRIVAL_US);
 }
 
 static void
@@ -562,7 +564,10 @@
   for (unsigned i = 0; i <= PULLERS; i++)
     fds[i] = open_link_as (INCARNATION + i);
   began_us = cp_clock_now_us (&cp_clock_boot);
-  for (unsigned i = 0; i <= PULLERS; i++)
+  send_pull (fds[0]);
+  while (got[0] == 0)
+    got[0] = read_available (fds[0]);
+  for (unsigned i = 1; i <= PULLERS; i++)
     send_pull (fds[i]);
   /* The last one has it by the time when its turn comes.  */
   send_view (fds[PULLERS], newest);
@@ -582,7 +587,7 @@
       ck_assert_uint_lt (sum, (took_us + CP_SEND_PACE_BACKLOG_US)
                                       * CP_SEND_PACE_BYTES_PER_S / CP_US_PER_S
                                   + DOCUMENT_SENT_MAX);
-      ck_assert_uint_lt (took_us, 5 * CP_US_PER_S);
+      ck_assert_uint_lt (took_us, 10 * CP_US_PER_S);
       g_usleep (1000);
     }
   g_usleep (ARRIVAL_US);
