Wait until a call is counted before its metrics are checked

Seen once in the thread build: the test program ended with status 2, "Message string too long". The failed assertion was the count of calls: a call is added to call_duration_seconds when its answer has been sent, since that is what is measured, and the caller may ask for the metrics before. It asks again until both are counted; a count that passes 2 fails as before. assert_has shows 4000 characters of a text, so that the message names the assertion.

--- a/regress/harness/command.c
+++ b/regress/harness/command.c
@@ -9,6 +9,9 @@
 
 #define ARGUMENTS_MAX 12
 
+/* Characters of a text that a failed assertion shows.  */
+#define SHOWN_MAX 4000
+
 /* Returns the folder that the variable NAME gives.  */
 static const char *
 folder_of (const char *name, const char *fallback)
@@ -56,8 +59,9 @@
 void
 assert_has (const char *text, const char *part)
 {
-  ck_assert_msg (strstr (text, part) != NULL, "\"%s\" is not in:\n%s", part,
-                 text);
+  /* A message that is too long ends the program without being shown.  */
+  ck_assert_msg (strstr (text, part) != NULL, "\"%s\" is not in:\n%.*s", part,
+                 SHOWN_MAX, text);
 }
 
 void
--- a/regress/path/check_operators_tables.c
+++ b/regress/path/check_operators_tables.c
@@ -194,29 +194,47 @@
 }
 END_TEST
 
+struct metrics_page
+{
+  struct fleet *fleet;
+  struct reply reply;
+};
+
+/* A call is counted when its answer has been sent, which its caller may see
+   first.  */
+static bool
+two_calls_are_counted (void *context)
+{
+  struct metrics_page *page = context;
+  char admin[56];
+
+  http_call (&page->reply, fleet_address (page->fleet, 1, PORT_ADMIN, admin),
+             "GET", "/metrics", NULL, NULL, 5000);
+  return strstr (page->reply.body->str,
+                 "\ncornelpick_call_duration_seconds_count 2\n")
+         != NULL;
+}
+
 START_TEST (metrics_are_right_to_a_strict_parser)
 {
   static const char *const zero_counters[]
       = { "late_starts_total", "leaving_starts_total",
           "configuration_older_total", "budget_overdrafts_total" };
   struct fleet fleet;
-  struct reply reply;
-  char admin[56];
+  struct metrics_page page = { .fleet = &fleet };
   char id[64];
   char *fault;
 
   fleet_start (&fleet, 1, 1, NULL);
   call_for_id (&fleet, "GET", "/items/1", id);
   call_for_id (&fleet, "POST", "/orders", id);
-  reply_init (&reply);
-  http_call (&reply, fleet_address (&fleet, 1, PORT_ADMIN, admin), "GET",
-             "/metrics", NULL, NULL, 5000);
-  fault = exposition_check (reply.body->str, SERIES_MAX);
+  reply_init (&page.reply);
+  wait_until (two_calls_are_counted, &page);
+  fault = exposition_check (page.reply.body->str, SERIES_MAX);
   ck_assert_msg (fault == NULL, "%s", fault);
-  assert_has (reply.body->str, "\ncornelpick_call_duration_seconds_count 2\n");
   for (unsigned i = 0; i < G_N_ELEMENTS (zero_counters); i++)
     ck_assert_uint_eq (fleet_counter (&fleet, 1, zero_counters[i]), 0);
-  reply_finish (&reply);
+  reply_finish (&page.reply);
   fleet_stop (&fleet);
 }
 END_TEST
