Send an attempt whose connection was silent to its only target again

cornelpickd answered 503, not-run, to calls that had most of their time left and whose only target worked. Seen in check_attempts_answers in the thread build beside other load, in 4 of 12 runs (load average 17 on five cores): explain tells that the attempt was fenced after 100 ms, since it had not arrived, and came 5 ms later; the target counted as tried, and there was no other. The class: a slow or silent connection counts as a target that refused.

If no other target is left, the one whose attempt was fenced is used once more, over a new connection and with twice the time until it counts as silent.

--- a/cornelpickd/attempt.c
+++ b/cornelpickd/attempt.c
@@ -273,6 +273,9 @@
   attempt->silence_timeout_us = entry.latency_us * SILENCE_LATENCY_FACTOR;
   if (attempt->silence_timeout_us < SILENCE_US_MIN)
     attempt->silence_timeout_us = SILENCE_US_MIN;
+  /* The way may be slow rather than silent.  */
+  if (attempt->call->silent_target_used)
+    attempt->silence_timeout_us *= 2;
   return attempt->started_us + attempt->silence_timeout_us;
 }
 
--- a/cornelpickd/call.c
+++ b/cornelpickd/call.c
@@ -14,11 +14,40 @@
   tried->count++;
 }
 
+/* Removes the target whose connection was silent from those that were tried.
+   Returns false if there is none, or it was removed before.  */
+static bool
+allow_silent_target (struct call *call)
+{
+  struct cp_tried_targets *tried = &call->tried;
+
+  if (call->silent_target[0] == '\0' || call->silent_target_used)
+    return false;
+  for (unsigned i = 0; i < tried->count; i++)
+    if (strcmp (tried->names[i], call->silent_target) == 0)
+      {
+        tried->count--;
+        memmove (tried->names[i], tried->names[tried->count], CP_NAME_BYTES);
+        memmove (tried->domains[i], tried->domains[tried->count],
+                 CP_NAME_BYTES);
+        call->silent_target_used = true;
+        return true;
+      }
+  return false;
+}
+
+static bool
+pick_untried (struct call *call, struct attempt *attempt)
+{
+  return cp_balancer_pick (call->balancer, &call->tried, cp_random_thread (),
+                           &attempt->target, &attempt->incarnation);
+}
+
 bool
 call_pick_target (struct call *call, struct attempt *attempt)
 {
-  if (!cp_balancer_pick (call->balancer, &call->tried, cp_random_thread (),
-                         &attempt->target, &attempt->incarnation))
+  if (!pick_untried (call, attempt)
+      && !(allow_silent_target (call) && pick_untried (call, attempt)))
     return false;
   add_tried (&call->tried, &attempt->target);
   cp_id_create (&attempt->id, cp_random_thread ());
@@ -95,6 +124,9 @@
   uint64_t now = cp_clock_now_us (call->outbound->daemon->clock);
 
   attempt_end (attempt, round->results[index]);
+  if (round->results[index] == UPSTREAM_SILENT
+      && attempt->outcome == ATTEMPT_NOT_RUN)
+    g_strlcpy (call->silent_target, attempt->target.name, CP_NAME_BYTES);
   if (attempt->status == STATUS_NO_ROOM && attempt->outcome == ATTEMPT_NOT_RUN)
     cp_retry_count_end (retry, CP_RETRY_NO_ROOM);
   else
--- a/cornelpickd/cornelpickd.h
+++ b/cornelpickd/cornelpickd.h
@@ -205,6 +205,10 @@
   bool body_incomplete; /* more was read than replay_bytes allows */
   bool hedging;         /* two attempts are in progress */
   bool timed_out;       /* an attempt reached its deadline */
+  /* Target of an attempt that did not arrive since its connection was silent;
+     it is used once more if no other is left.  */
+  char silent_target[CP_NAME_BYTES];
+  bool silent_target_used;
   struct answer answer;
 };
 
--- a/regress/path/check_attempts_silence.c
+++ b/regress/path/check_attempts_silence.c
@@ -124,6 +124,21 @@
 }
 END_TEST
 
+/* Guards against a call that is refused although its only target works: the
+   connection is silent, not the target.  */
+START_TEST (orders_that_never_arrived_run_at_the_only_target)
+{
+  static struct fixture fixture;
+
+  set_up (&fixture);
+  process_signal (&fixture.fleet.daemons[3], SIGKILL);
+  call_until_swallowed (&fixture, RELAY_SWALLOW, "POST");
+  ck_assert_uint_eq (fixture.totals.told[TOLD_RAN], CALLS);
+  ck_assert_uint_eq (fixture.totals.runs, fixture.calls);
+  tear_down (&fixture);
+}
+END_TEST
+
 START_TEST (orders_whose_answer_is_lost_are_unknown)
 {
   static struct fixture fixture;
@@ -192,6 +207,7 @@
 {
   tcase_add_test (tests, idempotent_calls_succeed_elsewhere);
   tcase_add_test (tests, orders_that_never_arrived_run_elsewhere);
+  tcase_add_test (tests, orders_that_never_arrived_run_at_the_only_target);
   tcase_add_test (tests, orders_whose_answer_is_lost_are_unknown);
   tcase_add_test (tests, a_held_order_that_arrives_after_its_fence_is_refused);
   tcase_add_test (tests, slow_answers_are_waited_for);
