Count an attempt as silent, too, whose connection was not up in time

The repeat at the only target depended on the result silent, which an attempt does not have that was fenced before its connection was up: it ends as not sent. Seen in 1 of 9 runs of check_attempts_answers in the thread build beside load: 503 after 110 ms, fenced, never seen by the target's daemon.

--- a/cornelpickd/attempt.c
+++ b/cornelpickd/attempt.c
@@ -240,6 +240,8 @@
     {
     case FENCE_FENCED:
       attempt->outcome = ATTEMPT_NOT_RUN;
+      g_strlcpy (attempt->call->silent_target, attempt->target.name,
+                 CP_NAME_BYTES);
       return 0;
     case FENCE_STARTED:
       attempt->fence_failures = 0;
--- a/cornelpickd/call.c
+++ b/cornelpickd/call.c
@@ -124,9 +124,6 @@
   uint64_t now = cp_clock_now_us (call->outbound->daemon->clock);
 
   attempt_end (attempt, round->results[index]);
-  if (round->results[index] == UPSTREAM_SILENT
-      && attempt->outcome == ATTEMPT_NOT_RUN)
-    g_strlcpy (call->silent_target, attempt->target.name, CP_NAME_BYTES);
   if (attempt->status == STATUS_NO_ROOM && attempt->outcome == ATTEMPT_NOT_RUN)
     cp_retry_count_end (retry, CP_RETRY_NO_ROOM);
   else
