--- a/regress/meshd/check_mesh_life.c
+++ b/regress/meshd/check_mesh_life.c
@@ -1,4 +1,5 @@
 /* Client connections, signals, killed daemons and callers that disconnect.  */
+#include <pthread.h>
 #include <signal.h>
 #include <string.h>
 #include <unistd.h>
@@ -392,6 +393,35 @@
 }
 END_TEST
 
+static void *
+resume_peers (void *context)
+{
+  (void)context;
+  g_usleep (300000);
+  kill (stage.daemons[1].pid, SIGCONT);
+  kill (stage.daemons[2].pid, SIGCONT);
+  return NULL;
+}
+
+/* Guards against callers that are refused by a daemon that has just started
+   and says that it is ready, but has no link to another daemon yet.  */
+START_TEST (a_daemon_that_is_ready_serves_its_first_call)
+{
+  pthread_t thread;
+
+  process_signal (&stage.daemons[3], SIGKILL);
+  process_signal (&stage.daemons[1], SIGSTOP);
+  process_signal (&stage.daemons[2], SIGSTOP);
+  ck_assert_int_eq (pthread_create (&thread, NULL, resume_peers, NULL), 0);
+  stage_start_daemon (&stage, 3);
+  stage_wait_ready (&stage, 3);
+  stage_call (&stage, &reply, 3, "GET", "alpha.test", "/read/1", "first",
+              NULL);
+  pthread_join (thread, NULL);
+  ck_assert_int_eq (reply.status, 200);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
@@ -413,6 +443,7 @@
   tcase_add_test (tests, sigterm_ends_the_daemon_within_the_grace_time);
   tcase_add_test (tests, a_pending_health_check_does_not_delay_the_exit);
   tcase_add_test (tests, invalid_settings_leave_the_old_ones_in_force);
+  tcase_add_test (tests, a_daemon_that_is_ready_serves_its_first_call);
 }
 
 int
