review: put the cases behind the limits of the pages

The uploads of case 6 went without a link between the machines, and the entries of case 7 were of machines that were down, which the platform removes. Adds links of a rate, seeds and the end of all daemons with their script; case 7 kills all daemons at once. Removes the cases of slow readers and of answers that are ready at once, and makes case 10 case 8.

--- a/review/7/case.c
+++ b/review/7/case.c
@@ -1,43 +1,31 @@
-/* A daemon starts while a server leaves, and reads a listing of several pages,
-   of which the later ones are stale.  The server must get no requests later
-   than the drain time after the store acknowledged that it is gone.
-
-   Variant "own": it is the daemon beside the server.
-   Variant "other": it is that of another machine; the one beside the server
-   runs undisturbed.  */
+/* All daemons are killed at once, just after a server has left, and start
+   again. The later pages of the listings that they read are stale.  The server
+   must get no requests later than the drain time after the store acknowledged
+   that it is gone.  */
 #include <signal.h>
 #include <stdio.h>
-#include <string.h>
 
 #include "review/stand_ins.h"
 
-/* Machine 1 has the server that leaves.  */
-#define MACHINES 4
+/* Machines 1 to 3 have servers of alpha, the others of beta.  That of machine
+   1 leaves.  Its key comes last, so that it is on the second page.  */
+#define MACHINES 56
+#define SERVERS_OF_ALPHA 3
 #define LEAVING "i-z-1"
-
-/* Entries of other servers, whose machines are down, so that a listing has two
-   pages.  Their keys come before those of the servers of alpha.  */
-#define OTHERS 52
-#define FIRST_OTHER 100
 #define PAGE_ITEMS 50
 
+#define DRAIN_MS 2500
+
 #define STALE_MS 2000
 #define CALLERS 8
 #define WORK_MS 300
 
-/* Time for which the daemon is down, and from the removal to its start.  */
-#define DOWN_MS 1000
-#define START_OWN_MS 700
-#define START_OTHER_MS 5
-
-/* Time from a change of another entry to the removal.  */
-#define CHANGE_MS 100
-
-/* After the removal: from when late requests are counted, drain and some time
-   on the way, or the start, contact and some time; and the end of the
+/* After the removal: the kill of the daemons, their start, from when late
+   requests are counted (the start, contact and some time), and the end of the
    server.  */
-#define COUNT_OWN_MS 5000
-#define COUNT_OTHER_MS 2300
+#define KILL_MS 200
+#define START_MS 700
+#define COUNT_MS 5000
 #define END_MS 9000
 
 static struct deployment deployment;
@@ -75,7 +63,7 @@
 static const char *
 service_of (unsigned machine)
 {
-  return machine == MACHINES ? "beta" : "alpha";
+  return machine <= SERVERS_OF_ALPHA ? "alpha" : "beta";
 }
 
 /* Returns the server that will leave.  */
@@ -86,16 +74,11 @@
   char ip[24];
   char id[16];
 
-  for (unsigned i = FIRST_OTHER; i < FIRST_OTHER + OTHERS; i++)
-    {
-      g_snprintf (id, sizeof id, "i-a-%u", i);
-      deployment_enter (&deployment, i, id, "beta", "ready");
-    }
   for (unsigned i = 1; i <= MACHINES; i++)
     {
       struct server *server;
 
-      g_snprintf (id, sizeof id, "i-m-%u", i);
+      g_snprintf (id, sizeof id, "i-a-%u", i);
       server = server_start (machine_ip (&deployment, i, ip),
                              i == 1 ? LEAVING : id);
       leaving = i == 1 ? server : leaving;
@@ -118,46 +101,41 @@
   sleep_ms (1000);
 }
 
-/* Kills the daemon of MACHINE, removes the entry of the server that leaves,
-   and starts the daemon START_MS later.  Returns the time of the removal.  */
-static int64_t
-remove_and_start (unsigned machine, int64_t start_ms)
+/* Kills all daemons and starts them again START_MS after GONE_MS.  */
+static void
+restart_all (int64_t gone_ms)
 {
-  int64_t gone_ms;
-
-  daemon_signal (&deployment, machine, SIGKILL);
-  sleep_ms (DOWN_MS - CHANGE_MS - start_ms);
-  deployment_enter (&deployment, 2, "i-m-2", "alpha", "ready");
-  sleep_ms (CHANGE_MS);
-  if (has_trouble ())
-    store_set_stale (deployment.store, STALE_MS);
-  store_remove (deployment.store, "servers/" LEAVING);
-  gone_ms = now_ms ();
-  sleep_ms (start_ms);
-  daemon_start (&deployment, machine, service_of (machine));
-  daemon_wait_ready (&deployment, machine);
-  return gone_ms;
+  for (unsigned i = 1; i <= MACHINES; i++)
+    daemon_signal (&deployment, i, SIGKILL);
+  sleep_ms (gone_ms + START_MS - now_ms ());
+  for (unsigned i = 1; i <= MACHINES; i++)
+    daemon_start (&deployment, i, service_of (i));
+  for (unsigned i = 1; i <= MACHINES; i++)
+    daemon_wait_ready (&deployment, i);
 }
 
 int
 main (int argc, char **argv)
 {
+  static const unsigned seeds[3] = { 2, 3, 4 };
   struct server *leaving;
   int64_t gone_ms;
-  int64_t count_ms;
   unsigned late;
-  bool own;
 
-  need (argc == 3, "usage: case RECORD own|other");
-  own = strcmp (argv[2], "own") == 0;
-  count_ms = own ? COUNT_OWN_MS : COUNT_OTHER_MS;
+  need (argc == 2, "usage: case RECORD");
   deployment_init (&deployment, argv[1], PAGE_ITEMS);
+  deployment.drain_ms = DRAIN_MS;
+  deployment_seed (&deployment, seeds);
   deployment_configure (&deployment, 1);
   leaving = start_servers ();
   start_all ();
-  gone_ms = own ? remove_and_start (1, START_OWN_MS)
-                : remove_and_start (MACHINES, START_OTHER_MS);
-  sleep_ms (gone_ms + count_ms - now_ms ());
+  if (has_trouble ())
+    store_set_stale (deployment.store, STALE_MS);
+  store_remove (deployment.store, "servers/" LEAVING);
+  gone_ms = now_ms ();
+  sleep_ms (KILL_MS);
+  restart_all (gone_ms);
+  sleep_ms (gone_ms + COUNT_MS - now_ms ());
   late = server_runs (leaving);
   sleep_ms (gone_ms + END_MS - now_ms ());
   late = server_runs (leaving) - late;
@@ -165,9 +143,9 @@
   sleep_ms (1500);
   g_atomic_int_set (&stopping, 1);
   sleep_ms (500);
-  note ("%s: %u requests reached " LEAVING " later than %d ms after it was "
-        "gone; %d were answered 502; the rule %s",
-        argv[2], late, (int)count_ms, g_atomic_int_get (&lost),
+  note ("%u requests reached " LEAVING " later than %d ms after it was gone; "
+        "%d were answered 502; the rule %s",
+        late, COUNT_MS, g_atomic_int_get (&lost),
         late > 0 ? "is broken" : "held");
   deployment_finish (&deployment);
   return late > 0 ? RULE_BROKEN : RULE_HELD;
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,7 +8,7 @@
 flags="-std=gnu11 -O2 -g -Wall -Wextra -Werror -D_GNU_SOURCE -I."
 libraries=$(pkg-config --cflags --libs glib-2.0)
 
-for source in review/[6-9]/case.c review/10/case.c; do
+for source in review/[6-8]/case.c; do
 	[ -e "$source" ] || continue
 	number=$(basename "$(dirname "$source")")
 	# shellcheck disable=SC2086
--- a/review/stand_ins.h
+++ b/review/stand_ins.h
@@ -19,7 +19,7 @@
 #include <stdint.h>
 #include <sys/types.h>
 
-#define MACHINES_MAX 16
+#define MACHINES_MAX 64
 
 /* Exit statuses of a script.  */
 #define RULE_HELD 0
@@ -90,6 +90,9 @@
 
 /* Ends SERVER: it listens no more, and all its connections close.  */
 void server_end (struct server *server);
+
+/* Work at SERVER takes FACTOR times as long.  Set before its first request. */
+void server_set_slow (struct server *server, int factor);
 unsigned server_runs (struct server *server);
 
 /* Returns when a request last reached SERVER, in ms since the start.  */
@@ -101,7 +104,12 @@
   char net[24];
   char folder[64];
   unsigned memory_mb;
-  const char *seeds; /* JSON list */
+  unsigned drain_ms;
+  unsigned timeout_ms;   /* of the routes */
+  unsigned objective_ms; /* of the routes */
+  unsigned n_clients;    /* machines from 1 on that have only clients, behind
+                            links; 0 without links */
+  char seeds[128];       /* JSON list */
   struct store *store;
   pid_t daemons[MACHINES_MAX + 1];
 };
@@ -111,6 +119,16 @@
 const char *machine_ip (const struct deployment *deployment, unsigned machine,
                         char ip[24]);
 
+/* Names up to three MACHINES as seeds, 0 for none.  */
+void deployment_seed (struct deployment *deployment,
+                      const unsigned machines[3]);
+
+/* Starts the links of machines 1 to N, of MBPS each.  The first CLIENTS of
+   them have only clients: their daemons listen at another port than the
+   others, so that each group reaches the other through the links.  */
+void deployment_link (struct deployment *deployment, unsigned n,
+                      unsigned clients, double mbps);
+
 /* Puts the configuration: host a.test has /read/ (idempotent), /write/
    (non_idempotent) and /upload/ for service alpha.  */
 void deployment_configure (struct deployment *deployment, uint64_t version);
--- a/review/stand_ins_platform.c
+++ b/review/stand_ins_platform.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -49,12 +50,53 @@
              sizeof deployment->folder);
   need (mkdtemp (deployment->folder) != NULL, "cannot make a folder");
   deployment->memory_mb = 260;
-  deployment->seeds = "[]";
+  deployment->drain_ms = 2000;
+  deployment->timeout_ms = 8000;
+  deployment->objective_ms = 1500;
+  g_strlcpy (deployment->seeds, "[]", sizeof deployment->seeds);
   deployment->store
       = store_start (machine_ip (deployment, 250, ip), page_items);
   started = deployment;
 }
 
+void
+deployment_seed (struct deployment *deployment, const unsigned machines[3])
+{
+  GString *text = g_string_new ("[");
+  char ip[24];
+
+  for (unsigned i = 0; i < 3; i++)
+    if (machines[i] > 0)
+      g_string_append_printf (text, "%s\"%s:%d\"", text->len > 1 ? "," : "",
+                              machine_ip (deployment, machines[i], ip),
+                              PORT_CONTROL);
+  g_string_append_c (text, ']');
+  g_strlcpy (deployment->seeds, text->str, sizeof deployment->seeds);
+  g_string_free (text, TRUE);
+}
+
+static unsigned
+peers_port (const struct deployment *deployment, unsigned machine)
+{
+  return machine <= deployment->n_clients ? PORT_PEERS_OF_CLIENTS : PORT_PEERS;
+}
+
+void
+deployment_link (struct deployment *deployment, unsigned n, unsigned clients,
+                 double mbps)
+{
+  char ip[24];
+
+  deployment->n_clients = clients;
+  for (unsigned i = 1; i <= n; i++)
+    {
+      unsigned own = peers_port (deployment, i);
+
+      link_start (machine_ip (deployment, i, ip),
+                  PORT_PEERS + PORT_PEERS_OF_CLIENTS - own, own, mbps);
+    }
+}
+
 void
 deployment_configure (struct deployment *deployment, uint64_t version)
 {
@@ -73,10 +115,11 @@
   for (unsigned i = 0; i < G_N_ELEMENTS (kinds); i++)
     g_string_append_printf (
         text,
-        "%s{\"name\":\"%s\",\"kind\":\"%s\",\"targetLatency\":\"1500ms\","
+        "%s{\"name\":\"%s\",\"kind\":\"%s\",\"targetLatency\":\"%ums\","
         "\"priority\":1,\"match\":{\"prefix\":\"/%s/\"},\"action\":{"
-        "\"service\":\"alpha\",\"timeout\":\"8000ms\",\"maxAttempts\":2}}",
-        i == 0 ? "" : ",", kinds[i][0], kinds[i][1], kinds[i][0]);
+        "\"service\":\"alpha\",\"timeout\":\"%ums\",\"maxAttempts\":2}}",
+        i == 0 ? "" : ",", kinds[i][0], kinds[i][1], deployment->objective_ms,
+        kinds[i][0], deployment->timeout_ms);
   g_string_append (text, "]}],\"clusters\":[{\"name\":\"alpha\","
                          "\"healthPath\":\"/health\",\"maxConnections\":240},"
                          "{\"name\":\"beta\",\"healthPath\":\"/health\","
@@ -96,7 +139,7 @@
   g_snprintf (key, sizeof key, "servers/%s", id);
   g_snprintf (text, sizeof text,
               "{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"zone-%s\","
-              "\"version\":\"v1\",\"capacity\":13,\"state\":\"%s\","
+              "\"version\":\"v1\",\"capacity\":12,\"state\":\"%s\","
               "\"warmupLeft\":\"0ms\",\"sequence\":4,\"born\":1779664081%03u}",
               service, machine_ip (deployment, machine, ip), PORT_SERVER,
               machine % 2 == 0 ? "b" : "a", state, machine);
@@ -121,18 +164,19 @@
       "\"sidecar\",\"serves\":[\"sidecar\",\"control_plane\"],\"ip\":\"%s\","
       "\"zone\":\"zone-%s\",\"region\":\"r\",\"zones\":{\"zone-a\":\"r\","
       "\"zone-b\":\"r\"},\"listenAddrs\":{\"inbound\":\"%s:%d\",\"outbound\":"
-      "\"%s:%d\",\"ready\":\"%s:%d\",\"control\":\"%s:7401\"},\"portRange\":"
+      "\"%s:%d\",\"ready\":\"%s:%d\",\"control\":\"%s:%d\"},\"portRange\":"
       "[7600,7615],\"seedNodes\":%s,\"bootstrap\":true,\"limits\":{\"cpuShare"
       "\":0.2,\"cpuCores\":1,\"memoryMb\":%u,\"maxFds\":4100,\"linkMbps\":"
       "1000.0,\"diskMb\":0},\"dataDir\":null,\"heartbeat\":\"1500ms\","
-      "\"bounds\":{\"contact\":\"3000ms\",\"drain\":\"2000ms\",\"grace\":\"6s"
+      "\"bounds\":{\"contact\":\"3000ms\",\"drain\":\"%ums\",\"grace\":\"6s"
       "\",\"configApply\":\"2000ms\",\"budgetRatio\":0.2,\"budgetWindow\":"
       "\"10s\",\"budgetSlack\":60},\"appAddr\":\"%s:%d\",\"service\":\"%s\","
       "\"platform\":{\"address\":\"%s.250:%d\",\"form\":\"read\","
       "\"readsPerS\":2000,\"history\":\"20s\",\"valueBytes\":1048576}}",
-      machine, own, machine % 2 == 0 ? "b" : "a", own, PORT_PEERS, own,
-      PORT_CALLS, own, PORT_READY, own, deployment->seeds,
-      deployment->memory_mb, own, PORT_SERVER, service, deployment->net,
+      machine, own, machine % 2 == 0 ? "b" : "a", own,
+      peers_port (deployment, machine), own, PORT_CALLS, own, PORT_READY, own,
+      PORT_CONTROL, deployment->seeds, deployment->memory_mb,
+      deployment->drain_ms, own, PORT_SERVER, service, deployment->net,
       PORT_STORE);
 
   need (g_file_set_contents (path, text, -1, NULL), "cannot write %s", path);
@@ -150,6 +194,8 @@
       = g_strdup_printf ("%s.%u:%d", deployment->net, machine, PORT_METRICS);
   int fd = open (log, O_WRONLY | O_CREAT | O_APPEND, 0644);
 
+  /* No daemon outlives the script, whatever ends it.  */
+  prctl (PR_SET_PDEATHSIG, SIGKILL);
   setenv ("CORNELPICK_CONFIG", path, 1);
   dup2 (fd, STDOUT_FILENO);
   dup2 (fd, STDERR_FILENO);
--- a/review/stand_ins_server.c
+++ b/review/stand_ins_server.c
@@ -8,7 +8,7 @@
 
 #include "review/stand_ins_internal.h"
 
-#define SLOTS 13
+#define SLOTS 12
 
 struct server
 {
@@ -20,6 +20,7 @@
   unsigned running;
   int64_t last_ms;
   bool ended;
+  int slow_factor;
 };
 
 struct visit
@@ -65,7 +66,7 @@
   server->last_ms = now_ms ();
   pthread_mutex_unlock (&server->lock);
   note ("%s runs %s, %zu bytes", server->id, id, expected);
-  sleep_ms (query_number (head, "ms", 20));
+  sleep_ms (query_number (head, "ms", 20) * server->slow_factor);
   answered = respond (visit, "200 OK", id,
                       "X-Cornelpick-Response-Signature: 1.2.3\r\n",
                       (size_t)query_number (head, "size", 400));
@@ -153,6 +154,7 @@
   g_strlcpy (server->id, id, sizeof server->id);
   pthread_mutex_init (&server->lock, NULL);
   server->fds = g_array_new (FALSE, FALSE, sizeof (int));
+  server->slow_factor = 1;
   server->listener = open_listener (ip, PORT_SERVER);
   start_thread (accept_all, server);
   return server;
@@ -170,6 +172,13 @@
   pthread_mutex_unlock (&server->lock);
 }
 
+void
+server_set_slow (struct server *server, int factor)
+{
+  server->slow_factor = factor;
+  note ("%s takes %d times as long", server->id, factor);
+}
+
 unsigned
 server_runs (struct server *server)
 {
