Reject an answer whose status line HTTP/1.1 does not allow

Callers saw an answer with the status 000, or a status line that they could not read, as if it were the server's: HTTP/1.1 000 and an otherwise whole signed answer was passed on. So were 099, 600, 999, 2 and 20, HTTP/0.9 and HTTP/2.0, two spaces, none after the status, control bytes, NUL and a bare CR in the reason phrase, a byte that replaces the LF, a bare LF, and blank lines before the answer.

Cause: libhttp-parser was taken to be strict, but Debian builds it otherwise; then it takes any number as a status or version, and skips bytes where it expects line ends.

Each status line is now checked against the grammar of RFC 9112, section 4, and RFC 9110, section 15. The check states what is allowed, so that it does not depend on how the library was built. It is in net/message.c, through which servers, health checks and the store are all read.

Evidence: check_mesh_broken_answers failed before (the caller read no status from the first of 16 lines), as did three cases of check_message; with the check all 16 give 502 and one run, and what may be repeated is served by the other server. Four unusual but allowed lines are still passed on.

--- /dev/null
+++ b/lib/http_syntax.c
@@ -0,0 +1,102 @@
+#include <glib.h>
+#include <string.h>
+
+#include "lib/http_syntax.h"
+
+#define VERSION "HTTP/1."
+#define STATUS_DIGITS 3
+
+/* The classes of status codes are 1 to 5 (RFC 9110, section 15).  */
+#define STATUS_MIN 100
+#define STATUS_MAX 599
+
+/* Returns whether BYTE may be part of a reason phrase: HTAB, SP, VCHAR and
+   obs-text.  */
+static bool
+is_text_byte (char byte)
+{
+  unsigned char code = (unsigned char)byte;
+
+  return code == '\t' || (code >= ' ' && code != 0x7f);
+}
+
+static enum cp_http_syntax_state
+read_version (struct cp_http_syntax *syntax, char byte)
+{
+  if (byte != VERSION[syntax->n_read])
+    return CP_HTTP_INVALID;
+  syntax->n_read++;
+  return syntax->n_read < strlen (VERSION) ? CP_HTTP_VERSION
+                                           : CP_HTTP_MINOR_VERSION;
+}
+
+static enum cp_http_syntax_state
+read_status (struct cp_http_syntax *syntax, char byte)
+{
+  if (!g_ascii_isdigit (byte))
+    return CP_HTTP_INVALID;
+  syntax->status = 10 * syntax->status + (unsigned)(byte - '0');
+  syntax->n_read++;
+  if (syntax->n_read < STATUS_DIGITS)
+    return CP_HTTP_STATUS;
+  return syntax->status >= STATUS_MIN && syntax->status <= STATUS_MAX
+             ? CP_HTTP_REASON_SPACE
+             : CP_HTTP_INVALID;
+}
+
+static enum cp_http_syntax_state
+begin_status (struct cp_http_syntax *syntax, char byte)
+{
+  syntax->n_read = 0;
+  return byte == ' ' ? CP_HTTP_STATUS : CP_HTTP_INVALID;
+}
+
+static enum cp_http_syntax_state
+read_reason (char byte)
+{
+  if (byte == '\r')
+    return CP_HTTP_LINE_END;
+  return is_text_byte (byte) ? CP_HTTP_REASON : CP_HTTP_INVALID;
+}
+
+static enum cp_http_syntax_state
+read_byte (struct cp_http_syntax *syntax, char byte)
+{
+  switch (syntax->state)
+    {
+    case CP_HTTP_VERSION:
+      return read_version (syntax, byte);
+    case CP_HTTP_MINOR_VERSION:
+      return g_ascii_isdigit (byte) ? CP_HTTP_STATUS_SPACE : CP_HTTP_INVALID;
+    case CP_HTTP_STATUS_SPACE:
+      return begin_status (syntax, byte);
+    case CP_HTTP_STATUS:
+      return read_status (syntax, byte);
+    case CP_HTTP_REASON_SPACE:
+      return byte == ' ' ? CP_HTTP_REASON : CP_HTTP_INVALID;
+    case CP_HTTP_REASON:
+      return read_reason (byte);
+    case CP_HTTP_LINE_END:
+      return byte == '\n' ? CP_HTTP_END : CP_HTTP_INVALID;
+    default:
+      return CP_HTTP_INVALID;
+    }
+}
+
+void
+cp_http_syntax_init (struct cp_http_syntax *syntax)
+{
+  *syntax = (struct cp_http_syntax){ .state = CP_HTTP_VERSION };
+}
+
+size_t
+cp_http_syntax_feed (struct cp_http_syntax *syntax, const char *data,
+                     size_t length)
+{
+  size_t n = 0;
+
+  while (n < length && syntax->state != CP_HTTP_END
+         && syntax->state != CP_HTTP_INVALID)
+    syntax->state = read_byte (syntax, data[n++]);
+  return n;
+}
--- a/net/message.c
+++ b/net/message.c
@@ -204,6 +204,7 @@
   *message = (struct net_message){ .limits = *limits };
   http_parser_init (&message->parser, kind);
   message->parser.data = message;
+  cp_http_syntax_init (&message->syntax);
   message->headers.text = g_string_sized_new (512);
   message->target = g_string_new (NULL);
   message->body = g_byte_array_new ();
@@ -223,6 +224,7 @@
 {
   http_parser_init (&message->parser,
                     (enum http_parser_type)message->parser.type);
+  cp_http_syntax_init (&message->syntax);
   g_string_truncate (message->headers.text, 0);
   g_string_truncate (message->target, 0);
   return_to_budget (message);
@@ -238,6 +240,17 @@
   message->ends_at_close = false;
 }
 
+/* Checks DATA, which the parser has accepted.  Returns false if it is not what
+   a response may contain.  */
+static bool
+check_syntax (struct net_message *message, const char *data, size_t length)
+{
+  if (message->parser.type == HTTP_REQUEST)
+    return true;
+  cp_http_syntax_feed (&message->syntax, data, length);
+  return message->syntax.state != CP_HTTP_INVALID;
+}
+
 enum net_parse_state
 net_message_feed (struct net_message *message, const char *data, size_t length,
                   size_t *used)
@@ -253,6 +266,9 @@
   *used = parsed;
   if (in_head)
     message->head_bytes += parsed;
+  if ((message->state == NET_INCOMPLETE || message->state == NET_COMPLETE)
+      && !check_syntax (message, data, parsed))
+    message->state = NET_MALFORMED;
   if (message->state != NET_INCOMPLETE)
     return message->state;
   if (HTTP_PARSER_ERRNO (&message->parser) != HPE_OK)
--- a/net/message.h
+++ b/net/message.h
@@ -1,9 +1,10 @@
 /* Incremental parser of one HTTP/1.1 request or response.
 
    net_message_feed accepts input in pieces of any size.  Parsing is done by
-   libhttp-parser in strict mode; ambiguous messages, such as those with both
-   Content-Length and Transfer-Encoding, are rejected.  The whole body is
-   buffered, up to the limit.  Not thread-safe.  */
+   libhttp-parser, which rejects ambiguous messages, such as those with both
+   Content-Length and Transfer-Encoding.  It is not built in strict mode, so
+   the status lines of responses are checked here.  The whole body is buffered,
+   up to the limit.  Not thread-safe.  */
 #ifndef NET_MESSAGE_H
 #define NET_MESSAGE_H
 
@@ -13,6 +14,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "lib/http_syntax.h"
+
 #define NET_HEADERS_MAX 96
 
 /* A header field: offsets of NUL-terminated strings in net_headers.text.  A
@@ -63,6 +66,7 @@
 struct net_message
 {
   http_parser parser;
+  struct cp_http_syntax syntax; /* of a response */
   struct net_limits limits;
   struct net_headers headers;
   GString *target; /* request target: path and query */
--- a/regress/harness/stage.h
+++ b/regress/harness/stage.h
@@ -19,6 +19,7 @@
                    connection it sends that refusal again before its answer
      ?stray        sends an answer to another request before its own
      ?garble       sends bytes that are no answer
+     ?scripted     sends what stage_server_script set, and ends the connection
      ?unsigned     leaves the signature out
      ?hang         never answers
      ?crash        ends the server after 20 ms
@@ -141,6 +142,11 @@
 /* VM's server adds NOTICE, whole header lines, to all its answers.  */
 void stage_server_say (struct stage *stage, unsigned vm, const char *notice);
 
+/* VM's server answers requests that ask for it with the LENGTH bytes of
+   ANSWER, in which the first '@' stands for the request ID.  */
+void stage_server_script (struct stage *stage, unsigned vm, const char *answer,
+                          size_t length);
+
 /* VM's server says in its health checks that it is cold for MS from now on; 0
    for warm.  */
 void stage_server_cold (struct stage *stage, unsigned vm, unsigned ms);
--- a/regress/harness/stage_control.c
+++ b/regress/harness/stage_control.c
@@ -31,6 +31,17 @@
   pthread_mutex_unlock (&stage->lock);
 }
 
+void
+stage_server_script (struct stage *stage, unsigned vm, const char *answer,
+                     size_t length)
+{
+  pthread_mutex_lock (&stage->lock);
+  g_byte_array_set_size (stage->servers[vm]->script, 0);
+  g_byte_array_append (stage->servers[vm]->script, (const guint8 *)answer,
+                       (guint)length);
+  pthread_mutex_unlock (&stage->lock);
+}
+
 void
 stage_server_cold (struct stage *stage, unsigned vm, unsigned ms)
 {
--- a/regress/harness/stage_server.c
+++ b/regress/harness/stage_server.c
@@ -80,6 +80,30 @@
   net_stream_write (&guest->stream, bytes);
 }
 
+/* Sends the scripted answer, with the request ID in its place.  */
+static void
+send_script (struct guest *guest)
+{
+  struct stage_server *server = guest->server;
+  const char *id = request_id (guest);
+  GByteArray *bytes = g_byte_array_new ();
+  const guint8 *place;
+  guint before;
+
+  pthread_mutex_lock (&server->stage->lock);
+  place = memchr (server->script->data, '@', server->script->len);
+  before = place == NULL ? server->script->len
+                         : (guint)(place - server->script->data);
+  g_byte_array_append (bytes, server->script->data, before);
+  if (place != NULL)
+    {
+      g_byte_array_append (bytes, (const guint8 *)id, (guint)strlen (id));
+      g_byte_array_append (bytes, place + 1, server->script->len - before - 1);
+    }
+  pthread_mutex_unlock (&server->stage->lock);
+  net_stream_write (&guest->stream, bytes);
+}
+
 static unsigned
 slowness_of (const struct stage_server *server)
 {
@@ -195,6 +219,12 @@
       return true;
     }
 
+  if (asks (guest, "scripted"))
+    {
+      send_script (guest);
+      net_stream_shutdown (&guest->stream);
+      return true;
+    }
   if (asks (guest, "cut"))
     text = compose (guest, "200 OK", id, SIGNATURE, "half", 400);
   else if (asks (guest, "reset"))
@@ -542,6 +572,7 @@
   server->wanted = true;
   server->slowness_percent = 100;
   server->headers = g_string_new (NULL);
+  server->script = g_byte_array_new ();
   server->starts = g_array_new (FALSE, FALSE, sizeof (gint64));
   CDS_INIT_LIST_HEAD (&server->guests);
   stage_server_set_instance (server);
@@ -604,6 +635,7 @@
 stage_server_free (struct stage_server *server)
 {
   g_string_free (server->headers, TRUE);
+  g_byte_array_unref (server->script);
   g_array_unref (server->starts);
   g_free (server);
 }
--- /dev/null
+++ b/regress/meshd/check_mesh_broken_answers.c
@@ -0,0 +1,118 @@
+/* Answers that are not what HTTP/1.1 allows: no caller gets one, or anything
+   made of it.  */
+#include "lib/cleanup.h"
+#include "regress/harness/stage_fixture.h"
+
+#define FIELDS                                                                \
+  "X-Cornelpick-Request-Id: @\r\nX-Cornelpick-Response-Signature: test\r\n"
+#define WHOLE "Content-Length: 5\r\n\r\nwhole"
+#define STATUS_LINE(line)                                                     \
+  {                                                                           \
+    line FIELDS WHOLE, sizeof (line FIELDS WHOLE) - 1                         \
+  }
+
+/* An answer of a server, which may contain NULs.  */
+struct script
+{
+  const char *bytes;
+  size_t length;
+};
+
+static const struct script good_answers[] = {
+  STATUS_LINE ("HTTP/1.1 200 OK\r\n"),
+  STATUS_LINE ("HTTP/1.1 200 \r\n"),
+  STATUS_LINE ("HTTP/1.1 200 \t\xfc\r\n"),
+  STATUS_LINE ("HTTP/1.0 200 OK\r\n"),
+};
+
+static const struct script broken_status_lines[] = {
+  STATUS_LINE ("HTTP/1.1 000 OK\r\n"),
+  STATUS_LINE ("HTTP/1.1 099 OK\r\n"),
+  STATUS_LINE ("HTTP/1.1 600 OK\r\n"),
+  STATUS_LINE ("HTTP/1.1 999 OK\r\n"),
+  STATUS_LINE ("HTTP/1.1 20 OK\r\n"),
+  STATUS_LINE ("HTTP/1.1 2 OK\r\n"),
+  STATUS_LINE ("HTTP/1.1 200\r\n"),
+  STATUS_LINE ("HTTP/1.1  200 OK\r\n"),
+  STATUS_LINE ("HTTP/0.9 200 OK\r\n"),
+  STATUS_LINE ("HTTP/2.0 200 OK\r\n"),
+  STATUS_LINE ("HTTP/1.1 200 O\001K\r\n"),
+  STATUS_LINE ("HTTP/1.1 200 O\0K\r\n"),
+  STATUS_LINE ("HTTP/1.1 200 O\rK\r\n"),
+  STATUS_LINE ("HTTP/1.1 200 OK\rX"),
+  STATUS_LINE ("HTTP/1.1 200 OK\n"),
+  STATUS_LINE ("\r\nHTTP/1.1 200 OK\r\n"),
+};
+
+/* Both servers of alpha answer what asks for it with SCRIPT.  */
+static void
+set_script (const struct script *script)
+{
+  for (unsigned vm = 1; vm < VMS; vm++)
+    stage_server_script (&stage, vm, script->bytes, script->length);
+}
+
+/* Calls alpha through VM 3, which does not run alpha itself.  Returns the
+   status.  */
+static int
+call (const char *method, const char *path, const char *id)
+{
+  stage_call (&stage, &reply, 3, method, "alpha.test", path, id,
+              method[0] == 'P' ? "order" : NULL);
+  return reply.status;
+}
+
+static void
+expect_whole (const struct script *script, unsigned number)
+{
+  CP_AUTO_FREE char *id = g_strdup_printf ("good%u", number);
+
+  set_script (script);
+  ck_assert_msg (call ("POST", "/write/1?scripted", id) == 200,
+                 "%u: %d to %.60s", number, reply.status, script->bytes);
+  ck_assert_str_eq (reply.body->str, "whole");
+}
+
+/* An order that may have run ends with 502; what may be repeated is served by
+   the other server.  */
+static void
+expect_rejected (const struct script *script, unsigned number)
+{
+  CP_AUTO_FREE char *order = g_strdup_printf ("order%u", number);
+  CP_AUTO_FREE char *read = g_strdup_printf ("read%u", number);
+
+  set_script (script);
+  ck_assert_msg (call ("POST", "/write/1?scripted", order) == 502,
+                 "%u: %d to %.60s", number, reply.status, script->bytes);
+  ck_assert_uint_eq (stage_runs (&stage, order), 1);
+  ck_assert_int_eq (call ("GET", "/read/1?scripted-once", read), 200);
+  ck_assert_str_eq (reply.body->str, "whole");
+}
+
+START_TEST (what_the_protocol_allows_is_passed_on)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (good_answers); i++)
+    expect_whole (&good_answers[i], i);
+}
+END_TEST
+
+START_TEST (an_answer_with_a_broken_status_line_is_rejected)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (broken_status_lines); i++)
+    expect_rejected (&broken_status_lines[i], i);
+}
+END_TEST
+
+static void
+add_tests (TCase *tests)
+{
+  tcase_add_checked_fixture (tests, setup, teardown);
+  tcase_add_test (tests, what_the_protocol_allows_is_passed_on);
+  tcase_add_test (tests, an_answer_with_a_broken_status_line_is_rejected);
+}
+
+int
+main (void)
+{
+  return suite_run ("mesh_broken_answers", add_tests, 60);
+}
--- a/regress/net/check_message.c
+++ b/regress/net/check_message.c
@@ -122,6 +122,31 @@
 }
 END_TEST
 
+/* Responses that must be rejected, at the latest at the end of the
+   connection.  */
+static const char *const bad_responses[] = {
+  "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok",
+  "HTTP/1.1 200 OK\rXContent-Length: 2\r\n\r\nok",
+  "HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nok",
+};
+
+static enum net_parse_state
+parse_response (const char *text, size_t step)
+{
+  enum net_parse_state state = parse (HTTP_RESPONSE, text, step);
+
+  return state == NET_INCOMPLETE ? net_message_end (&message) : state;
+}
+
+START_TEST (malformed_responses_are_rejected)
+{
+  ck_assert_int_eq (parse_response (bad_responses[_i], 1000), NET_MALFORMED);
+  net_message_finish (&message);
+  ck_assert_int_eq (parse_response (bad_responses[_i], 1), NET_MALFORMED);
+  net_message_finish (&message);
+}
+END_TEST
+
 START_TEST (headers_over_the_limit_are_rejected)
 {
   char *filler = g_strnfill (4100, 'x');
@@ -232,6 +257,8 @@
   tcase_add_test (tests, chunked_body_is_joined);
   tcase_add_loop_test (tests, malformed_requests_are_rejected, 0,
                        G_N_ELEMENTS (bad_requests));
+  tcase_add_loop_test (tests, malformed_responses_are_rejected, 0,
+                       G_N_ELEMENTS (bad_responses));
   tcase_add_loop_test (tests, headers_over_the_limit_are_rejected, 0, 2);
   tcase_add_test (tests, too_many_headers_are_rejected);
   tcase_add_test (tests, response_without_length_ends_at_close);
