Reject an answer with a field line that HTTP/1.1 does not allow

Callers got answers whose fields were not those that the server sent: a value that began with a control byte or DEL was passed on with it, one that began with NUL became empty, a folded line was joined to the one before without a space ("a", "b" became "ab"), and a CR in place of a line end hid the next field: "X-Note:<CR>Content-Length: 3" lost the length, so that the body changed. A byte in place of the last LF of the head was dropped.

Cause: the same as for status lines. libhttp-parser does not check the first byte of a value, joins folded lines and, as it is built, skips bytes at line ends.

The check of status lines now covers the whole head of a response, up to the empty line.

An empty value, tabs around a value, bytes over 127 in it and all characters of a token are passed on.

--- a/lib/http_syntax.c
+++ b/lib/http_syntax.c
@@ -10,8 +10,16 @@
 #define STATUS_MIN 100
 #define STATUS_MAX 599
 
-/* Returns whether BYTE may be part of a reason phrase: HTAB, SP, VCHAR and
-   obs-text.  */
+/* Returns whether BYTE may be part of a token (RFC 9110, section 5.6.2).  */
+static bool
+is_token_byte (char byte)
+{
+  return g_ascii_isalnum (byte)
+         || (byte != '\0' && strchr ("!#$%&'*+-.^_`|~", byte) != NULL);
+}
+
+/* Returns whether BYTE may be part of a field value or a reason phrase: HTAB,
+   SP, VCHAR and obs-text.  */
 static bool
 is_text_byte (char byte)
 {
@@ -51,12 +59,31 @@
   return byte == ' ' ? CP_HTTP_STATUS : CP_HTTP_INVALID;
 }
 
+/* Returns the state after BYTE in text that ends with its line.  */
 static enum cp_http_syntax_state
-read_reason (char byte)
+read_text (enum cp_http_syntax_state state, char byte)
 {
   if (byte == '\r')
     return CP_HTTP_LINE_END;
-  return is_text_byte (byte) ? CP_HTTP_REASON : CP_HTTP_INVALID;
+  return is_text_byte (byte) ? state : CP_HTTP_INVALID;
+}
+
+/* Returns the state after BYTE at the start of a line.  White space there
+   would continue the line before, which is obsolete.  */
+static enum cp_http_syntax_state
+begin_field (char byte)
+{
+  if (byte == '\r')
+    return CP_HTTP_LAST_END;
+  return is_token_byte (byte) ? CP_HTTP_FIELD_NAME : CP_HTTP_INVALID;
+}
+
+static enum cp_http_syntax_state
+read_name (char byte)
+{
+  if (byte == ':')
+    return CP_HTTP_FIELD_VALUE;
+  return is_token_byte (byte) ? CP_HTTP_FIELD_NAME : CP_HTTP_INVALID;
 }
 
 static enum cp_http_syntax_state
@@ -75,8 +102,15 @@
     case CP_HTTP_REASON_SPACE:
       return byte == ' ' ? CP_HTTP_REASON : CP_HTTP_INVALID;
     case CP_HTTP_REASON:
-      return read_reason (byte);
+    case CP_HTTP_FIELD_VALUE:
+      return read_text (syntax->state, byte);
+    case CP_HTTP_FIELD_START:
+      return begin_field (byte);
+    case CP_HTTP_FIELD_NAME:
+      return read_name (byte);
     case CP_HTTP_LINE_END:
+      return byte == '\n' ? CP_HTTP_FIELD_START : CP_HTTP_INVALID;
+    case CP_HTTP_LAST_END:
       return byte == '\n' ? CP_HTTP_END : CP_HTTP_INVALID;
     default:
       return CP_HTTP_INVALID;
--- a/lib/http_syntax.h
+++ b/lib/http_syntax.h
@@ -1,12 +1,13 @@
-/* Check of the status line of an HTTP/1.1 response against the grammar of RFC
-   9112, section 4.
+/* Check of the head of an HTTP/1.1 response against the grammar of RFC 9112,
+   sections 4 and 5.
 
    libhttp-parser accepts much that the grammar does not allow: any number as a
-   status or version, control bytes in the reason phrase, line ends other than
-   CR LF.  What such bytes mean is not defined, and the next recipient may read
-   them in another way, so a response that has them is rejected.  The lenient
-   readings that RFC 9112 permits are not used: those of a bare LF, and of a
-   status line without the space after the status code.  Not thread-safe.  */
+   status or version, control bytes in the reason phrase and at the start of
+   values, folded lines, line ends other than CR LF.  What such bytes mean is
+   not defined, and the next recipient may read them in another way, so a
+   response that has them is rejected.  The lenient readings that RFC 9112
+   permits are not used: those of a bare LF, and of a status line without the
+   space after the status code. Not thread-safe.  */
 #ifndef CP_HTTP_SYNTAX_H
 #define CP_HTTP_SYNTAX_H
 
@@ -21,23 +22,28 @@
   CP_HTTP_STATUS,
   CP_HTTP_REASON_SPACE,
   CP_HTTP_REASON,
+  CP_HTTP_FIELD_START,
+  CP_HTTP_FIELD_NAME,
+  CP_HTTP_FIELD_VALUE,
   CP_HTTP_LINE_END, /* CR was read, LF must follow */
-  CP_HTTP_END,      /* the status line has been read */
+  CP_HTTP_LAST_END, /* the same, at the end of the head */
+  CP_HTTP_END,      /* the head has been read */
   CP_HTTP_INVALID
 };
 
+/* STATUS is valid once the status line has been read.  */
 struct cp_http_syntax
 {
   enum cp_http_syntax_state state;
-  unsigned status; /* valid in the state CP_HTTP_END */
+  unsigned status;
   unsigned n_read; /* bytes of the version, or digits of the status, read */
 };
 
 void cp_http_syntax_init (struct cp_http_syntax *syntax);
 
 /* Checks up to LENGTH bytes of DATA, which follow those of the last call.
-   Returns how many belong to the status line; afterwards the state is
-   CP_HTTP_END, CP_HTTP_INVALID or, if the line goes on, another one.  */
+   Returns how many belong to the head; afterwards the state is CP_HTTP_END,
+   CP_HTTP_INVALID or, if the head goes on, another one.  */
 size_t cp_http_syntax_feed (struct cp_http_syntax *syntax, const char *data,
                             size_t length);
 
--- a/net/message.h
+++ b/net/message.h
@@ -3,7 +3,7 @@
    net_message_feed accepts input in pieces of any size.  Parsing is done by
    libhttp-parser, which rejects ambiguous messages, such as those with both
    Content-Length and Transfer-Encoding.  It is not built in strict mode, so
-   the status lines of responses are checked here.  The whole body is buffered,
+   the heads of responses are checked here.  The whole body is buffered,
    up to the limit.  Not thread-safe.  */
 #ifndef NET_MESSAGE_H
 #define NET_MESSAGE_H
--- a/regress/lib/check_http_syntax.c
+++ b/regress/lib/check_http_syntax.c
@@ -16,27 +16,68 @@
     literal, sizeof (literal) - 1                                             \
   }
 
+#define FIELDS(lines) TEXT ("HTTP/1.1 200 OK\r\n" lines "\r\n")
+
 static const struct text good[] = {
-  TEXT ("HTTP/1.1 200 OK\r\n"),        TEXT ("HTTP/1.1 200 \r\n"),
-  TEXT ("HTTP/1.0 404 Not Found\r\n"), TEXT ("HTTP/1.2 200 OK\r\n"),
-  TEXT ("HTTP/1.1 100 \r\n"),          TEXT ("HTTP/1.1 599 \t~\x80\xff\r\n"),
+  TEXT ("HTTP/1.1 200 OK\r\n\r\n"),
+  TEXT ("HTTP/1.1 200 \r\n\r\n"),
+  TEXT ("HTTP/1.0 404 Not Found\r\n\r\n"),
+  TEXT ("HTTP/1.2 200 OK\r\n\r\n"),
+  TEXT ("HTTP/1.1 100 \r\n\r\n"),
+  TEXT ("HTTP/1.1 599 \t~\x80\xff\r\n\r\n"),
+  FIELDS ("Content-Length: 5\r\n"),
+  FIELDS ("a:\r\nb: \r\nc:d\r\ne: \t f \t\r\n"),
+  FIELDS ("!#$%&'*+-.^_`|~09AZaz: \x80\xff:\"@\r\n"),
 };
 
 static const struct text bad[] = {
-  TEXT ("HTTP/1.1 000 OK\r\n"),     TEXT ("HTTP/1.1 099 OK\r\n"),
-  TEXT ("HTTP/1.1 600 OK\r\n"),     TEXT ("HTTP/1.1 999 OK\r\n"),
-  TEXT ("HTTP/1.1 20 OK\r\n"),      TEXT ("HTTP/1.1 2000 OK\r\n"),
-  TEXT ("HTTP/1.1 -20 OK\r\n"),     TEXT ("HTTP/1.1 2x0 OK\r\n"),
-  TEXT ("HTTP/1.1 200OK\r\n"),      TEXT ("HTTP/1.1 200\r\n"),
-  TEXT ("HTTP/1.1  200 OK\r\n"),    TEXT ("HTTP/1.1\t200 OK\r\n"),
-  TEXT ("HTTP/0.9 200 OK\r\n"),     TEXT ("HTTP/2.0 200 OK\r\n"),
-  TEXT ("HTTP/1.10 200 OK\r\n"),    TEXT ("HTTP/1 200 OK\r\n"),
-  TEXT ("HTTP/1.x 200 OK\r\n"),     TEXT ("http/1.1 200 OK\r\n"),
-  TEXT ("ICY 200 OK\r\n"),          TEXT ("\r\nHTTP/1.1 200 OK\r\n"),
-  TEXT (" HTTP/1.1 200 OK\r\n"),    TEXT ("HTTP/1.1 200 OK\n"),
-  TEXT ("HTTP/1.1 200 OK\r\r\n"),   TEXT ("HTTP/1.1 200 O\rK\r\n"),
-  TEXT ("HTTP/1.1 200 O\0K\r\n"),   TEXT ("HTTP/1.1 200 O\001K\r\n"),
-  TEXT ("HTTP/1.1 200 O\x7fK\r\n"),
+  TEXT ("HTTP/1.1 000 OK\r\n\r\n"),
+  TEXT ("HTTP/1.1 099 OK\r\n\r\n"),
+  TEXT ("HTTP/1.1 600 OK\r\n\r\n"),
+  TEXT ("HTTP/1.1 999 OK\r\n\r\n"),
+  TEXT ("HTTP/1.1 20 OK\r\n\r\n"),
+  TEXT ("HTTP/1.1 2000 OK\r\n\r\n"),
+  TEXT ("HTTP/1.1 -20 OK\r\n\r\n"),
+  TEXT ("HTTP/1.1 2x0 OK\r\n\r\n"),
+  TEXT ("HTTP/1.1 200OK\r\n\r\n"),
+  TEXT ("HTTP/1.1 200\r\n\r\n"),
+  TEXT ("HTTP/1.1  200 OK\r\n\r\n"),
+  TEXT ("HTTP/1.1\t200 OK\r\n\r\n"),
+  TEXT ("HTTP/0.9 200 OK\r\n\r\n"),
+  TEXT ("HTTP/2.0 200 OK\r\n\r\n"),
+  TEXT ("HTTP/1.10 200 OK\r\n\r\n"),
+  TEXT ("HTTP/1 200 OK\r\n\r\n"),
+  TEXT ("HTTP/1.x 200 OK\r\n\r\n"),
+  TEXT ("http/1.1 200 OK\r\n\r\n"),
+  TEXT ("ICY 200 OK\r\n\r\n"),
+  TEXT ("\r\nHTTP/1.1 200 OK\r\n\r\n"),
+  TEXT (" HTTP/1.1 200 OK\r\n\r\n"),
+  TEXT ("HTTP/1.1 200 OK\n"),
+  TEXT ("HTTP/1.1 200 OK\r\r\n\r\n"),
+  TEXT ("HTTP/1.1 200 O\rK\r\n\r\n"),
+  TEXT ("HTTP/1.1 200 O\0K\r\n\r\n"),
+  TEXT ("HTTP/1.1 200 O\001K\r\n\r\n"),
+  TEXT ("HTTP/1.1 200 O\x7fK\r\n\r\n"),
+  FIELDS (": a\r\n"),
+  FIELDS ("x\r\n"),
+  FIELDS ("x : a\r\n"),
+  FIELDS (" x: a\r\n"),
+  FIELDS ("x y: a\r\n"),
+  FIELDS ("x\ty: a\r\n"),
+  FIELDS ("x\001: a\r\n"),
+  FIELDS ("x\0: a\r\n"),
+  FIELDS ("x\x80: a\r\n"),
+  FIELDS ("x@: a\r\n"),
+  FIELDS ("x: \001a\r\n"),
+  FIELDS ("x: \0a\r\n"),
+  FIELDS ("x: a\x7f\r\n"),
+  FIELDS ("x: a\rb\r\n"),
+  FIELDS ("x:\ra: b\r\n"),
+  FIELDS ("x: a\n"),
+  FIELDS ("x: a\r\n b\r\n"),
+  FIELDS ("x: a\r\n\tb\r\n"),
+  TEXT ("HTTP/1.1 200 OK\r\nx: a\r\n\rx"),
+  TEXT ("HTTP/1.1 200 OK\r\nx: a\r\n\n"),
 };
 
 /* Feeds TEXT in pieces of STEP bytes.  Returns how many were taken.  */
@@ -83,14 +124,14 @@
 
 START_TEST (the_status_is_read_and_what_follows_is_left)
 {
-  static const struct text text = TEXT ("HTTP/1.1 204 No Content\r\n");
+  static const struct text text = TEXT ("HTTP/1.1 204 No Content\r\n\r\n");
   struct cp_http_syntax syntax;
 
   cp_http_syntax_init (&syntax);
-  ck_assert_uint_eq (cp_http_syntax_feed (&syntax,
-                                          "HTTP/1.1 204 No Content\r\nrest",
-                                          text.length + 4),
-                     text.length);
+  ck_assert_uint_eq (
+      cp_http_syntax_feed (&syntax, "HTTP/1.1 204 No Content\r\n\r\nrest",
+                           text.length + 4),
+      text.length);
   ck_assert_uint_eq (syntax.status, 204);
   ck_assert_uint_eq (cp_http_syntax_feed (&syntax, "rest", 4), 0);
 }
--- a/regress/meshd/check_mesh_broken_answers.c
+++ b/regress/meshd/check_mesh_broken_answers.c
@@ -11,6 +11,8 @@
     line FIELDS WHOLE, sizeof (line FIELDS WHOLE) - 1                         \
   }
 
+#define FIELD(line) STATUS_LINE ("HTTP/1.1 200 OK\r\n" line)
+
 /* An answer of a server, which may contain NULs.  */
 struct script
 {
@@ -23,6 +25,7 @@
   STATUS_LINE ("HTTP/1.1 200 \r\n"),
   STATUS_LINE ("HTTP/1.1 200 \t\xfc\r\n"),
   STATUS_LINE ("HTTP/1.0 200 OK\r\n"),
+  FIELD ("x-note:\r\nX-NOTE: \t a \xfc\t\r\n!#$%&'*+-.^_`|~:b\r\n"),
 };
 
 static const struct script broken_status_lines[] = {
@@ -44,6 +47,29 @@
   STATUS_LINE ("\r\nHTTP/1.1 200 OK\r\n"),
 };
 
+static const struct script broken_fields[] = {
+  FIELD ("X Note: a\r\n"),
+  FIELD ("X\tNote: a\r\n"),
+  FIELD ("X-Note : a\r\n"),
+  FIELD (" X-Note: a\r\n"),
+  FIELD ("X\001Note: a\r\n"),
+  FIELD ("X\0Note: a\r\n"),
+  FIELD ("X\177Note: a\r\n"),
+  FIELD ("X\377Note: a\r\n"),
+  FIELD (": a\r\n"),
+  FIELD ("X-Note\r\n"),
+  FIELD ("X-Note: \001a\r\n"),
+  FIELD ("X-Note: a\001\r\n"),
+  FIELD ("X-Note: \0a\r\n"),
+  FIELD ("X-Note: a\0\r\n"),
+  FIELD ("X-Note: \177a\r\n"),
+  FIELD ("X-Note: a\rb\r\n"),
+  FIELD ("X-Note:\rContent-Length: 3\r\n"),
+  FIELD ("X-Note: a\n"),
+  FIELD ("X-Note: a\r\n b\r\n"),
+  FIELD ("X-Note:\r\n\tb\r\n"),
+};
+
 /* Both servers of alpha answer what asks for it with SCRIPT.  */
 static void
 set_script (const struct script *script)
@@ -103,12 +129,20 @@
 }
 END_TEST
 
+START_TEST (an_answer_with_a_broken_field_is_rejected)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (broken_fields); i++)
+    expect_rejected (&broken_fields[i], i);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
   tcase_add_checked_fixture (tests, setup, teardown);
   tcase_add_test (tests, what_the_protocol_allows_is_passed_on);
   tcase_add_test (tests, an_answer_with_a_broken_status_line_is_rejected);
+  tcase_add_test (tests, an_answer_with_a_broken_field_is_rejected);
 }
 
 int
--- a/regress/net/check_message.c
+++ b/regress/net/check_message.c
@@ -128,6 +128,10 @@
   "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok",
   "HTTP/1.1 200 OK\rXContent-Length: 2\r\n\r\nok",
   "HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nok",
+  "HTTP/1.1 200 OK\r\nX: a\r\n b\r\nContent-Length: 2\r\n\r\nok",
+  "HTTP/1.1 200 OK\r\nX:\rContent-Length: 2\r\n\r\nok",
+  "HTTP/1.1 200 OK\r\nX: \001\r\nContent-Length: 2\r\n\r\nok",
+  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\rXok",
 };
 
 static enum net_parse_state
