Reject an answer whose body has a transfer coding not decoded here

Callers got a body that was not the server's as a whole signed 200: with "Transfer-Encoding: gzip" the coded bytes, with "chunked, gzip" or "xchunked" the chunk lines as part of the body, with "gzip, chunked" the coded bytes without the field that names the coding, which is not forwarded.

Cause: libhttp-parser reads what it does not know until the connection ends, and looks for "chunked" at the end of the field only. Nothing here compared the field with what was decoded.

A response may now name chunked, once and alone, and only if the parser reads it as chunked; else it is malformed. A response of HTTP/1.0 that names a coding is malformed, too (RFC 9112, section 6.1).

The test also showed that "chunked" followed by a tab was not read as chunked by the library, and its chunk lines reached the caller: that is rejected, though the protocol allows the tab. "Chunked" with other letters or a space behind it is passed on, and so is a body that the end of the connection ends.

--- a/net/message.c
+++ b/net/message.c
@@ -97,6 +97,34 @@
   return true;
 }
 
+/* Returns whether the body of a response has a coding that is decoded here:
+   none, or chunked alone.  Another one would be taken for the body, since the
+   field that names it is not forwarded, and so would chunks that the parser
+   does not recognize as such, as behind "chunked" and a tab.  HTTP/1.0 has no
+   codings, and the framing of a message that names one is faulty (RFC 9112,
+   section 6.1).  */
+static bool
+has_known_coding (const struct net_message *message)
+{
+  const struct net_headers *headers = &message->headers;
+  unsigned n_codings = 0;
+
+  for (unsigned i = 0; i < headers->count; i++)
+    {
+      const char *value = net_headers_value (headers, i);
+      size_t length = strlen ("chunked");
+
+      if (strcasecmp (net_headers_name (headers, i), "Transfer-Encoding") != 0)
+        continue;
+      if (n_codings++ > 0 || message->parser.http_minor == 0
+          || (message->parser.flags & F_CHUNKED) == 0
+          || strncasecmp (value, "chunked", length) != 0
+          || value[length + strspn (value + length, " \t")] != '\0')
+        return false;
+    }
+  return true;
+}
+
 /* Takes memory for a body of LENGTH bytes in all from the budget.  Returns
    false if it does not fit.  */
 static bool
@@ -128,7 +156,8 @@
       message->state = NET_HEAD_TOO_LONG;
       return -1;
     }
-  if (!names_are_tokens (&message->headers))
+  if (!names_are_tokens (&message->headers)
+      || (parser->type == HTTP_RESPONSE && !has_known_coding (message)))
     {
       message->state = NET_MALFORMED;
       return -1;
--- a/regress/meshd/check_mesh_broken_answers.c
+++ b/regress/meshd/check_mesh_broken_answers.c
@@ -11,6 +11,12 @@
     line FIELDS WHOLE, sizeof (line FIELDS WHOLE) - 1                         \
   }
 
+#define CHUNKS "5\r\nwhole\r\n0\r\n\r\n"
+#define CODED(version, lines, body)                                           \
+  {                                                                           \
+    version " 200 OK\r\n" FIELDS lines "\r\n" body,                           \
+        sizeof (version " 200 OK\r\n" FIELDS lines "\r\n" body) - 1           \
+  }
 #define FIELD(line) STATUS_LINE ("HTTP/1.1 200 OK\r\n" line)
 
 /* An answer of a server, which may contain NULs.  */
@@ -26,6 +32,8 @@
   STATUS_LINE ("HTTP/1.1 200 \t\xfc\r\n"),
   STATUS_LINE ("HTTP/1.0 200 OK\r\n"),
   FIELD ("x-note:\r\nX-NOTE: \t a \xfc\t\r\n!#$%&'*+-.^_`|~:b\r\n"),
+  CODED ("HTTP/1.1", "", "whole"),
+  CODED ("HTTP/1.1", "transfer-encoding: \tChunked \r\n", CHUNKS),
 };
 
 static const struct script broken_status_lines[] = {
@@ -70,6 +78,24 @@
   FIELD ("X-Note:\r\n\tb\r\n"),
 };
 
+#define CODING "Transfer-Encoding: "
+
+static const struct script unknown_codings[] = {
+  CODED ("HTTP/1.1", CODING "gzip\r\n", "whole"),
+  CODED ("HTTP/1.1", CODING "identity\r\n", "whole"),
+  CODED ("HTTP/1.1", CODING "\r\n", "whole"),
+  CODED ("HTTP/1.1", CODING "xchunked\r\n", CHUNKS),
+  CODED ("HTTP/1.1", CODING "gzip, chunked\r\n", CHUNKS),
+  CODED ("HTTP/1.1", CODING "chunked, gzip\r\n", CHUNKS),
+  CODED ("HTTP/1.1", CODING "chunked, chunked\r\n", CHUNKS),
+  CODED ("HTTP/1.1", CODING "chunked;q=1\r\n", CHUNKS),
+  CODED ("HTTP/1.1", CODING "gzip\r\n" CODING "chunked\r\n", CHUNKS),
+  CODED ("HTTP/1.1", CODING "chunked\r\n" CODING "gzip\r\n", CHUNKS),
+  CODED ("HTTP/1.1", CODING "gzip\r\nContent-Length: 5\r\n", "whole"),
+  CODED ("HTTP/1.1", CODING "chunked\r\nContent-Length: 5\r\n", CHUNKS),
+  CODED ("HTTP/1.0", CODING "chunked\r\n", CHUNKS),
+};
+
 /* Both servers of alpha answer what asks for it with SCRIPT.  */
 static void
 set_script (const struct script *script)
@@ -136,6 +162,13 @@
 }
 END_TEST
 
+START_TEST (an_answer_with_an_unknown_transfer_coding_is_rejected)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (unknown_codings); i++)
+    expect_rejected (&unknown_codings[i], i);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
@@ -143,6 +176,8 @@
   tcase_add_test (tests, what_the_protocol_allows_is_passed_on);
   tcase_add_test (tests, an_answer_with_a_broken_status_line_is_rejected);
   tcase_add_test (tests, an_answer_with_a_broken_field_is_rejected);
+  tcase_add_test (tests,
+                  an_answer_with_an_unknown_transfer_coding_is_rejected);
 }
 
 int
--- a/regress/net/check_message.c
+++ b/regress/net/check_message.c
@@ -132,6 +132,9 @@
   "HTTP/1.1 200 OK\r\nX:\rContent-Length: 2\r\n\r\nok",
   "HTTP/1.1 200 OK\r\nX: \001\r\nContent-Length: 2\r\n\r\nok",
   "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\rXok",
+  "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nok",
+  "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+  "2\r\nok\r\n0\r\n\r\n",
 };
 
 static enum net_parse_state
