Reject an answer whose chunks are not framed as HTTP/1.1 requires

Callers got a body that lacked bytes of the server's, as a whole signed 200: "5<CR><LF>wholeXX0<CR><LF>" was read as "whole". What stood in place of a line end behind a size or behind the data was dropped, and so was anything between a size and its line end; trailer fields were not checked.

Cause: as for heads, libhttp-parser skips these bytes unless it was built in strict mode.

The framing is now checked against RFC 9112, section 7.1, in net/chunks.c, with the check of heads for the trailer.

Extensions, white space before them, leading zeros and trailers are allowed and are passed on.

--- a/lib/http_syntax.c
+++ b/lib/http_syntax.c
@@ -18,10 +18,8 @@
          || (byte != '\0' && strchr ("!#$%&'*+-.^_`|~", byte) != NULL);
 }
 
-/* Returns whether BYTE may be part of a field value or a reason phrase: HTAB,
-   SP, VCHAR and obs-text.  */
-static bool
-is_text_byte (char byte)
+bool
+cp_http_is_text_byte (char byte)
 {
   unsigned char code = (unsigned char)byte;
 
@@ -65,7 +63,7 @@
 {
   if (byte == '\r')
     return CP_HTTP_LINE_END;
-  return is_text_byte (byte) ? state : CP_HTTP_INVALID;
+  return cp_http_is_text_byte (byte) ? state : CP_HTTP_INVALID;
 }
 
 /* Returns the state after BYTE at the start of a line.  White space there
@@ -123,6 +121,12 @@
   *syntax = (struct cp_http_syntax){ .state = CP_HTTP_VERSION };
 }
 
+void
+cp_http_syntax_init_trailer (struct cp_http_syntax *syntax)
+{
+  *syntax = (struct cp_http_syntax){ .state = CP_HTTP_FIELD_START };
+}
+
 size_t
 cp_http_syntax_feed (struct cp_http_syntax *syntax, const char *data,
                      size_t length)
--- a/lib/http_syntax.h
+++ b/lib/http_syntax.h
@@ -39,8 +39,15 @@
   unsigned n_read; /* bytes of the version, or digits of the status, read */
 };
 
+/* Returns whether BYTE may be part of a field value or a reason phrase: HTAB,
+   SP, VCHAR and obs-text.  */
+bool cp_http_is_text_byte (char byte);
+
 void cp_http_syntax_init (struct cp_http_syntax *syntax);
 
+/* Prepares SYNTAX for a trailer section, which has no status line.  */
+void cp_http_syntax_init_trailer (struct cp_http_syntax *syntax);
+
 /* Checks up to LENGTH bytes of DATA, which follow those of the last call.
    Returns how many belong to the head; afterwards the state is CP_HTTP_END,
    CP_HTTP_INVALID or, if the head goes on, another one.  */
--- a/net/message.c
+++ b/net/message.c
@@ -234,6 +234,7 @@
   http_parser_init (&message->parser, kind);
   message->parser.data = message;
   cp_http_syntax_init (&message->syntax);
+  net_chunks_init (&message->chunks);
   message->headers.text = g_string_sized_new (512);
   message->target = g_string_new (NULL);
   message->body = g_byte_array_new ();
@@ -254,6 +255,7 @@
   http_parser_init (&message->parser,
                     (enum http_parser_type)message->parser.type);
   cp_http_syntax_init (&message->syntax);
+  net_chunks_init (&message->chunks);
   g_string_truncate (message->headers.text, 0);
   g_string_truncate (message->target, 0);
   return_to_budget (message);
@@ -274,10 +276,16 @@
 static bool
 check_syntax (struct net_message *message, const char *data, size_t length)
 {
+  size_t in_head;
+
   if (message->parser.type == HTTP_REQUEST)
     return true;
-  cp_http_syntax_feed (&message->syntax, data, length);
-  return message->syntax.state != CP_HTTP_INVALID;
+  in_head = cp_http_syntax_feed (&message->syntax, data, length);
+  if (message->syntax.state == CP_HTTP_INVALID)
+    return false;
+  return (message->parser.flags & F_CHUNKED) == 0
+         || net_chunks_feed (&message->chunks, data + in_head,
+                             length - in_head);
 }
 
 enum net_parse_state
--- a/net/message.h
+++ b/net/message.h
@@ -3,8 +3,8 @@
    net_message_feed accepts input in pieces of any size.  Parsing is done by
    libhttp-parser, which rejects ambiguous messages, such as those with both
    Content-Length and Transfer-Encoding.  It is not built in strict mode, so
-   the heads of responses are checked here.  The whole body is buffered,
-   up to the limit.  Not thread-safe.  */
+   the heads and chunks of responses are checked here.  The whole body is
+   buffered, up to the limit.  Not thread-safe.  */
 #ifndef NET_MESSAGE_H
 #define NET_MESSAGE_H
 
@@ -14,7 +14,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#include "lib/http_syntax.h"
+#include "net/chunks.h"
 
 #define NET_HEADERS_MAX 96
 
@@ -67,6 +67,7 @@
 {
   http_parser parser;
   struct cp_http_syntax syntax; /* of a response */
+  struct net_chunks chunks;     /* of its body, if that is chunked */
   struct net_limits limits;
   struct net_headers headers;
   GString *target; /* request target: path and query */
--- a/regress/meshd/check_mesh_broken_answers.c
+++ b/regress/meshd/check_mesh_broken_answers.c
@@ -80,6 +80,36 @@
 
 #define CODING "Transfer-Encoding: "
 
+#define CHUNKED(body) CODED ("HTTP/1.1", CODING "chunked\r\n", body)
+
+static const struct script good_chunks[] = {
+  CHUNKED ("05\r\nwhole\r\n000\r\n\r\n"),
+  CHUNKED ("2\r\nwh\r\n3\r\nole\r\n0\r\n\r\n"),
+  CHUNKED ("5;a=b;c=\"d e\" ;\tf\r\nwhole\r\n0;g\r\n\r\n"),
+  CHUNKED ("5 \t;a\r\nwhole\r\n0\r\nX-Note: a\r\nx-note:\r\n\r\n"),
+};
+
+static const struct script broken_chunks[] = {
+  CHUNKED ("5\r\nwholeXX0\r\n\r\n"),
+  CHUNKED ("5\r\nwhole\rX0\r\n\r\n"),
+  CHUNKED ("5\r\nwhole\n0\r\n\r\n"),
+  CHUNKED ("5\rXwhole\r\n0\r\n\r\n"),
+  CHUNKED ("5\nwhole\r\n0\r\n\r\n"),
+  CHUNKED ("5 5\r\nwhole\r\n0\r\n\r\n"),
+  CHUNKED ("5 \r\nwhole\r\n0\r\n\r\n"),
+  CHUNKED ("5;a\001\r\nwhole\r\n0\r\n\r\n"),
+  CHUNKED ("5;a\0\r\nwhole\r\n0\r\n\r\n"),
+  CHUNKED ("0x5\r\nwhole\r\n0\r\n\r\n"),
+  CHUNKED ("-5\r\nwhole\r\n0\r\n\r\n"),
+  CHUNKED ("\r\nwhole\r\n0\r\n\r\n"),
+  CHUNKED ("10000000000000005\r\nwhole\r\n0\r\n\r\n"),
+  CHUNKED ("5\r\nwhole\r\n0\r\n\rX"),
+  CHUNKED ("5\r\nwhole\r\n0\r\n"),
+  CHUNKED ("5\r\nwhole\r\n0\r\nX Note: a\r\n\r\n"),
+  CHUNKED ("5\r\nwhole\r\n0\r\nX-Note: \001\r\n\r\n"),
+  CHUNKED ("5\r\nwhole\r\n0\r\nX-Note\r\n\r\n"),
+};
+
 static const struct script unknown_codings[] = {
   CODED ("HTTP/1.1", CODING "gzip\r\n", "whole"),
   CODED ("HTTP/1.1", CODING "identity\r\n", "whole"),
@@ -145,6 +175,8 @@
 {
   for (unsigned i = 0; i < G_N_ELEMENTS (good_answers); i++)
     expect_whole (&good_answers[i], i);
+  for (unsigned i = 0; i < G_N_ELEMENTS (good_chunks); i++)
+    expect_whole (&good_chunks[i], G_N_ELEMENTS (good_answers) + i);
 }
 END_TEST
 
@@ -169,6 +201,13 @@
 }
 END_TEST
 
+START_TEST (an_answer_with_broken_chunks_is_rejected)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (broken_chunks); i++)
+    expect_rejected (&broken_chunks[i], i);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
@@ -178,6 +217,7 @@
   tcase_add_test (tests, an_answer_with_a_broken_field_is_rejected);
   tcase_add_test (tests,
                   an_answer_with_an_unknown_transfer_coding_is_rejected);
+  tcase_add_test (tests, an_answer_with_broken_chunks_is_rejected);
 }
 
 int
--- a/regress/net/check_message.c
+++ b/regress/net/check_message.c
@@ -88,6 +88,19 @@
 }
 END_TEST
 
+START_TEST (chunks_of_a_response_may_have_extensions_and_a_trailer)
+{
+  ck_assert_int_eq (parse (HTTP_RESPONSE,
+                           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                           "\r\n3;a=b\r\nabc\r\n0A ;c\r\n0123456789\r\n"
+                           "0\r\nX: y\r\n\r\n",
+                           _i == 0 ? 1 : 1000),
+                    NET_COMPLETE);
+  ck_assert_uint_eq (message.body->len, 13);
+  net_message_finish (&message);
+}
+END_TEST
+
 /* Requests that must be rejected, and the resulting state.  */
 static const struct
 {
@@ -135,6 +148,11 @@
   "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nok",
   "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
   "2\r\nok\r\n0\r\n\r\n",
+  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nokXX0\r\n\r\n",
+  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+  "2 2\r\nok\r\n0\r\n\r\n",
+  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+  "2\r\nok\r\n0\r\nA B: c\r\n\r\n",
 };
 
 static enum net_parse_state
@@ -262,6 +280,8 @@
   tcase_add_loop_test (tests, request_parses_alike_whole_and_bytewise, 0, 2);
   tcase_add_test (tests, bytes_after_a_request_are_left_for_the_next);
   tcase_add_test (tests, chunked_body_is_joined);
+  tcase_add_loop_test (
+      tests, chunks_of_a_response_may_have_extensions_and_a_trailer, 0, 2);
   tcase_add_loop_test (tests, malformed_requests_are_rejected, 0,
                        G_N_ELEMENTS (bad_requests));
   tcase_add_loop_test (tests, malformed_responses_are_rejected, 0,
