End an answer that has no body with its head

Callers got 502 or 504 in place of a 304 or 204 whose fields give a length, and a body with a 204 that was followed by other bytes. The daemon waited for a body that does not come: a 304 may name the length that a 200 would have (RFC 9110, section 8.6), and neither status has a body (RFC 9112, section 6.3). An interim answer with a length took the head of the final one as its body.

Cause: libhttp-parser ends only answers to HEAD with their head, as it is told to; the status does not count if a length is given.

The parser is told so now for the statuses 1xx, 204 and 304 as well.

--- a/net/message.c
+++ b/net/message.c
@@ -142,11 +142,24 @@
   return true;
 }
 
+/* Returns whether a message with this head has no body, whatever its fields
+   say (RFC 9112, section 6.3).  */
+static bool
+has_no_body (const struct net_message *message)
+{
+  unsigned status = message->parser.status_code;
+
+  if (message->parser.type == HTTP_REQUEST)
+    return false;
+  return message->bodiless || status < 200 || status == 204 || status == 304;
+}
+
 static int
 on_headers (http_parser *parser)
 {
   struct net_message *message = parser->data;
   uint64_t content_length = parser->content_length;
+  bool no_body = has_no_body (message);
 
   message->headers_complete = true;
   g_string_append_c (message->headers.text, '\0');
@@ -163,9 +176,9 @@
       return -1;
     }
   if (content_length == UINT64_MAX)
-    return message->bodiless ? 1 : 0;
+    return no_body ? 1 : 0;
   if (message->limits.body > 0 && content_length > message->limits.body
-      && !message->bodiless)
+      && !no_body)
     {
       message->state = NET_BODY_TOO_LONG;
       return -1;
@@ -181,7 +194,7 @@
       g_byte_array_set_size (message->body, (guint)content_length);
       g_byte_array_set_size (message->body, 0);
     }
-  return message->bodiless ? 1 : 0;
+  return no_body ? 1 : 0;
 }
 
 static void
--- a/regress/meshd/check_mesh_broken_answers.c
+++ b/regress/meshd/check_mesh_broken_answers.c
@@ -1,5 +1,7 @@
 /* Answers that are not what HTTP/1.1 allows: no caller gets one, or anything
    made of it.  */
+#include <string.h>
+
 #include "lib/cleanup.h"
 #include "regress/harness/stage_fixture.h"
 
@@ -78,6 +80,21 @@
   FIELD ("X-Note:\r\n\tb\r\n"),
 };
 
+#define WITHOUT_BODY(status, lines)                                           \
+  {                                                                           \
+    "HTTP/1.1 " status " Empty\r\n" FIELDS lines "\r\n",                      \
+        sizeof ("HTTP/1.1 " status " Empty\r\n" FIELDS lines "\r\n") - 1      \
+  }
+
+/* A length in a 304 is that of the body that a 200 would have.  */
+static const struct script without_body[] = {
+  WITHOUT_BODY ("304", "Content-Length: 5\r\n"),
+  WITHOUT_BODY ("304", "Transfer-Encoding: chunked\r\n"),
+  WITHOUT_BODY ("304", "Content-Length: 99999999999\r\n"),
+  WITHOUT_BODY ("204", "Content-Length: 5\r\n"),
+  WITHOUT_BODY ("204", ""),
+};
+
 #define CODING "Transfer-Encoding: "
 
 #define CHUNKED(body) CODED ("HTTP/1.1", CODING "chunked\r\n", body)
@@ -180,6 +197,20 @@
 }
 END_TEST
 
+START_TEST (an_answer_that_has_no_body_ends_with_its_head)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (without_body); i++)
+    {
+      CP_AUTO_FREE char *id = g_strdup_printf ("empty%u", i);
+      int expected = atoi (without_body[i].bytes + strlen ("HTTP/1.1 "));
+
+      set_script (&without_body[i]);
+      ck_assert_int_eq (call ("POST", "/write/1?scripted", id), expected);
+      ck_assert_uint_eq (reply.body->len, 0);
+    }
+}
+END_TEST
+
 START_TEST (an_answer_with_a_broken_status_line_is_rejected)
 {
   for (unsigned i = 0; i < G_N_ELEMENTS (broken_status_lines); i++)
@@ -213,6 +244,7 @@
 {
   tcase_add_checked_fixture (tests, setup, teardown);
   tcase_add_test (tests, what_the_protocol_allows_is_passed_on);
+  tcase_add_test (tests, an_answer_that_has_no_body_ends_with_its_head);
   tcase_add_test (tests, an_answer_with_a_broken_status_line_is_rejected);
   tcase_add_test (tests, an_answer_with_a_broken_field_is_rejected);
   tcase_add_test (tests,
--- a/regress/net/check_message.c
+++ b/regress/net/check_message.c
@@ -199,6 +199,31 @@
 }
 END_TEST
 
+/* What follows the head is not part of the response.  */
+START_TEST (response_that_has_no_body_ends_with_its_head)
+{
+  static const char *const heads[]
+      = { "HTTP/1.1 304 Not Modified\r\nContent-Length: 2\r\n\r\n",
+          "HTTP/1.1 304 Not Modified\r\nContent-Length: 2000\r\n\r\n",
+          "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n",
+          "HTTP/1.1 103 Early Hints\r\nContent-Length: 2\r\n\r\n" };
+  static const struct net_limits limits = { .head = 4096, .body = 100 };
+  size_t consumed;
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (heads); i++)
+    {
+      char *text = g_strconcat (heads[i], "ok", NULL);
+
+      net_message_init (&message, HTTP_RESPONSE, &limits);
+      ck_assert_int_eq (feed (text, 1000, &consumed), NET_COMPLETE);
+      ck_assert_uint_eq (consumed, strlen (heads[i]));
+      ck_assert_uint_eq (message.body->len, 0);
+      net_message_finish (&message);
+      g_free (text);
+    }
+}
+END_TEST
+
 START_TEST (response_without_length_ends_at_close)
 {
   ck_assert_int_eq (parse (HTTP_RESPONSE, "HTTP/1.1 200 OK\r\n\r\nabc", 1000),
@@ -288,6 +313,7 @@
                        G_N_ELEMENTS (bad_responses));
   tcase_add_loop_test (tests, headers_over_the_limit_are_rejected, 0, 2);
   tcase_add_test (tests, too_many_headers_are_rejected);
+  tcase_add_test (tests, response_that_has_no_body_ends_with_its_head);
   tcase_add_test (tests, response_without_length_ends_at_close);
   tcase_add_test (tests, truncated_response_is_malformed);
   tcase_add_test (tests, hop_by_hop_headers_are_recognized);
