Reject an answer that switches to another protocol

Callers got what a server sent behind a 101 as its answer: the bytes that follow a 101 belong to another protocol (RFC 9110, section 15.2.2), yet were read as the final answer to the request, since a 101 was skipped as other interim answers are.

Cause: net/client.c treated all 1xx alike. No request asks for another protocol, as Upgrade is not forwarded.

A 101 now makes the answer malformed.

Evidence: an_answer_that_switches_protocols_is_rejected failed before at the first of four answers (200); all four give 502 now, and a 200 behind a 103 and a 100 is passed on.

--- a/net/client.c
+++ b/net/client.c
@@ -37,6 +37,12 @@
 {
   unsigned status = client->response.parser.status_code;
 
+  /* No request asks for another protocol, so what follows is no HTTP.  */
+  if (status == 101)
+    {
+      fail (client, NET_FAILED_GARBLED);
+      return false;
+    }
   if (status >= 100 && status < 200)
     {
       net_message_reset (&client->response);
--- a/regress/meshd/check_mesh_broken_answers.c
+++ b/regress/meshd/check_mesh_broken_answers.c
@@ -34,6 +34,8 @@
   STATUS_LINE ("HTTP/1.1 200 \t\xfc\r\n"),
   STATUS_LINE ("HTTP/1.0 200 OK\r\n"),
   FIELD ("x-note:\r\nX-NOTE: \t a \xfc\t\r\n!#$%&'*+-.^_`|~:b\r\n"),
+  STATUS_LINE ("HTTP/1.1 103 Early Hints\r\nX-Note: a\r\n\r\n"
+               "HTTP/1.1 100 \r\n\r\nHTTP/1.1 200 OK\r\n"),
   CODED ("HTTP/1.1", "", "whole"),
   CODED ("HTTP/1.1", "transfer-encoding: \tChunked \r\n", CHUNKS),
 };
@@ -57,6 +59,18 @@
   STATUS_LINE ("\r\nHTTP/1.1 200 OK\r\n"),
 };
 
+#define SWITCH "HTTP/1.1 101 Switching Protocols\r\n"
+
+/* What follows a 101 belongs to another protocol.  */
+static const struct script switches[] = {
+  STATUS_LINE (SWITCH "\r\nHTTP/1.1 200 OK\r\n"),
+  STATUS_LINE (SWITCH "Connection: upgrade\r\nUpgrade: other\r\n\r\n"
+                      "HTTP/1.1 200 OK\r\n"),
+  STATUS_LINE ("HTTP/1.1 103 Early Hints\r\n\r\n" SWITCH "\r\n"
+               "HTTP/1.1 200 OK\r\n"),
+  STATUS_LINE (SWITCH),
+};
+
 static const struct script broken_fields[] = {
   FIELD ("X Note: a\r\n"),
   FIELD ("X\tNote: a\r\n"),
@@ -218,6 +232,13 @@
 }
 END_TEST
 
+START_TEST (an_answer_that_switches_protocols_is_rejected)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (switches); i++)
+    expect_rejected (&switches[i], i);
+}
+END_TEST
+
 START_TEST (an_answer_with_a_broken_field_is_rejected)
 {
   for (unsigned i = 0; i < G_N_ELEMENTS (broken_fields); i++)
@@ -246,6 +267,7 @@
   tcase_add_test (tests, what_the_protocol_allows_is_passed_on);
   tcase_add_test (tests, an_answer_that_has_no_body_ends_with_its_head);
   tcase_add_test (tests, an_answer_with_a_broken_status_line_is_rejected);
+  tcase_add_test (tests, an_answer_that_switches_protocols_is_rejected);
   tcase_add_test (tests, an_answer_with_a_broken_field_is_rejected);
   tcase_add_test (tests,
                   an_answer_with_an_unknown_transfer_coding_is_rejected);
