--- a/regress/meshd/check_mesh_broken_answers.c
+++ b/regress/meshd/check_mesh_broken_answers.c
@@ -100,6 +100,13 @@
         sizeof ("HTTP/1.1 " status " Empty\r\n" FIELDS lines "\r\n") - 1      \
   }
 
+static const struct script encoded[] = {
+  FIELD ("Content-Encoding: gzip\r\n"),
+  FIELD ("Content-Encoding: identity, gzip\r\n"),
+  FIELD ("Content-Encoding: gzip\r\nContent-Encoding: identity\r\n"),
+  FIELD ("Content-Encoding: identity\r\nContent-Encoding: gzip\r\n"),
+};
+
 /* A length in a 304 is that of the body that a 200 would have.  */
 static const struct script without_body[] = {
   WITHOUT_BODY ("304", "Content-Length: 5\r\n"),
@@ -246,6 +253,13 @@
 }
 END_TEST
 
+START_TEST (an_answer_with_an_encoded_body_is_rejected)
+{
+  for (unsigned i = 0; i < G_N_ELEMENTS (encoded); i++)
+    expect_rejected (&encoded[i], i);
+}
+END_TEST
+
 START_TEST (an_answer_with_an_unknown_transfer_coding_is_rejected)
 {
   for (unsigned i = 0; i < G_N_ELEMENTS (unknown_codings); i++)
@@ -271,6 +285,7 @@
   tcase_add_test (tests, an_answer_with_a_broken_field_is_rejected);
   tcase_add_test (tests,
                   an_answer_with_an_unknown_transfer_coding_is_rejected);
+  tcase_add_test (tests, an_answer_with_an_encoded_body_is_rejected);
   tcase_add_test (tests, an_answer_with_broken_chunks_is_rejected);
 }
 
