Take a success that ends during the upload as cut off

Callers got a part of an answer as a whole signed 200: the server answered an upload of 8 MB at once without a length, sent "half" and ended the connection while the upload was still being written. With a reset alone this was noticed. With a FIN before the reset it was not: that is what a system sends when it closes the socket of a process that ends and has read what came so far, and the reset follows only when more of the upload arrives.

Cause: the FIN was taken as the orderly end of a body without a length.

A success (2xx) without a length now counts as whole only if the server has received the whole request, that is if nothing of it is unwritten or unacknowledged when the connection ends. Other statuses are not changed: a server may reject a request that it does not read.

An early 413 that ends so is passed on.

--- a/net/client.c
+++ b/net/client.c
@@ -89,6 +89,21 @@
     }
 }
 
+/* Returns whether the response is whole now that the connection has ended in
+   an orderly way.  A server may reject a request that it has not read, but a
+   success without a length that ends while the request is still on its way is
+   that of a server that failed meanwhile: its FIN may come before the
+   reset.  */
+static bool
+is_whole_at_end (struct net_client *client)
+{
+  struct net_message *response = &client->response;
+
+  return net_message_end (response) == NET_COMPLETE
+         && (response->parser.status_code >= 300
+             || net_stream_unacknowledged (&client->stream) == 0);
+}
+
 static void
 on_ended (struct net_stream *stream, int error)
 {
@@ -100,8 +115,7 @@
     fail (client, NET_FAILED_UNSENT);
   else if (!client->response.started)
     fail (client, error == UV_EOF ? NET_FAILED_ENDED : NET_FAILED_RESET);
-  else if (error != UV_EOF
-           || net_message_end (&client->response) != NET_COMPLETE)
+  else if (error != UV_EOF || !is_whole_at_end (client))
     fail (client, NET_FAILED_CUT);
   else if (handle_response (client, 0))
     fail (client, NET_FAILED_ENDED);
--- a/regress/harness/stage.c
+++ b/regress/harness/stage.c
@@ -68,6 +68,7 @@
   harness_require (mkdtemp (stage->folder) != NULL, "cannot make a folder");
   signal (SIGPIPE, SIG_IGN);
   stage->n_vms = n_vms;
+  stage->body_max = 100000;
   pthread_mutex_init (&stage->lock, NULL);
   uv_loop_init (&stage->loop);
   uv_async_init (&stage->loop, &stage->wake, on_wake);
@@ -135,14 +136,15 @@
       = rule ("betas", "idempotent", "/read/", "beta", "2000ms");
   CP_AUTO_FREE char *value = g_strdup_printf (
       "{\"version\":%" G_GUINT64_FORMAT ",\"limits\":{\"maxHeaderBytes\":8192,"
-      "\"maxBodyBytes\":100000,\"headerTimeout\":\"500ms\","
+      "\"maxBodyBytes\":%u,\"headerTimeout\":\"500ms\","
       "\"idleTimeout\":\"5000ms\"},\"listeners\":[{\"host\":\"alpha.test\","
       "\"rules\":[%s,%s,%s%s]},{\"host\":\"beta.test\",\"rules\":[%s]}],"
       "\"clusters\":[{\"name\":\"alpha\",\"healthPath\":\"/health\","
       "\"maxConnections\":240%s},{\"name\":\"beta\",\"healthPath\":\"/"
       "health\","
       "\"maxConnections\":240}]}",
-      ++stage->version, reads, writes, shorts, routes, betas, stage->warm_up);
+      ++stage->version, stage->body_max, reads, writes, shorts, routes, betas,
+      stage->warm_up);
 
   stage_put (stage, "op/config", value);
 }
--- a/regress/harness/stage.h
+++ b/regress/harness/stage.h
@@ -21,6 +21,11 @@
      ?garble       sends bytes that are no answer
      ?scripted     sends what stage_server_script set, and ends the connection
      ?unsigned     leaves the signature out
+     ?early=BYTES  once it has that much of the body, reads no more and sends
+                   a part of an answer without length; MS later (&ms=MS) it
+                   resets the connection, or with &fin ends it in an orderly
+                   way at once and resets it then; with &too-large the status
+                   is 413, else 200
      ?hang         never answers
      ?crash        ends the server after 20 ms
      ?flood-head   sends a head without end
@@ -51,6 +56,7 @@
   char net[24];
   unsigned n_vms;
   uint64_t version;
+  unsigned body_max; /* longest body of a request, in bytes */
   char extra[2048];  /* members added to each route's action, or "" */
   char warm_up[128]; /* members added to the service alpha, each with a comma
                         before it, or "" */
--- a/regress/harness/stage_server.c
+++ b/regress/harness/stage_server.c
@@ -448,6 +448,48 @@
     finish (guest, badly);
 }
 
+/* Returns the number behind NAME in the query, or 0.  */
+static guint64
+number_of (const struct guest *guest, const char *name)
+{
+  const char *at = strstr (guest->request.target->str, name);
+
+  return at == NULL ? 0 : g_ascii_strtoull (at + strlen (name), NULL, 10);
+}
+
+static void
+on_reset (uv_timer_t *timer)
+{
+  struct guest *guest = timer->data;
+
+  guest->working = false;
+  guest->server->running--;
+  reset (guest);
+}
+
+/* Answers in part while the request is still being sent, if it asks for that.
+ */
+static void
+answer_early (struct guest *guest)
+{
+  CP_AUTO_FREE char *text = NULL;
+
+  if (!guest->request.headers_complete || !asks (guest, "early=")
+      || guest->request.body->len < number_of (guest, "early="))
+    return;
+  count_run (guest);
+  guest->working = true;
+  guest->server->running++;
+  net_stream_set_reading (&guest->stream, false);
+  text = compose (
+      guest, asks (guest, "too-large") ? "413 Content Too Large" : "200 OK",
+      request_id (guest), SIGNATURE, "half", -1);
+  send_text (guest, text);
+  if (asks (guest, "fin"))
+    net_stream_shutdown (&guest->stream);
+  uv_timer_start (&guest->timer, on_reset, number_of (guest, "ms="), 0);
+}
+
 static void
 on_data (struct net_stream *stream, const char *data, size_t length)
 {
@@ -461,9 +503,11 @@
 
       data += used;
       length -= used;
-      if (state == NET_COMPLETE)
+      if (state == NET_INCOMPLETE)
+        answer_early (guest);
+      else if (state == NET_COMPLETE)
         work (guest);
-      else if (state != NET_INCOMPLETE)
+      else
         {
           fprintf (stderr, "server %u gets what is no request\n",
                    guest->server->vm);
--- a/regress/meshd/check_mesh_broken_answers.c
+++ b/regress/meshd/check_mesh_broken_answers.c
@@ -274,6 +274,74 @@
 }
 END_TEST
 
+/* An upload whose server answers when it has READ bytes of it.  */
+struct early_answer
+{
+  unsigned read;
+  unsigned reset_ms;
+  const char *end;
+};
+
+static const struct early_answer early_answers[] = {
+  { 0, 0, "" },           { 0, 1, "" },
+  { 0, 20, "" },          { 0, 200, "" },
+  { 1000000, 0, "" },     { 1000000, 20, "" },
+  { 7900000, 0, "" },     { 0, 200, "&fin" },
+  { 100000, 20, "&fin" }, { 1000000, 200, "&fin" },
+};
+
+#define UPLOAD_BYTES 8000000
+
+static void
+allow_long_uploads (const char *body)
+{
+  stage.body_max = UPLOAD_BYTES;
+  stage_configure (&stage, "");
+  do
+    {
+      g_usleep (100000);
+      stage_call (&stage, &reply, 3, "POST", "alpha.test", "/write/1", "first",
+                  body);
+    }
+  while (reply.status == 413);
+  ck_assert_int_eq (reply.status, 200);
+}
+
+/* A success that ends with the connection while the upload is still being
+   sent is not whole, also if a FIN came before the reset.  */
+START_TEST (a_success_that_ends_during_the_upload_is_rejected)
+{
+  CP_AUTO_FREE char *body = g_strnfill (UPLOAD_BYTES, 'u');
+  const struct early_answer *early = &early_answers[_i];
+  CP_AUTO_FREE char *path = g_strdup_printf (
+      "/write/1?early=%u&ms=%u%s", early->read, early->reset_ms, early->end);
+
+  allow_long_uploads (body);
+  for (unsigned i = 0; i < 3; i++)
+    {
+      CP_AUTO_FREE char *id = g_strdup_printf ("early%u", i);
+
+      stage_call (&stage, &reply, 3, "POST", "alpha.test", path, id, body);
+      ck_assert_msg (reply.status == 502 || reply.status == 504,
+                     "%d after %s, %s", reply.status, path, reply.body->str);
+      ck_assert_uint_eq (stage_runs (&stage, id), 1);
+    }
+}
+END_TEST
+
+/* A server may reject an upload that it does not read.  */
+START_TEST (a_rejection_that_ends_during_the_upload_is_passed_on)
+{
+  CP_AUTO_FREE char *body = g_strnfill (UPLOAD_BYTES, 'u');
+
+  allow_long_uploads (body);
+  stage_call (&stage, &reply, 3, "POST", "alpha.test",
+              "/write/1?early=0&ms=500&fin&too-large", "large", body);
+  ck_assert_int_eq (reply.status, 413);
+  ck_assert_str_eq (reply.body->str, "half");
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
@@ -287,6 +355,10 @@
                   an_answer_with_an_unknown_transfer_coding_is_rejected);
   tcase_add_test (tests, an_answer_with_an_encoded_body_is_rejected);
   tcase_add_test (tests, an_answer_with_broken_chunks_is_rejected);
+  tcase_add_loop_test (tests,
+                       a_success_that_ends_during_the_upload_is_rejected, 0,
+                       G_N_ELEMENTS (early_answers));
+  tcase_add_test (tests, a_rejection_that_ends_during_the_upload_is_passed_on);
 }
 
 int
