cornelpickd: reject an answer whose head HTTP/1.1 does not allow

Callers of cornelpickd got answers with the status 600 or 999, with HTTP/2.0, with control bytes in the reason phrase, with fields whose name held a blank, a tab, a control byte or a byte over 127, with control bytes in a value, with a line that had no colon and with folded lines; such lines were passed on as they were. A 101 held the call until its deadline (504).

Cause: libcurl passes on each line of a head, whatever it holds. It rejects the status 000 itself; that case was handled, also for the configuration service and the VM list.

Each line of the head, of interim answers and of the trailer section is now checked by lib/http_syntax before it is taken, and a 101 fails the call. It is done where all answers of cornelpickd are read: of targets and their health checks, of other daemons, the configuration service and the VM list.

The allowed forms are still passed on.

--- a/http/hedged.c
+++ b/http/hedged.c
@@ -36,7 +36,6 @@
 
   transfer->call = call;
   transfer->first_byte_us = call->first_byte_us;
-  transfer->head.length = -1;
   hedged->running[index] = true;
   hedged->n_started++;
   upstream_set_options (hedged->pool, upstream, transfer);
--- a/http/internal.h
+++ b/http/internal.h
@@ -3,6 +3,7 @@
 #define HTTP_INTERNAL_H
 
 #include "http/http.h"
+#include "lib/http_syntax.h"
 
 /* CivetWeb does not expose its sockets.  They are searched for among the file
    descriptors below this limit.  */
@@ -25,10 +26,12 @@
   const struct upstream_call *call;
   uint64_t first_byte_us; /* 0 for no limit */
   struct upstream_head head;
-  int64_t body_sent; /* bytes of the request's body */
+  struct cp_http_syntax syntax; /* of the head or the trailer section */
+  int64_t body_sent;            /* bytes of the request's body */
   bool body_ended;
-  bool sent;   /* libcurl has begun to send the request */
-  bool resent; /* libcurl tried to send it again */
+  bool sent;       /* libcurl has begun to send the request */
+  bool resent;     /* libcurl tried to send it again */
+  bool in_trailer; /* the body has ended, its trailer section is read */
   bool head_delivered;
   bool callback_aborted;
 };
@@ -48,6 +51,16 @@
                            struct upstream *upstream,
                            struct transfer *transfer);
 
+/* head.c: the head of an answer.  Prepares TRANSFER for it.  */
+void upstream_head_init (struct transfer *transfer);
+
+/* Header callback of libcurl: takes a LINE of the head, of an interim answer's
+   head or of the trailer section.  CONTEXT is the struct transfer.  Returns
+   the size of the line, or 0 to fail the transfer, if HTTP/1.1 does not allow
+   the line.  */
+size_t upstream_read_head_line (char *line, size_t size, size_t count,
+                                void *context);
+
 /* Returns the result of a transfer that libcurl ended with CODE.  */
 enum upstream_result upstream_classify (struct transfer *transfer,
                                         CURLcode code);
--- a/http/upstream.c
+++ b/http/upstream.c
@@ -274,31 +274,6 @@
   return (size_t)length;
 }
 
-static size_t
-on_header_line (char *line, size_t size, size_t count, void *context)
-{
-  struct transfer *transfer = context;
-  size_t length = size * count;
-  CP_AUTO_FREE char *text = strndup (line, length);
-
-  if (text == NULL)
-    return 0;
-  if (strncmp (text, "HTTP/", 5) == 0)
-    {
-      curl_slist_free_all (transfer->head.headers);
-      transfer->head.headers = NULL;
-      transfer->head.length = -1;
-      transfer->head.status = atoi (text + strcspn (text, " "));
-      return length;
-    }
-  text[strcspn (text, "\r\n")] = '\0';
-  if (strncasecmp (text, "Content-Length:", 15) == 0)
-    transfer->head.length = strtoll (text + 15, NULL, 10);
-  if (*text != '\0')
-    transfer->head.headers = curl_slist_append (transfer->head.headers, text);
-  return length;
-}
-
 static bool
 deliver_head (struct transfer *transfer)
 {
@@ -377,6 +352,7 @@
   char url[CP_ADDRESS_TEXT_BYTES + 16];
 
   snprintf (url, sizeof url, "http://%s/", call->address->text);
+  upstream_head_init (transfer);
   curl_easy_reset (easy);
   curl_easy_setopt (easy, CURLOPT_URL, url);
   curl_easy_setopt (easy, CURLOPT_REQUEST_TARGET, call->path);
@@ -393,7 +369,7 @@
   curl_easy_setopt (easy, CURLOPT_CLOSESOCKETDATA, upstream);
   curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, before_send);
   curl_easy_setopt (easy, CURLOPT_PREREQDATA, transfer);
-  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header_line);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, upstream_read_head_line);
   curl_easy_setopt (easy, CURLOPT_HEADERDATA, transfer);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body_data);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, transfer);
@@ -549,9 +525,8 @@
 enum upstream_result
 upstream_perform (struct upstream_pool *pool, const struct upstream_call *call)
 {
-  struct transfer transfer = { .call = call,
-                               .first_byte_us = call->first_byte_us,
-                               .head.length = -1 };
+  struct transfer transfer
+      = { .call = call, .first_byte_us = call->first_byte_us };
   struct upstream *upstream = upstream_acquire (pool, call);
   enum upstream_result result;
 
--- a/regress/harness/script_target.c
+++ b/regress/harness/script_target.c
@@ -221,6 +221,15 @@
 {
   const char *kind = request->kind;
 
+  if (g_str_has_prefix (kind, "script-"))
+    {
+      const struct script *script
+          = &target->scripts[strtol (kind + strlen ("script-"), NULL, 10)];
+
+      if (skip_body (fd, request->body_bytes))
+        send_all (fd, script->bytes, script->length);
+      return false;
+    }
   script_body (request->id, body);
   if (strcmp (kind, "early") == 0)
     return send_sized (fd, request, "413 Content Too Large", body->len,
@@ -314,21 +323,12 @@
   return NULL;
 }
 
-void
-script_target_start (struct script_target *target, const char *address)
-{
-  script_target_start_chained (target, address, "");
-}
-
-void
-script_target_start_chained (struct script_target *target, const char *address,
-                             const char *next)
+static void
+start (struct script_target *target, const char *address)
 {
   struct cp_address own;
   int one = 1;
 
-  memset (target, 0, sizeof *target);
-  g_strlcpy (target->next, next, sizeof target->next);
   ck_assert (cp_address_parse (&own, address));
   target->listen_fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   setsockopt (target->listen_fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
@@ -338,6 +338,32 @@
                     0);
 }
 
+void
+script_target_start (struct script_target *target, const char *address)
+{
+  memset (target, 0, sizeof *target);
+  start (target, address);
+}
+
+void
+script_target_start_chained (struct script_target *target, const char *address,
+                             const char *next)
+{
+  memset (target, 0, sizeof *target);
+  g_strlcpy (target->next, next, sizeof target->next);
+  start (target, address);
+}
+
+void
+script_target_start_scripted (struct script_target *target,
+                              const char *address,
+                              const struct script *scripts)
+{
+  memset (target, 0, sizeof *target);
+  target->scripts = scripts;
+  start (target, address);
+}
+
 void
 script_target_stop (struct script_target *target)
 {
--- a/regress/harness/script_target.h
+++ b/regress/harness/script_target.h
@@ -17,12 +17,14 @@
                the same path through the daemon at NEXT, passing on the time
                left and a depth that is one less (header Test-Depth); the body
                lists the time left in ms at each hop, a line each
+   script-N    the Nth of the scripts, byte by byte, then the end
    Otherwise a body is the request ID, repeated SCRIPT_REPEATS times.  */
 #ifndef SCRIPT_TARGET_H
 #define SCRIPT_TARGET_H
 
 #include <pthread.h>
 
+#include "regress/harness/broken_answers.h"
 #include "regress/harness/harness.h"
 
 #define SCRIPT_REPEATS 200
@@ -35,6 +37,7 @@
   int listen_fd;
   bool stop;
   char next[56]; /* address of a daemon, for chains */
+  const struct script *scripts;
   unsigned n_connections;
   pthread_t connections[SCRIPT_CONNECTIONS_MAX];
 };
@@ -45,6 +48,11 @@
 void script_target_start_chained (struct script_target *target,
                                   const char *address, const char *next);
 
+/* The same, with SCRIPTS.  */
+void script_target_start_scripted (struct script_target *target,
+                                   const char *address,
+                                   const struct script *scripts);
+
 /* Ends the threads; their connections must have been closed.  */
 void script_target_stop (struct script_target *target);
 
