cornelpickd: reject an answer whose length or coding is not certain

Callers of cornelpickd got answers with a length that is no number ("+5"), or a coding that no request asks for, as whole ones. An answer with both a length and chunks was passed on with that length and the joined chunks, which need not agree.

Cause: the length was read by strtoll from the last such field, beside what libcurl makes of the fields, and the coding was left to libcurl alone.

A length must now be a number, given once, and the only coding is chunked, once, not together with a length and not in HTTP/1.0. This is what cornelpick-meshd accepts.

Evidence: a_broken_answer_is_rejected failed before for lengths (the first of 13: 200 to "+5") and for codings (the second of 13: 200 to "identity"); all 26 give 502 and "unknown" now. cornelpick-meshd rejected all 13 lengths before; its test stays.

--- a/http/head.c
+++ b/http/head.c
@@ -6,12 +6,16 @@
 #include "http/internal.h"
 #include "lib/cleanup.h"
 
+/* A length of so many digits fits in 63 bits.  */
+#define LENGTH_DIGITS_MAX 18
+
 static void
 begin_head (struct transfer *transfer)
 {
   cp_http_syntax_init (&transfer->syntax);
   curl_slist_free_all (transfer->head.headers);
   transfer->head = (struct upstream_head){ .length = -1 };
+  transfer->chunked = false;
 }
 
 void
@@ -49,6 +53,70 @@
   return transfer->head.status != 101;
 }
 
+/* Returns the value of the field in LINE if it has NAME, else NULL.  */
+static const char *
+value_of (const char *line, const char *name)
+{
+  size_t length = strlen (name);
+
+  if (strncasecmp (line, name, length) != 0 || line[length] != ':')
+    return NULL;
+  return line + length + 1 + strspn (line + length + 1, " \t");
+}
+
+/* Returns the length of VALUE without the white space at its end.  */
+static size_t
+trimmed_length (const char *value)
+{
+  size_t length = strlen (value);
+
+  while (length > 0 && strchr (" \t", value[length - 1]) != NULL)
+    length--;
+  return length;
+}
+
+/* Takes the length from VALUE, which must be a number, given once.  */
+static bool
+take_length (struct transfer *transfer, const char *value)
+{
+  size_t length = trimmed_length (value);
+
+  if (length == 0 || length > LENGTH_DIGITS_MAX
+      || strspn (value, "0123456789") != length || transfer->head.length >= 0
+      || transfer->chunked)
+    return false;
+  transfer->head.length = strtoll (value, NULL, 10);
+  return true;
+}
+
+/* Takes the coding from VALUE, which must be chunked, alone: no request asks
+   for another one.  Together with a length, the end of the body is not
+   certain.  */
+static bool
+take_coding (struct transfer *transfer, const char *value)
+{
+  if (trimmed_length (value) != strlen ("chunked")
+      || strncasecmp (value, "chunked", strlen ("chunked")) != 0
+      || transfer->chunked || transfer->head.length >= 0
+      || transfer->syntax.minor_version == 0)
+    return false;
+  transfer->chunked = true;
+  return true;
+}
+
+/* Takes what the field in LINE says about the end of the body.  Returns false
+   if that is not what HTTP/1.1 allows.  */
+static bool
+take_framing (struct transfer *transfer, const char *line)
+{
+  const char *length = value_of (line, "Content-Length");
+  const char *coding = value_of (line, "Transfer-Encoding");
+
+  if (length != NULL)
+    return take_length (transfer, length);
+  return coding == NULL || take_coding (transfer, coding);
+}
+
 static bool
 take_field (struct transfer *transfer, const char *line, size_t length)
 {
@@ -56,8 +124,8 @@
 
   if (text == NULL)
     return false;
-  if (strncasecmp (text, "Content-Length:", 15) == 0)
-    transfer->head.length = strtoll (text + 15, NULL, 10);
+  if (!take_framing (transfer, text))
+    return false;
   if (*text != '\0')
     transfer->head.headers = curl_slist_append (transfer->head.headers, text);
   return true;
--- a/http/internal.h
+++ b/http/internal.h
@@ -29,8 +29,9 @@
   struct cp_http_syntax syntax; /* of the head or the trailer section */
   int64_t body_sent;            /* bytes of the request's body */
   bool body_ended;
-  bool sent;       /* libcurl has begun to send the request */
-  bool resent;     /* libcurl tried to send it again */
+  bool sent;   /* libcurl has begun to send the request */
+  bool resent; /* libcurl tried to send it again */
+  bool chunked;
   bool in_trailer; /* the body has ended, its trailer section is read */
   bool head_delivered;
   bool callback_aborted;
--- a/lib/http_syntax.c
+++ b/lib/http_syntax.c
@@ -92,6 +92,7 @@
     case CP_HTTP_VERSION:
       return read_version (syntax, byte);
     case CP_HTTP_MINOR_VERSION:
+      syntax->minor_version = (unsigned)(byte - '0');
       return g_ascii_isdigit (byte) ? CP_HTTP_STATUS_SPACE : CP_HTTP_INVALID;
     case CP_HTTP_STATUS_SPACE:
       return begin_status (syntax, byte);
--- a/lib/http_syntax.h
+++ b/lib/http_syntax.h
@@ -31,10 +31,11 @@
   CP_HTTP_INVALID
 };
 
-/* STATUS is valid once the status line has been read.  */
+/* MINOR_VERSION and STATUS are valid once the status line has been read.  */
 struct cp_http_syntax
 {
   enum cp_http_syntax_state state;
+  unsigned minor_version;
   unsigned status;
   unsigned n_read; /* bytes of the version, or digits of the status, read */
 };
--- a/regress/harness/broken_answers.c
+++ b/regress/harness/broken_answers.c
@@ -146,6 +146,25 @@
   { NULL, 0 },
 };
 
+#define LENGTH "Content-Length: "
+
+const struct script broken_lengths[] = {
+  CODED ("HTTP/1.1", LENGTH "+5\r\n", "whole"),
+  CODED ("HTTP/1.1", LENGTH "-5\r\n", "whole"),
+  CODED ("HTTP/1.1", LENGTH "0x5\r\n", "whole"),
+  CODED ("HTTP/1.1", LENGTH "5.0\r\n", "whole"),
+  CODED ("HTTP/1.1", LENGTH "five\r\n", "whole"),
+  CODED ("HTTP/1.1", LENGTH "\r\n", "whole"),
+  CODED ("HTTP/1.1", LENGTH "5 5\r\n", "whole"),
+  CODED ("HTTP/1.1", LENGTH "5, 3\r\n", "whole"),
+  CODED ("HTTP/1.1", LENGTH "3\r\n" LENGTH "5\r\n", "whole"),
+  CODED ("HTTP/1.1", LENGTH "5\r\n" LENGTH "3\r\n", "whole"),
+  CODED ("HTTP/1.1", LENGTH "18446744073709551621\r\n", "whole"),
+  CODED ("HTTP/1.1", LENGTH "18446744073709551615\r\n", "whole"),
+  CODED ("HTTP/1.1", LENGTH "3\r\n" CODING "chunked\r\n", CHUNKS),
+  { NULL, 0 },
+};
+
 const struct script unknown_codings[] = {
   CODED ("HTTP/1.1", CODING "gzip\r\n", "whole"),
   CODED ("HTTP/1.1", CODING "identity\r\n", "whole"),
--- a/regress/harness/broken_answers.h
+++ b/regress/harness/broken_answers.h
@@ -26,6 +26,7 @@
 extern const struct script switches[];
 extern const struct script broken_fields[];
 extern const struct script encoded[];
+extern const struct script broken_lengths[];
 extern const struct script unknown_codings[];
 extern const struct script broken_chunks[];
 
--- a/regress/meshd/check_mesh_broken_answers.c
+++ b/regress/meshd/check_mesh_broken_answers.c
@@ -102,6 +102,13 @@
 }
 END_TEST
 
+START_TEST (an_answer_with_a_broken_length_is_rejected)
+{
+  for (unsigned i = 0; broken_lengths[i].bytes != NULL; i++)
+    expect_rejected (&broken_lengths[i], i);
+}
+END_TEST
+
 START_TEST (an_answer_with_an_unknown_transfer_coding_is_rejected)
 {
   for (unsigned i = 0; unknown_codings[i].bytes != NULL; i++)
@@ -195,6 +202,7 @@
   tcase_add_test (tests, an_answer_with_a_broken_field_is_rejected);
   tcase_add_test (tests,
                   an_answer_with_an_unknown_transfer_coding_is_rejected);
+  tcase_add_test (tests, an_answer_with_a_broken_length_is_rejected);
   tcase_add_test (tests, an_answer_with_an_encoded_body_is_rejected);
   tcase_add_test (tests, an_answer_with_broken_chunks_is_rejected);
   tcase_add_loop_test (tests,
--- a/regress/path/check_attempts_broken_answers.c
+++ b/regress/path/check_attempts_broken_answers.c
@@ -69,7 +69,8 @@
 END_TEST
 
 static const struct script *const broken_lists[]
-    = { broken_status_lines, switches, broken_fields };
+    = { broken_status_lines, switches, broken_fields, broken_lengths,
+        unknown_codings };
 
 START_TEST (a_broken_answer_is_rejected)
 {
