cornelpickd: bound the heads and the trailer of an answer together

A target, the configuration service or the VM list that sends trailer fields without end made cornelpickd take memory until its read ended: 8 calls at once took the daemon beside the target to 5.2 to 6.2 GB within 2 s, a read of the platform a daemon to 0.9 GB. On a machine with less, the process ends, and the calls of all its callers with it.

Cause: libcurl keeps each line of heads and trailers in memory. It bounds a line and a head, but not a trailer section, nor all heads of interim answers together.

All lines of an answer together may now be 64 KiB long, which is also the limit of cornelpick-meshd; beyond, the call fails.

--- a/http/head.c
+++ b/http/head.c
@@ -6,6 +6,10 @@
 #include "http/internal.h"
 #include "lib/cleanup.h"
 
+/* Limit of the heads of an answer and its interim answers and of the trailer
+   section, together.  libcurl keeps them all in memory.  */
+#define HEAD_BYTES_MAX 65536
+
 /* A length of so many digits fits in 63 bits.  */
 #define LENGTH_DIGITS_MAX 18
 
@@ -22,6 +26,7 @@
 upstream_head_init (struct transfer *transfer)
 {
   transfer->head.headers = NULL;
+  transfer->head_bytes = 0;
   begin_head (transfer);
 }
 
@@ -138,6 +143,9 @@
   size_t length = size * count;
   bool is_first;
 
+  transfer->head_bytes += length;
+  if (transfer->head_bytes > HEAD_BYTES_MAX)
+    return 0;
   if (transfer->in_trailer || has_final_head (transfer))
     {
       if (!transfer->in_trailer)
--- a/http/internal.h
+++ b/http/internal.h
@@ -27,6 +27,7 @@
   uint64_t first_byte_us; /* 0 for no limit */
   struct upstream_head head;
   struct cp_http_syntax syntax; /* of the head or the trailer section */
+  size_t head_bytes;            /* of all heads and the trailer section */
   int64_t body_sent;            /* bytes of the request's body */
   bool body_ended;
   bool sent;   /* libcurl has begun to send the request */
@@ -58,7 +59,7 @@
 /* Header callback of libcurl: takes a LINE of the head, of an interim answer's
    head or of the trailer section.  CONTEXT is the struct transfer.  Returns
    the size of the line, or 0 to fail the transfer, if HTTP/1.1 does not allow
-   the line.  */
+   the line or the lines are too long together.  */
 size_t upstream_read_head_line (char *line, size_t size, size_t count,
                                 void *context);
 
--- a/regress/harness/harness.h
+++ b/regress/harness/harness.h
@@ -86,6 +86,14 @@
    wait status, else 0.  After SIGSTOP it waits until the process stands.  */
 int process_signal (struct process *process, int signal);
 
+/* Returns the largest resident size of a running process so far, in kB.  */
+unsigned long process_peak_kb (const struct process *process);
+
+/* Makes the address sanitizer of daemons that are started from now on, if they
+   have one, give freed memory back: it keeps up to 256 MB, which would count
+   as theirs.  */
+void harness_release_freed_memory (void);
+
 /* Waits for the end of a process and returns its wait status.  */
 int process_wait (struct process *process);
 
--- a/regress/harness/process.c
+++ b/regress/harness/process.c
@@ -8,6 +8,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "lib/cleanup.h"
 #include "regress/harness/harness.h"
 
 #define ARGUMENTS_MAX 16
@@ -105,3 +106,32 @@
     return 0;
   return process_wait (process);
 }
+
+unsigned long
+process_peak_kb (const struct process *process)
+{
+  char path[64];
+  char line[128];
+  unsigned long kb = 0;
+  FILE *file;
+
+  snprintf (path, sizeof path, "/proc/%d/status", (int)process->pid);
+  file = fopen (path, "r");
+  harness_require (file != NULL, "%s cannot be read", path);
+  while (fgets (line, sizeof line, file) != NULL)
+    if (strncmp (line, "VmHWM:", 6) == 0)
+      kb = strtoul (line + 6, NULL, 10);
+  fclose (file);
+  return kb;
+}
+
+void
+harness_release_freed_memory (void)
+{
+  const char *options = getenv ("ASAN_OPTIONS");
+  CP_AUTO_FREE char *text = g_strdup_printf ("%s%squarantine_size_mb=1",
+                                             options == NULL ? "" : options,
+                                             options == NULL ? "" : ":");
+
+  setenv ("ASAN_OPTIONS", text, 1);
+}
--- a/regress/meshd/check_mesh_floods.c
+++ b/regress/meshd/check_mesh_floods.c
@@ -13,25 +13,6 @@
    much for answers; a daemon takes a few MB without them.  */
 #define MEMORY_KB_MAX (100 * 1024)
 
-/* Reads the largest resident size of VM's daemon so far, in kB.  */
-static unsigned long
-peak_kb (unsigned vm)
-{
-  char path[64];
-  char line[128];
-  unsigned long kb = 0;
-  FILE *file;
-
-  snprintf (path, sizeof path, "/proc/%d/status", (int)stage.daemons[vm].pid);
-  file = fopen (path, "r");
-  ck_assert_ptr_nonnull (file);
-  while (fgets (line, sizeof line, file) != NULL)
-    if (strncmp (line, "VmHWM:", 6) == 0)
-      kb = strtoul (line + 6, NULL, 10);
-  fclose (file);
-  return kb;
-}
-
 static unsigned
 count_descriptors (unsigned vm)
 {
@@ -52,7 +33,7 @@
 check_memory (void)
 {
   for (unsigned vm = 1; vm <= VMS; vm++)
-    ck_assert_uint_lt (peak_kb (vm), MEMORY_KB_MAX);
+    ck_assert_uint_lt (process_peak_kb (&stage.daemons[vm]), MEMORY_KB_MAX);
 }
 
 static const char *const floods[] = { "flood-head", "flood-body" };
@@ -216,22 +197,9 @@
   tcase_add_test (tests, a_long_record_without_hello_is_not_read);
 }
 
-/* Makes the address sanitizer of the daemons, if they have one, give freed
-   memory back: it keeps up to 256 MB, which would count as theirs.  */
-static void
-release_freed_memory (void)
-{
-  const char *options = getenv ("ASAN_OPTIONS");
-  CP_AUTO_FREE char *text = g_strdup_printf ("%s%squarantine_size_mb=1",
-                                             options == NULL ? "" : options,
-                                             options == NULL ? "" : ":");
-
-  setenv ("ASAN_OPTIONS", text, 1);
-}
-
 int
 main (void)
 {
-  release_freed_memory ();
+  harness_release_freed_memory ();
   return suite_run ("mesh_floods", add_tests, 40);
 }
