Bound the interim responses to a request

A server that sent interim answers (1xx) without end held the request until its deadline (504), and the daemon's event loop read as fast as the server wrote: 227 MB in two seconds from a stand-in of the store, whose watches may wait for 30 s. Memory did not grow.

Cause: each response has a limit for its head, but the interim ones before it were not counted together.

The heads of all interim responses to a request share that limit now.

--- a/net/client.c
+++ b/net/client.c
@@ -29,6 +29,23 @@
   client->events->connected (client);
 }
 
+/* Skips an interim response.  Returns whether another response is awaited,
+   which it is not when a server sends interim ones without end.  */
+static bool
+skip_interim (struct net_client *client)
+{
+  const struct net_limits *limits = &client->response.limits;
+
+  client->interim_bytes += client->response.head_bytes;
+  if (limits->head > 0 && client->interim_bytes > limits->head)
+    {
+      fail (client, NET_FAILED_GARBLED);
+      return false;
+    }
+  net_message_reset (&client->response);
+  return true;
+}
+
 /* Passes a complete response to the owner; interim (1xx) responses are
    skipped.  LEFT is the number of bytes that follow it.  Returns whether
    another response is awaited.  */
@@ -44,10 +61,7 @@
       return false;
     }
   if (status >= 100 && status < 200)
-    {
-      net_message_reset (&client->response);
-      return true;
-    }
+    return skip_interim (client);
   client->awaiting_response = false;
   client->reusable = client->response.keep_alive && left == 0
                      && !client->response.ends_at_close;
@@ -155,6 +169,7 @@
   client->awaiting_response = true;
   client->reusable = false;
   client->response.bodiless = bodiless;
+  client->interim_bytes = 0;
   net_stream_clear_wrote (&client->stream);
   net_stream_write (&client->stream, request);
 }
--- a/net/client.h
+++ b/net/client.h
@@ -21,7 +21,8 @@
   NET_FAILED_RESET,    /* connection error before the response began */
   NET_FAILED_ENDED,    /* orderly close before the response began */
   NET_FAILED_CUT,      /* connection lost in the middle of the response */
-  NET_FAILED_GARBLED,  /* the response is malformed or its headers too long */
+  NET_FAILED_GARBLED,  /* the response is malformed or its headers too long,
+                          alone or with those of interim responses */
   NET_FAILED_TOO_LONG, /* the response body exceeds the limit */
   NET_FAILED_IDLE,     /* closed, or sent data, with no request pending */
   NET_FAILURE_COUNT
@@ -46,6 +47,7 @@
   struct net_message response;
   const struct net_client_events *events;
   void *context;
+  size_t interim_bytes; /* of the interim responses to the pending request */
   bool is_connected;
   bool awaiting_response; /* a request is pending */
   bool reusable;          /* the next request may be sent */
--- a/regress/harness/flood_server.c
+++ b/regress/harness/flood_server.c
@@ -32,6 +32,16 @@
 
 const unsigned n_floods = sizeof floods / sizeof floods[0];
 
+const struct flood *
+flood_find (const char *name)
+{
+  unsigned i = 0;
+
+  while (strcmp (floods[i].name, name) != 0)
+    harness_require (++i < n_floods, "there is no flood \"%s\"", name);
+  return &floods[i];
+}
+
 struct flood_connection
 {
   struct flood_server *server;
--- a/regress/harness/flood_server.h
+++ b/regress/harness/flood_server.h
@@ -16,10 +16,13 @@
   const char *unit;
 };
 
-/* Floods of each part of an answer; the last one has no name.  */
+/* Floods of each part of an answer.  */
 extern const struct flood floods[];
 extern const unsigned n_floods;
 
+/* Returns the flood NAME, which must be there.  */
+const struct flood *flood_find (const char *name);
+
 struct flood_server
 {
   const struct flood *flood;
--- a/regress/harness/stage.c
+++ b/regress/harness/stage.c
@@ -68,6 +68,7 @@
   harness_require (mkdtemp (stage->folder) != NULL, "cannot make a folder");
   signal (SIGPIPE, SIG_IGN);
   stage->n_vms = n_vms;
+  stage->store_port = STAGE_PORT_STORE;
   stage->body_max = 100000;
   pthread_mutex_init (&stage->lock, NULL);
   uv_loop_init (&stage->loop);
@@ -173,7 +174,7 @@
       stage_address (stage, vm, STAGE_PORT_PEERS, peers),
       stage_address (stage, vm, STAGE_PORT_READY, ready),
       stage_address (stage, vm, STAGE_PORT_SERVER, server),
-      stage_address (stage, vm, STAGE_PORT_STORE, store), members);
+      stage_address (stage, vm, stage->store_port, store), members);
   harness_require (g_file_set_contents (path, text, -1, NULL),
                    "cannot write %s", path);
 }
--- a/regress/harness/stage.h
+++ b/regress/harness/stage.h
@@ -56,10 +56,11 @@
   char net[24];
   unsigned n_vms;
   uint64_t version;
-  unsigned body_max; /* longest body of a request, in bytes */
-  char extra[2048];  /* members added to each route's action, or "" */
-  char warm_up[128]; /* members added to the service alpha, each with a comma
-                        before it, or "" */
+  unsigned store_port; /* of the store in settings that are written */
+  unsigned body_max;   /* longest body of a request, in bytes */
+  char extra[2048];    /* members added to each route's action, or "" */
+  char warm_up[128];   /* members added to the service alpha, each with a comma
+                          before it, or "" */
   pthread_t thread;
   pthread_mutex_t lock;
   uv_loop_t loop;
--- a/regress/meshd/check_mesh_floods.c
+++ b/regress/meshd/check_mesh_floods.c
@@ -2,11 +2,13 @@
    memory and time stay bounded, and other callers are served meanwhile.  */
 #include <arpa/inet.h>
 #include <dirent.h>
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
 
 #include "lib/cleanup.h"
+#include "regress/harness/flood_server.h"
 #include "regress/harness/stage_fixture.h"
 
 /* A quarter of 160 MB, the memory of the smallest VMs, is for requests and as
@@ -36,11 +38,12 @@
     ck_assert_uint_lt (process_peak_kb (&stage.daemons[vm]), MEMORY_KB_MAX);
 }
 
-static const char *const floods[] = { "flood-head", "flood-body" };
+static const char *const flood_queries[] = { "flood-head", "flood-body" };
 
 START_TEST (a_read_that_meets_a_flood_is_served_by_another)
 {
-  CP_AUTO_FREE char *path = g_strdup_printf ("/read/1?%s-once", floods[_i]);
+  CP_AUTO_FREE char *path
+      = g_strdup_printf ("/read/1?%s-once", flood_queries[_i]);
   uint64_t began_us = (uint64_t)g_get_monotonic_time ();
 
   stage_call (&stage, &reply, 3, "GET", "alpha.test", path, "r1", NULL);
@@ -53,7 +56,7 @@
 
 START_TEST (an_order_that_meets_a_flood_has_an_unknown_end)
 {
-  CP_AUTO_FREE char *path = g_strdup_printf ("/write/1?%s", floods[_i]);
+  CP_AUTO_FREE char *path = g_strdup_printf ("/write/1?%s", flood_queries[_i]);
 
   stage_call (&stage, &reply, 3, "POST", "alpha.test", path, "w1", "order");
   ck_assert_int_eq (reply.status, 502);
@@ -183,14 +186,113 @@
 }
 END_TEST
 
+static struct flood_server flood_server;
+
+/* Longest time in which a daemon takes notice of a flood: it closes a health
+   check, or a call of the store, that has no answer.  */
+#define UNANSWERED_US (2 * G_USEC_PER_SEC)
+
+/* Orders may meet the flood or go to the other server.  */
+static void
+call_during_flood (const char *name)
+{
+  gint64 until_us = g_get_monotonic_time () + UNANSWERED_US;
+  static unsigned number;
+
+  while (g_get_monotonic_time () < until_us)
+    {
+      CP_AUTO_FREE char *id = g_strdup_printf ("f%u", ++number);
+
+      stage_call (&stage, &reply, 3, "POST", "alpha.test", "/write/1", id,
+                  "order");
+      if (reply.status == 200)
+        ck_assert_str_eq (reply.body->str, "taken");
+      else
+        ck_assert_msg (reply.status >= 500, "%s: %d", name, reply.status);
+      g_usleep (20000);
+    }
+}
+
+/* A server floods requests and health checks.  */
+START_TEST (each_flood_of_a_server_is_bounded)
+{
+  char address[56];
+
+  stage_server_stop (&stage, 1);
+  for (unsigned i = 0; i < n_floods; i++)
+    {
+      flood_server_start (
+          &flood_server, stage_address (&stage, 1, 8080, address), &floods[i]);
+      call_during_flood (floods[i].name);
+      ck_assert_msg (flood_server_sent (&flood_server) > 0, "%s",
+                     floods[i].name);
+      check_memory ();
+      flood_server_stop (&flood_server);
+    }
+}
+END_TEST
+
+/* Bytes without end are given up as soon as they exceed a limit, not at the
+   deadline of the request.  */
+START_TEST (each_flood_of_a_head_is_left_before_the_deadline)
+{
+  static const char *const heads[]
+      = { "status line", "field", "fields", "interim answers", "blank lines" };
+  char address[56];
+
+  stage_server_stop (&stage, 1);
+  stage_server_stop (&stage, 2);
+  for (unsigned i = 0; i < G_N_ELEMENTS (heads); i++)
+    {
+      uint64_t began_us = (uint64_t)g_get_monotonic_time ();
+
+      flood_server_start (&flood_server,
+                          stage_address (&stage, 1, 8080, address),
+                          flood_find (heads[i]));
+      stage_call (&stage, &reply, 3, "POST", "alpha.test", "/write/1",
+                  heads[i], "order");
+      ck_assert_msg (reply.status == 502, "%s: %d", heads[i], reply.status);
+      ck_assert_uint_lt ((uint64_t)g_get_monotonic_time () - began_us,
+                         1000000);
+      flood_server_stop (&flood_server);
+    }
+}
+END_TEST
+
+/* The store floods the daemon of VM 3, which has just started.  */
+START_TEST (each_flood_of_the_store_is_bounded)
+{
+  char address[56];
+
+  process_signal (&stage.daemons[3], SIGKILL);
+  stage.store_port = 9001;
+  stage_write_settings (&stage, 3, "");
+  flood_server_start (&flood_server, stage_address (&stage, 3, 9001, address),
+                      &floods[0]);
+  stage_start_daemon (&stage, 3);
+  stage_wait_ready (&stage, 3);
+  for (unsigned i = 0; i < n_floods; i++)
+    {
+      flood_server_stop (&flood_server);
+      flood_server_start (&flood_server, address, &floods[i]);
+      call_during_flood (floods[i].name);
+      check_memory ();
+    }
+  flood_server_stop (&flood_server);
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
   tcase_add_checked_fixture (tests, setup, teardown);
   tcase_add_loop_test (tests, a_read_that_meets_a_flood_is_served_by_another,
-                       0, G_N_ELEMENTS (floods));
+                       0, G_N_ELEMENTS (flood_queries));
   tcase_add_loop_test (tests, an_order_that_meets_a_flood_has_an_unknown_end,
-                       0, G_N_ELEMENTS (floods));
+                       0, G_N_ELEMENTS (flood_queries));
+  tcase_add_test (tests, each_flood_of_a_server_is_bounded);
+  tcase_add_test (tests, each_flood_of_a_head_is_left_before_the_deadline);
+  tcase_add_test (tests, each_flood_of_the_store_is_bounded);
   tcase_add_test (tests, floods_on_all_slots_stay_within_the_memory);
   tcase_add_test (tests, unanswered_health_checks_are_closed);
   tcase_add_test (tests, a_store_that_floods_is_left_until_it_answers);
@@ -201,5 +303,5 @@
 main (void)
 {
   harness_release_freed_memory ();
-  return suite_run ("mesh_floods", add_tests, 40);
+  return suite_run ("mesh_floods", add_tests, 60);
 }
