Test that broken answers of the store and to health checks are not believed

The check of status lines covers these, too, as net/message.c reads them all. Without it, an answer of the store with the status 600 that names a later era was believed: all good answers counted as old from then on, and no change of the configuration came into force (the test ran into its time limit). Health checks answered with the status 000 that say "leaving" and "full" turned callers away from good servers (503).

--- a/regress/harness/stage.h
+++ b/regress/harness/stage.h
@@ -44,7 +44,8 @@
   STAGE_STORE_NORMAL,
   STAGE_STORE_BUSY,   /* 503 */
   STAGE_STORE_SILENT, /* no answer */
-  STAGE_STORE_FLOOD   /* an answer of many MB that is no JSON */
+  STAGE_STORE_FLOOD,  /* an answer of many MB that is no JSON */
+  STAGE_STORE_BROKEN  /* what HTTP/1.1 does not allow, in a later era */
 };
 
 struct stage_server;
@@ -154,6 +155,11 @@
 void stage_server_script (struct stage *stage, unsigned vm, const char *answer,
                           size_t length);
 
+/* VM's server answers health checks with the LENGTH bytes of ANSWER; 0 for as
+   usual.  */
+void stage_server_script_health (struct stage *stage, unsigned vm,
+                                 const char *answer, size_t length);
+
 /* VM's server says in its health checks that it is cold for MS from now on; 0
    for warm.  */
 void stage_server_cold (struct stage *stage, unsigned vm, unsigned ms);
--- a/regress/harness/stage_control.c
+++ b/regress/harness/stage_control.c
@@ -31,15 +31,28 @@
   pthread_mutex_unlock (&stage->lock);
 }
 
+static void
+set_script (struct stage *stage, GByteArray *script, const char *answer,
+            size_t length)
+{
+  pthread_mutex_lock (&stage->lock);
+  g_byte_array_set_size (script, 0);
+  g_byte_array_append (script, (const guint8 *)answer, (guint)length);
+  pthread_mutex_unlock (&stage->lock);
+}
+
 void
 stage_server_script (struct stage *stage, unsigned vm, const char *answer,
                      size_t length)
 {
-  pthread_mutex_lock (&stage->lock);
-  g_byte_array_set_size (stage->servers[vm]->script, 0);
-  g_byte_array_append (stage->servers[vm]->script, (const guint8 *)answer,
-                       (guint)length);
-  pthread_mutex_unlock (&stage->lock);
+  set_script (stage, stage->servers[vm]->script, answer, length);
+}
+
+void
+stage_server_script_health (struct stage *stage, unsigned vm,
+                            const char *answer, size_t length)
+{
+  set_script (stage, stage->servers[vm]->health, answer, length);
 }
 
 void
--- a/regress/harness/stage_internal.h
+++ b/regress/harness/stage_internal.h
@@ -35,6 +35,7 @@
   bool wanted;          /* it should listen */
   char notice[128];     /* header lines in all its answers */
   GByteArray *script;   /* the answer to what asks for ?scripted */
+  GByteArray *health;   /* the answer to health checks, or empty */
   char instance[32];
   char refused_id[64]; /* of the last request that asked for ?late-copy */
   uint64_t born_ms;
--- a/regress/harness/stage_server.c
+++ b/regress/harness/stage_server.c
@@ -80,28 +80,31 @@
   net_stream_write (&guest->stream, bytes);
 }
 
-/* Sends the scripted answer, with the request ID in its place.  */
-static void
-send_script (struct guest *guest)
+/* Sends SCRIPT, with the request ID in its place.  Returns false if the script
+   is empty.  */
+static bool
+send_script (struct guest *guest, const GByteArray *script)
 {
-  struct stage_server *server = guest->server;
+  struct stage *stage = guest->server->stage;
   const char *id = request_id (guest);
   GByteArray *bytes = g_byte_array_new ();
   const guint8 *place;
   guint before;
+  bool empty;
 
-  pthread_mutex_lock (&server->stage->lock);
-  place = memchr (server->script->data, '@', server->script->len);
-  before = place == NULL ? server->script->len
-                         : (guint)(place - server->script->data);
-  g_byte_array_append (bytes, server->script->data, before);
+  pthread_mutex_lock (&stage->lock);
+  empty = script->len == 0;
+  place = empty ? NULL : memchr (script->data, '@', script->len);
+  before = place == NULL ? script->len : (guint)(place - script->data);
+  g_byte_array_append (bytes, script->data, before);
   if (place != NULL)
     {
       g_byte_array_append (bytes, (const guint8 *)id, (guint)strlen (id));
-      g_byte_array_append (bytes, place + 1, server->script->len - before - 1);
+      g_byte_array_append (bytes, place + 1, script->len - before - 1);
     }
-  pthread_mutex_unlock (&server->stage->lock);
+  pthread_mutex_unlock (&stage->lock);
   net_stream_write (&guest->stream, bytes);
+  return !empty;
 }
 
 static unsigned
@@ -221,7 +224,7 @@
 
   if (asks (guest, "scripted"))
     {
-      send_script (guest);
+      send_script (guest, guest->server->script);
       net_stream_shutdown (&guest->stream);
       return true;
     }
@@ -372,7 +375,10 @@
   if (strcmp (guest->request.target->str, "/health") == 0 && is_mute (server))
     return true;
   if (strcmp (guest->request.target->str, "/health") == 0)
-    answer_health (guest, own);
+    {
+      if (!send_script (guest, server->health))
+        answer_health (guest, own);
+    }
   else if (expected != NULL && strcmp (expected, server->instance) != 0)
     misdirected (guest, own);
   else if (asks (guest, "shed"))
@@ -617,6 +623,7 @@
   server->slowness_percent = 100;
   server->headers = g_string_new (NULL);
   server->script = g_byte_array_new ();
+  server->health = g_byte_array_new ();
   server->starts = g_array_new (FALSE, FALSE, sizeof (gint64));
   CDS_INIT_LIST_HEAD (&server->guests);
   stage_server_set_instance (server);
@@ -680,6 +687,7 @@
 {
   g_string_free (server->headers, TRUE);
   g_byte_array_unref (server->script);
+  g_byte_array_unref (server->health);
   g_array_unref (server->starts);
   g_free (server);
 }
--- a/regress/harness/stage_store.c
+++ b/regress/harness/stage_store.c
@@ -139,6 +139,16 @@
   net_exchange_respond (exchange, 200, NULL, text, FLOOD_BYTES);
 }
 
+/* The status is not one of HTTP/1.1; otherwise this is a whole answer.  */
+static void
+answer_broken (struct net_exchange *exchange)
+{
+  static const char text[] = "{\"items\":[],\"events\":[],\"at\":1}";
+
+  net_exchange_respond (exchange, 600, "Store-Era: 999\r\n", text,
+                        strlen (text));
+}
+
 /* Returns the text of parameter NAME of TARGET's query, to be freed, or
    NULL.  */
 static char *
@@ -244,6 +254,8 @@
     exchange->owner = NULL;
   else if (door->mode == STAGE_STORE_FLOOD)
     answer_flood (exchange);
+  else if (door->mode == STAGE_STORE_BROKEN)
+    answer_broken (exchange);
   else if (g_str_has_prefix (target, "/cornelpick/kv-range"))
     answer_range (door->store, exchange);
   else if (g_str_has_prefix (target, "/cornelpick/kv-watch"))
--- a/regress/meshd/check_mesh_broken_answers.c
+++ b/regress/meshd/check_mesh_broken_answers.c
@@ -6,6 +6,11 @@
 #include "regress/harness/broken_answers.h"
 #include "regress/harness/stage_fixture.h"
 
+#define NEW_ROUTE                                                             \
+  ",{\"name\":\"new\",\"kind\":\"idempotent\",\"targetLatency\":\"200ms\","   \
+  "\"priority\":1,\"match\":{\"prefix\":\"/new/\"},\"action\":{\"service\":"  \
+  "\"alpha\",\"timeout\":\"2000ms\",\"maxAttempts\":2}}"
+
 /* Both servers of alpha answer what asks for it with SCRIPT.  */
 static void
 set_script (const struct script *script)
@@ -123,6 +128,68 @@
 }
 END_TEST
 
+static bool
+store_answers (void *context)
+{
+  (void)context;
+  return stage_counter (&stage, 3, "store_answers") == 1;
+}
+
+static bool
+store_fails (void *context)
+{
+  return !store_answers (context);
+}
+
+static bool
+new_route_is_in_force (void *context)
+{
+  static unsigned number;
+  CP_AUTO_FREE char *id = g_strdup_printf ("new%u", ++number);
+
+  (void)context;
+  return call ("GET", "/new/1", id) == 200;
+}
+
+/* The era that a broken answer names would make all good ones look old, so
+   that no change would be taken any more.  */
+START_TEST (a_broken_answer_of_the_store_is_not_believed)
+{
+  for (unsigned vm = 1; vm <= VMS; vm++)
+    stage_store_mode (&stage, vm, STAGE_STORE_BROKEN);
+  stage_drop_history (&stage);
+  wait_until (store_fails, NULL);
+  g_usleep (500000);
+  for (unsigned vm = 1; vm <= VMS; vm++)
+    stage_store_mode (&stage, vm, STAGE_STORE_NORMAL);
+  wait_until (store_answers, NULL);
+  stage_configure (&stage, NEW_ROUTE);
+  wait_until (new_route_is_in_force, NULL);
+}
+END_TEST
+
+/* Both servers give broken answers to health checks, which say that they leave
+   and are full.  They are used all the same, as their answers to requests are
+   good.  */
+START_TEST (a_broken_answer_to_a_health_check_is_not_believed)
+{
+  static const char answer[]
+      = "HTTP/1.1 000 OK\r\nServer-Leaving: 1\r\n"
+        "X-Cornelpick-Server-Load: 13,100,13,100\r\nServer-Limit: 0.01\r\n"
+        "Content-Length: 0\r\n\r\n";
+
+  for (unsigned vm = 1; vm < VMS; vm++)
+    stage_server_script_health (&stage, vm, answer, sizeof answer - 1);
+  for (unsigned i = 0; i < 40; i++)
+    {
+      CP_AUTO_FREE char *id = g_strdup_printf ("health%u", i);
+
+      ck_assert_int_eq (call ("POST", "/write/1", id), 200);
+      g_usleep (50000);
+    }
+}
+END_TEST
+
 /* An upload whose server answers when it has READ bytes of it.  */
 struct early_answer
 {
@@ -205,6 +272,8 @@
   tcase_add_test (tests, an_answer_with_a_broken_length_is_rejected);
   tcase_add_test (tests, an_answer_with_an_encoded_body_is_rejected);
   tcase_add_test (tests, an_answer_with_broken_chunks_is_rejected);
+  tcase_add_test (tests, a_broken_answer_of_the_store_is_not_believed);
+  tcase_add_test (tests, a_broken_answer_to_a_health_check_is_not_believed);
   tcase_add_loop_test (tests,
                        a_success_that_ends_during_the_upload_is_rejected, 0,
                        G_N_ELEMENTS (early_answers));
