cornelpickd: take a success that ends during the upload as cut off

Callers of cornelpickd got a part of an answer as a whole 200: the target answered an upload of 8 or 30 MB at once without a length, sent "half" and ended the connection with a FIN, then a reset, while the upload was still being written. A reset alone was noticed.

Cause: libcurl takes the FIN as the end of a body without a length and the call as done, although the request is not.

Other statuses are not changed.

A success without a length that ends after the upload is passed on.

--- a/http/internal.h
+++ b/http/internal.h
@@ -17,13 +17,16 @@
   CURL *easy;
   CURLM *multi;
   uint64_t idle_since_us;
-  int fd; /* the connection's socket, or -1 */
+  int fd;         /* the connection's socket, or -1 */
+  int unreceived; /* bytes that the other side had not acknowledged when the
+                     socket was closed during the last call */
 };
 
 /* One call on one connection.  */
 struct transfer
 {
   const struct upstream_call *call;
+  const struct upstream *upstream;
   uint64_t first_byte_us; /* 0 for no limit */
   struct upstream_head head;
   struct cp_http_syntax syntax; /* of the head or the trailer section */
--- a/http/upstream.c
+++ b/http/upstream.c
@@ -1,10 +1,12 @@
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 #include <sys/eventfd.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "http/internal.h"
@@ -318,7 +320,10 @@
   struct upstream *upstream = context;
 
   if (upstream->fd == fd)
-    upstream->fd = -1;
+    {
+      ioctl (fd, SIOCOUTQ, &upstream->unreceived);
+      upstream->fd = -1;
+    }
   return close (fd);
 }
 
@@ -352,6 +357,8 @@
   char url[CP_ADDRESS_TEXT_BYTES + 16];
 
   snprintf (url, sizeof url, "http://%s/", call->address->text);
+  transfer->upstream = upstream;
+  upstream->unreceived = 0;
   upstream_head_init (transfer);
   curl_easy_reset (easy);
   curl_easy_setopt (easy, CURLOPT_URL, url);
@@ -469,9 +476,26 @@
   return UPSTREAM_COMPLETE;
 }
 
+/* Returns whether the answer, which libcurl takes as whole, is so.  A target
+   may reject a request that it has not read, but a success without a length
+   that ends with the connection while the request is still on its way is that
+   of a target that failed meanwhile: its FIN may come before the reset.  */
+static bool
+is_whole (const struct transfer *transfer)
+{
+  const struct upstream_head *head = &transfer->head;
+
+  if (head->status >= 300 || head->status == 204 || head->length >= 0
+      || transfer->chunked || !transfer->call->has_body)
+    return true;
+  return transfer->body_ended && transfer->upstream->unreceived == 0;
+}
+
 enum upstream_result
 upstream_classify (struct transfer *transfer, CURLcode code)
 {
+  if (code == CURLE_OK && !is_whole (transfer))
+    return UPSTREAM_TRUNCATED;
   if (code == CURLE_OK)
     return deliver_head (transfer) ? UPSTREAM_COMPLETE : UPSTREAM_ABORTED;
   if (!transfer->sent)
--- a/regress/harness/script_target.c
+++ b/regress/harness/script_target.c
@@ -214,6 +214,28 @@
   return sent;
 }
 
+/* Answers in part while the rest of the body is not read, as KIND says.  */
+static void
+answer_upload (int fd, const char *kind, long body_bytes)
+{
+  static const char part[]
+      = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf";
+  const struct sockaddr none = { .sa_family = AF_UNSPEC };
+  long read = 0;
+  unsigned ms = 0;
+  char end[8] = "";
+
+  ck_assert_int_eq (sscanf (kind, "upload-%ld-%u-%7s", &read, &ms, end), 3);
+  ck_assert_int_lt (read, body_bytes);
+  if (!skip_body (fd, read) || !send_text (fd, part))
+    return;
+  if (strcmp (end, "fin") == 0)
+    shutdown (fd, SHUT_WR);
+  usleep (ms * 1000);
+  /* This resets a connection.  */
+  ck_assert_int_eq (connect (fd, &none, sizeof none), 0);
+}
+
 /* Answers one request.  Returns whether the connection is kept.  */
 static bool
 answer (struct script_target *target, int fd,
@@ -221,6 +243,11 @@
 {
   const char *kind = request->kind;
 
+  if (g_str_has_prefix (kind, "upload-"))
+    {
+      answer_upload (fd, kind, request->body_bytes);
+      return false;
+    }
   if (g_str_has_prefix (kind, "script-"))
     {
       const struct script *script
--- a/regress/harness/script_target.h
+++ b/regress/harness/script_target.h
@@ -12,6 +12,10 @@
    interim     an interim 103 before the answer
    204, 304    these statuses, without a body
    early       an answer before the body of the request is read
+   upload-READ-MS-END
+               having read READ bytes of the body, a part of an answer without
+               length; MS later, END "reset" resets the connection, "fin" ends
+               it in an orderly way at once and resets it then
    continue    100 before the body is read
    chain       as an application that calls on: after CHAIN_WORK_US it calls
                the same path through the daemon at NEXT, passing on the time
--- a/regress/path/check_attempts_broken_answers.c
+++ b/regress/path/check_attempts_broken_answers.c
@@ -90,6 +90,48 @@
 }
 END_TEST
 
+/* Bytes that the target reads of an upload, time until the reset, and the end
+   of the answer.  */
+static const char *const early_ends[]
+    = { "0-0-reset",       "0-20-reset",        "0-200-reset",
+        "1000000-0-reset", "1000000-200-reset", "0-200-fin",
+        "100000-20-fin",   "1000000-200-fin",   "7900000-20-fin" };
+
+static const size_t upload_sizes[] = { 8000000, 8000000, 30000000 };
+
+/* A success that ends with the connection while the upload is still being
+   sent is not whole, also if a FIN came before the reset.  */
+START_TEST (a_success_that_ends_during_the_upload_is_rejected)
+{
+  set_up (NULL);
+  for (unsigned i = 0; i < G_N_ELEMENTS (upload_sizes); i++)
+    {
+      char *body = g_strnfill (upload_sizes[i], 'u');
+      char path[64];
+
+      snprintf (path, sizeof path, "/uploads/upload-%s", early_ends[_i]);
+      fleet_call (&fixture.fleet, &reply, 1, "PUT", path, NULL, body);
+      ck_assert_msg (reply.status != 200, "%s of %zu: %s", path,
+                     upload_sizes[i], reply.body->str);
+      g_free (body);
+    }
+  tear_down ();
+}
+END_TEST
+
+START_TEST (a_success_that_ends_after_the_upload_is_passed_on)
+{
+  char *body = g_strnfill (upload_sizes[0], 'u');
+
+  set_up (NULL);
+  fleet_call (&fixture.fleet, &reply, 1, "PUT", "/uploads/closed", NULL, body);
+  ck_assert_int_eq (reply.status, 200);
+  ck_assert_uint_eq (reply.body->len, 33 * SCRIPT_REPEATS);
+  g_free (body);
+  tear_down ();
+}
+END_TEST
+
 static void
 add_tests (TCase *tests)
 {
@@ -97,6 +139,10 @@
                        G_N_ELEMENTS (good_lists));
   tcase_add_loop_test (tests, a_broken_answer_is_rejected, 0,
                        G_N_ELEMENTS (broken_lists));
+  tcase_add_loop_test (tests,
+                       a_success_that_ends_during_the_upload_is_rejected, 0,
+                       G_N_ELEMENTS (early_ends));
+  tcase_add_test (tests, a_success_that_ends_after_the_upload_is_passed_on);
 }
 
 int
