cornelpickd: reject an answer to a request as a page of the target

A caller got the health or load page of a target as the answer to its request, a whole 200: a stray answer of the target, which names another request, arrived just after a page was asked for and was taken as the page. The page itself followed on the kept connection and was taken as the answer to the next call.

Cause: the answer to a read of a page was not checked for the request that it names, while the answers to requests are.

An answer that names a request is no page now, and its connection is closed, as in cornelpick-meshd.

A target that sends a stray answer that names no request is still beyond detection, as docs/PROMISES.md says.

--- a/cornelpickd/measure.c
+++ b/cornelpickd/measure.c
@@ -139,11 +139,18 @@
 on_page_head (void *context, const struct upstream_head *head)
 {
   struct reading *reading = context;
+  char id[CP_ID_TEXT_BYTES];
 
   reading->status = head->status;
   for (const struct curl_slist *line = head->headers; line != NULL;
        line = line->next)
     reading->bytes += strlen (line->data) + 2;
+  /* No read of a page has a request ID, so this answer is to a request.  The
+     page itself may follow, and would be taken for the answer to the next
+     request on the connection.  */
+  if (upstream_header_value (head, HEADER_REQUEST, id, sizeof id)
+      && id[0] != '\0')
+    return false;
   return head->length <= PAGE_BYTES_MAX;
 }
 
--- a/regress/harness/script_target.c
+++ b/regress/harness/script_target.c
@@ -257,6 +257,13 @@
         send_all (fd, script->bytes, script->length);
       return false;
     }
+  if (target->stray_pages
+      && (strcmp (kind, "health") == 0 || strcmp (kind, "load") == 0))
+    {
+      if (!send_text (fd, stray_answer))
+        return false;
+      usleep (STRAY_PAGE_US);
+    }
   script_body (request->id, body);
   if (strcmp (kind, "early") == 0)
     return send_sized (fd, request, "413 Content Too Large", body->len,
@@ -391,6 +398,15 @@
   start (target, address);
 }
 
+void
+script_target_start_straying (struct script_target *target,
+                              const char *address)
+{
+  memset (target, 0, sizeof *target);
+  target->stray_pages = true;
+  start (target, address);
+}
+
 void
 script_target_stop (struct script_target *target)
 {
--- a/regress/harness/script_target.h
+++ b/regress/harness/script_target.h
@@ -42,6 +42,7 @@
   bool stop;
   char next[56]; /* address of a daemon, for chains */
   const struct script *scripts;
+  bool stray_pages; /* sends a stray answer before each page */
   unsigned n_connections;
   pthread_t connections[SCRIPT_CONNECTIONS_MAX];
 };
@@ -57,6 +58,12 @@
                                    const char *address,
                                    const struct script *scripts);
 
+/* The same; the target answers a read of a page, such as that of its health,
+   with a stray answer first, and STRAY_PAGE_US later with the page.  */
+#define STRAY_PAGE_US 100000
+void script_target_start_straying (struct script_target *target,
+                                   const char *address);
+
 /* Ends the threads; their connections must have been closed.  */
 void script_target_stop (struct script_target *target);
 
--- a/regress/path/check_attempts_answers.c
+++ b/regress/path/check_attempts_answers.c
@@ -17,6 +17,10 @@
 #define CALLS_EACH 100
 #define EARLY_BYTES 4000000
 
+/* Time in which the pages of a target are read several times.  */
+#define PAUSE_US (STRAY_PAGE_US / 2)
+#define PAGES_US (6 * G_USEC_PER_SEC)
+
 /* Expected result at the caller for each kind of answer.  */
 struct expected
 {
@@ -245,6 +249,39 @@
 }
 END_TEST
 
+/* Reads of the health and load of the target get a stray answer each; the page
+   that follows must not be taken for the answer to the next call.  */
+START_TEST (a_page_is_no_answer_to_a_call)
+{
+  static struct fixture fixture;
+  gint64 until_us;
+  char address[56];
+  struct reply reply;
+  GString *body = g_string_new (NULL);
+  char id[40];
+
+  fleet_start (&fixture.fleet, 2, 2, campaign_gate);
+  process_signal (&fixture.fleet.targets[2], SIGKILL);
+  script_target_start_straying (
+      &fixture.target, fleet_address (&fixture.fleet, 2, 8080, address));
+  reply_init (&reply);
+  until_us = g_get_monotonic_time () + PAGES_US;
+  while (g_get_monotonic_time () < until_us)
+    {
+      fleet_call (&fixture.fleet, &reply, 1, "GET", "/items/whole", NULL,
+                  NULL);
+      ck_assert (reply_header (&reply, "Cornelpick-Request", id, sizeof id));
+      script_body (id, body);
+      ck_assert_int_eq (reply.status, 200);
+      expect_body (&reply, body);
+      g_usleep (PAUSE_US);
+    }
+  reply_finish (&reply);
+  g_string_free (body, TRUE);
+  tear_down (&fixture);
+}
+END_TEST
+
 START_TEST (heads_have_no_body)
 {
   static struct fixture fixture;
@@ -327,6 +364,7 @@
   tcase_add_test (tests, every_caller_gets_its_own_whole_answer);
   tcase_add_test (tests, excess_bytes_do_not_reach_the_next_caller);
   tcase_add_test (tests, stray_answers_are_dropped);
+  tcase_add_test (tests, a_page_is_no_answer_to_a_call);
   tcase_add_test (tests, heads_have_no_body);
   tcase_add_test (tests, answers_before_the_body_was_read_are_passed_on);
   tcase_add_test (tests, cut_answers_reset_the_connection_of_old_callers);
