cornelpickd: test broken chunks, and list those that libcurl accepts

The chunks that cornelpick-meshd rejects were tried on cornelpickd. Of 18, 12 end the call with 502 or cut the answer off; those stay as a test.

--- a/regress/harness/broken_answers.c
+++ b/regress/harness/broken_answers.c
@@ -127,13 +127,7 @@
 const struct script broken_chunks[] = {
   CHUNKED ("5\r\nwholeXX0\r\n\r\n"),
   CHUNKED ("5\r\nwhole\rX0\r\n\r\n"),
-  CHUNKED ("5\r\nwhole\n0\r\n\r\n"),
   CHUNKED ("5\rXwhole\r\n0\r\n\r\n"),
-  CHUNKED ("5\nwhole\r\n0\r\n\r\n"),
-  CHUNKED ("5 5\r\nwhole\r\n0\r\n\r\n"),
-  CHUNKED ("5 \r\nwhole\r\n0\r\n\r\n"),
-  CHUNKED ("5;a\001\r\nwhole\r\n0\r\n\r\n"),
-  CHUNKED ("5;a\0\r\nwhole\r\n0\r\n\r\n"),
   CHUNKED ("0x5\r\nwhole\r\n0\r\n\r\n"),
   CHUNKED ("-5\r\nwhole\r\n0\r\n\r\n"),
   CHUNKED ("\r\nwhole\r\n0\r\n\r\n"),
@@ -165,6 +159,16 @@
   { NULL, 0 },
 };
 
+const struct script broken_chunk_lines[] = {
+  CHUNKED ("5\r\nwhole\n0\r\n\r\n"),
+  CHUNKED ("5\nwhole\r\n0\r\n\r\n"),
+  CHUNKED ("5 5\r\nwhole\r\n0\r\n\r\n"),
+  CHUNKED ("5 \r\nwhole\r\n0\r\n\r\n"),
+  CHUNKED ("5;a\001\r\nwhole\r\n0\r\n\r\n"),
+  CHUNKED ("5;a\0\r\nwhole\r\n0\r\n\r\n"),
+  { NULL, 0 },
+};
+
 const struct script unknown_codings[] = {
   CODED ("HTTP/1.1", CODING "gzip\r\n", "whole"),
   CODED ("HTTP/1.1", CODING "identity\r\n", "whole"),
--- a/regress/harness/broken_answers.h
+++ b/regress/harness/broken_answers.h
@@ -30,4 +30,8 @@
 extern const struct script unknown_codings[];
 extern const struct script broken_chunks[];
 
+/* The same; the body is clear if the ends of lines and extensions are read
+   with leniency.  */
+extern const struct script broken_chunk_lines[];
+
 #endif
--- a/regress/meshd/check_mesh_broken_answers.c
+++ b/regress/meshd/check_mesh_broken_answers.c
@@ -125,6 +125,8 @@
 {
   for (unsigned i = 0; broken_chunks[i].bytes != NULL; i++)
     expect_rejected (&broken_chunks[i], i);
+  for (unsigned i = 0; broken_chunk_lines[i].bytes != NULL; i++)
+    expect_rejected (&broken_chunk_lines[i], 100 + i);
 }
 END_TEST
 
--- a/regress/path/check_attempts_broken_answers.c
+++ b/regress/path/check_attempts_broken_answers.c
@@ -90,6 +90,30 @@
 }
 END_TEST
 
+/* An answer may have begun when its chunks turn out to be broken; then it is
+   cut off.  */
+static void
+expect_no_whole_answer (const struct script *scripts)
+{
+  set_up (scripts);
+  for (unsigned i = 0; scripts[i].bytes != NULL; i++)
+    ck_assert_msg (call (i) == 0 || reply.status == 502, "%u: %d, %s", i,
+                   reply.status, reply.body->str);
+  tear_down ();
+}
+
+START_TEST (a_target_with_broken_chunks_gives_no_answer)
+{
+  expect_no_whole_answer (broken_chunks);
+}
+END_TEST
+
+START_TEST (a_target_with_broken_chunk_lines_gives_no_answer)
+{
+  expect_no_whole_answer (broken_chunk_lines);
+}
+END_TEST
+
 /* Bytes that the target reads of an upload, time until the reset, and the end
    of the answer.  */
 static const char *const early_ends[]
@@ -139,6 +163,8 @@
                        G_N_ELEMENTS (good_lists));
   tcase_add_loop_test (tests, a_broken_answer_is_rejected, 0,
                        G_N_ELEMENTS (broken_lists));
+  tcase_add_test (tests, a_target_with_broken_chunks_gives_no_answer);
+  tcase_add_test (tests, a_target_with_broken_chunk_lines_gives_no_answer);
   tcase_add_loop_test (tests,
                        a_success_that_ends_during_the_upload_is_rejected, 0,
                        G_N_ELEMENTS (early_ends));
