--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -95,12 +95,25 @@
         self.changed = asyncio.Event()
         self.page = 500
         self.replicas = [0.0]  # age in s of what each replica shows
-        self.servers = []
+        self.doors = []
+        self.writers = set()
 
-    async def start(self, vms):
-        for vm in vms:
-            self.servers.append(await asyncio.start_server(
-                self.serve, self.rig.ip(100 + vm), STORE))
+    async def start(self, first, vms):
+        """Listens at one more address for each of VMS, from FIRST on."""
+        doors = [await asyncio.start_server(self.serve,
+                                            self.rig.ip(first + vm), STORE)
+                 for vm in vms]
+        self.doors += doors
+        return doors
+
+    def close(self, doors):
+        """Stops to listen at DOORS, and ends the connections made there."""
+        addresses = [s.getsockname() for d in doors for s in d.sockets]
+        for door in doors:
+            door.close()
+        for writer in list(self.writers):
+            if writer.get_extra_info("sockname") in addresses:
+                writer.transport.abort()
 
     def put(self, key, value):
         if value is not None and not isinstance(value, bytes):
@@ -159,6 +172,14 @@
                 pass
 
     async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            await self.serve_all(reader, writer)
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def serve_all(self, reader, writer):
         for number in itertools.count():
             request = await read_request(reader)
             if request is None:
@@ -177,7 +198,6 @@
                 await writer.drain()
             except ConnectionError:
                 break
-        writer.close()
 
 
 class Server:
@@ -275,6 +295,34 @@
                 f"Content-Length: {len(body)}\r\n\r\n").encode() + body
 
 
+async def relay(ip, port, target, bytes_per_s):
+    """Passes connections at IP and PORT on to port TARGET there; what comes
+    back is limited to BYTES_PER_S on each connection, unless that is 0."""
+    async def pump(reader, writer, rate):
+        due = now()
+        try:
+            while data := await reader.read(16384):
+                writer.write(data)
+                await writer.drain()
+                if rate:
+                    due = max(due, now() - 0.01) + len(data) / rate
+                    await asyncio.sleep(due - now())
+        except ConnectionError:
+            pass
+        writer.close()
+
+    async def serve(reader, writer):
+        try:
+            there = await asyncio.open_connection(ip, target)
+        except OSError:
+            writer.transport.abort()
+            return
+        await asyncio.gather(pump(reader, there[1], 0),
+                             pump(there[0], writer, bytes_per_s))
+
+    return await asyncio.start_server(serve, ip, port)
+
+
 class Rig:
     def __init__(self, record, n_vms, services, work, zones=2):
         pid = os.getpid()
@@ -289,7 +337,9 @@
         self.servers = {vm: Server(self, vm, services(vm), work)
                         for vm in self.vms}
         self.daemons = {}
+        self.stores = 100  # VM N's address of the store is this + N
         self.memory_mb = 260
+        self.peer_ports = dict.fromkeys(self.vms, PEERS)
 
     def ip(self, vm):
         return f"{self.net}.{vm}"
@@ -311,7 +361,7 @@
             "machineClass": "sidecar", "serves": ["sidecar"], "ip": ip,
             "zone": self.zone(vm), "region": "lk-west",
             "zones": {f"zone-{z}": "lk-west" for z in "abcd"[:self.n_zones]},
-            "listenAddrs": {"inbound": f"{ip}:{PEERS}",
+            "listenAddrs": {"inbound": f"{ip}:{self.peer_ports[vm]}",
                             "outbound": f"{ip}:{CALLS}",
                             "ready": f"{ip}:{READY}"},
             "portRange": [7600, 7615], "seedNodes": [], "bootstrap": True,
@@ -331,7 +381,7 @@
                        "probesPerS": 60},
             "appAddr": f"{ip}:{SERVER}",
             "service": self.servers[vm].service,
-            "platform": {"address": f"{self.ip(100 + vm)}:{STORE}",
+            "platform": {"address": f"{self.ip(self.stores + vm)}:{STORE}",
                          "form": "read", "writesPerS": 400,
                          "readsPerS": 2000, "history": "20s",
                          "valueBytes": 1048576, "ttlMin": "1000ms"}}
@@ -382,7 +432,7 @@
         return 0.0
 
     async def start(self, config, linked=True):
-        await self.store.start(self.vms)
+        self.store_doors = await self.store.start(self.stores, self.vms)
         self.store.put("op/config", config)
         for vm in self.vms:
             await self.servers[vm].start()
@@ -426,11 +476,13 @@
                           "maxConnections": 240} for s in services]}
 
 
-def request_text(method, path, request_id, deadline_ms, body=b""):
+def request_text(method, path, request_id, deadline_ms, body=b"", header=""):
+    """HEADER is one more header line."""
     return (f"{method} {path} HTTP/1.1\r\nHost: shop.example\r\n"
             f"X-Cornelpick-Request-Id: {request_id}\r\n"
             f"X-Cornelpick-Deadline-Ms: {deadline_ms}\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n").encode() + body
+            f"Content-Length: {len(body)}\r\n{header}"
+            f"{header and chr(13) + chr(10)}\r\n").encode() + body
 
 
 def main(rig, case):
