--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -11,6 +11,7 @@
 import os
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -20,8 +21,26 @@
 
 TOP = Path(__file__).resolve().parent.parent
 DAEMON = TOP / "target/meshd/cornelpick-meshd"
-SERVER, CALLS, PEERS = 18080, 18000, 17400
-READY, STORE, METRICS = 18025, 19000, 19464
+NET = f"127.{1 + os.getpid() % 250}.{os.getpid() // 250 % 250}"
+
+
+def free_ports(count):
+    """Returns COUNT successive ports that are free at the addresses used."""
+    for first in range(18000, 32000, count):
+        try:
+            for port in range(first, first + count):
+                with socket.socket() as probe:
+                    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR,
+                                     1)
+                    probe.bind((f"{NET}.1", port))
+            return range(first, first + count)
+        except OSError:
+            continue
+    raise SystemExit(2)
+
+
+# PEERS + 1 is for the relays of a case.
+SERVER, CALLS, READY, STORE, METRICS, PEERS, _ = free_ports(7)
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 CAPACITY = 13
 ANSWER_S = 0.004  # the store's time for an answer
@@ -325,8 +344,7 @@
 
 class Rig:
     def __init__(self, record, n_vms, services, work, zones=2):
-        pid = os.getpid()
-        self.net = f"127.{1 + pid % 250}.{pid // 250 % 250}"
+        self.net = NET
         self.folder = tempfile.mkdtemp(prefix="cornelpick-review-")
         self.record = open(record, "w")
         self.began = now()
